--- /dev/null
+++ b/crates/linenthread-adapter/src/host.rs
@@ -0,0 +1,356 @@
+//! Hosts the instances: decodes each batch into what came in for one co-ordinator, and encodes what it
+//! decides. Ids become indices here; nothing else is known of them beyond this file.
+
+use std::collections::{BTreeMap, HashMap};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use linenthread_core::interface::{
+    Arrivals, Ending, Listed, Load, NewLookup, NewPart, Phase, ProbeReturn, Return, RosterNews, Tenths,
+};
+use linenthread_core::{Coordinator, Writer};
+
+use crate::frame::{Fields, Reply};
+use crate::terms::{self, LoadField, tenths};
+
+/// A list entry as it came; it is matched to an instance's indices only when news refers to it.
+#[derive(Clone)]
+struct Entry {
+    replica: u32,
+    cell: u16,
+    phase: Phase,
+    started: f64,
+}
+
+/// The ids behind one lookup's index.
+#[derive(Default)]
+struct Ids {
+    lookup: u64,
+    number: u32,
+    parts: Vec<u64>,
+}
+
+/// Which index stands for which id, one way and back.
+#[derive(Default)]
+struct Names {
+    replicas: Vec<u32>,
+    replica_index: HashMap<u32, usize>,
+    lookups: Vec<Ids>,
+    free: Vec<usize>,
+    by_number: HashMap<u32, usize>,
+    /// Lookups and parts by id; a lookup itself has no part.
+    by_id: HashMap<u64, (usize, Option<usize>)>,
+}
+
+impl Names {
+    fn replica(&mut self, id: u32) -> usize {
+        let replicas = &mut self.replicas;
+        *self.replica_index.entry(id).or_insert_with(|| {
+            replicas.push(id);
+            replicas.len() - 1
+        })
+    }
+
+    fn add_lookup(&mut self, id: u64, number: u32) -> usize {
+        let ids = Ids { lookup: id, number, parts: Vec::new() };
+        let lookup = match self.free.pop() {
+            Some(free) => {
+                self.lookups[free] = ids;
+                free
+            }
+            None => {
+                self.lookups.push(ids);
+                self.lookups.len() - 1
+            }
+        };
+        self.by_number.insert(number, lookup);
+        self.by_id.insert(id, (lookup, None));
+        lookup
+    }
+}
+
+struct Instance {
+    coordinator: Coordinator,
+    names: Names,
+    load: Vec<LoadField>,
+    arrivals: Arrivals,
+}
+
+/// Encodes one co-ordinator's decisions into the reply.
+struct Encoder<'a> {
+    who: u32,
+    names: &'a mut Names,
+    reply: &'a mut Reply,
+}
+
+fn ms(time: Tenths) -> [u8; 8] {
+    (time as f64 / 10.0).to_be_bytes()
+}
+
+impl Encoder<'_> {
+    fn on_lookup(&mut self, code: u8, lookup: usize) -> &mut Reply {
+        let id = self.names.lookups[lookup].lookup;
+        self.reply.record(code, self.who).put(&id.to_be_bytes())
+    }
+
+    fn on_part(&mut self, code: u8, lookup: usize, part: usize) -> &mut Reply {
+        let id = self.names.lookups[lookup].parts[part];
+        self.reply.record(code, self.who).put(&id.to_be_bytes())
+    }
+}
+
+impl Writer for Encoder<'_> {
+    fn call(&mut self, lookup: usize, part: usize, replica: usize, time_out: Tenths) {
+        let id = self.names.replicas[replica];
+        self.on_part(12, lookup, part).put(&id.to_be_bytes()).put(&ms(time_out));
+    }
+
+    fn withdraw(&mut self, lookup: usize, part: usize, call: usize) {
+        self.on_part(4, lookup, part).put(&[call as u8]);
+    }
+
+    fn satisfy(&mut self, lookup: usize, whole: bool) {
+        self.on_lookup(8, lookup).put(&[u8::from(whole)]);
+    }
+
+    fn nack(&mut self, lookup: usize, retry_after: Option<Tenths>) {
+        self.on_lookup(5, lookup).put(&ms(retry_after.unwrap_or(0)));
+    }
+
+    fn abort(&mut self, lookup: usize) {
+        self.on_lookup(1, lookup);
+    }
+
+    fn release(&mut self, lookup: usize) {
+        let ids = std::mem::take(&mut self.names.lookups[lookup]);
+        for id in ids.parts.iter().chain([&ids.lookup]) {
+            self.names.by_id.remove(id);
+        }
+        if self.names.by_number.get(&ids.number) == Some(&lookup) {
+            self.names.by_number.remove(&ids.number);
+        }
+        self.names.free.push(lookup);
+    }
+
+    fn probe(&mut self, replica: usize) {
+        let id = self.names.replicas[replica];
+        self.reply.record(13, self.who).put(&id.to_be_bytes());
+    }
+
+    fn watch_roster(&mut self) {
+        self.reply.record(11, self.who).put(&[1]);
+    }
+
+    fn wake_at(&mut self, at: Tenths) {
+        self.reply.record(2, self.who).put(&0u64.to_be_bytes()).put(&ms(at));
+    }
+
+    fn note(&mut self, text: &str) {
+        self.reply.record(7, self.who).put_text(text);
+    }
+}
+
+fn ending(code: u16) -> Result<Ending, String> {
+    Ok(match code {
+        100 => Ending::Answered,
+        301 => Ending::Errored,
+        302 => Ending::TurnedAway,
+        303 => Ending::TimedOut,
+        304 => Ending::Unconnected,
+        305 => Ending::Broken,
+        306 => Ending::Withdrawn,
+        307 => Ending::Unsent,
+        _ => return Err(format!("unknown outcome {code}")),
+    })
+}
+
+fn read_entry(f: &mut Fields) -> Result<Entry, String> {
+    let replica = f.u32("replica")?;
+    f.bytes(4, "site and sku")?;
+    let cell = f.u16("set-no")?;
+    let phase = match f.u8("phase")? {
+        0 => Phase::Gone,
+        1 => Phase::Ready,
+        2 => Phase::Draining,
+        other => return Err(format!("unknown phase {other}")),
+    };
+    f.f32("size")?;
+    Ok(Entry { replica, cell, phase, started: f.f64("online-since-ms")? })
+}
+
+fn read_load(f: &mut Fields, fields: &[LoadField]) -> Result<Load, String> {
+    let mut load = Load::default();
+    for i in 0..f.u8("stats")? {
+        let value = f64::from(f.f32("stats")?);
+        match fields.get(usize::from(i)) {
+            Some(LoadField::Waiting) => load.waiting = Some(value),
+            Some(LoadField::Busy) => load.busy = Some(value),
+            Some(LoadField::Service) => load.service = Some(tenths(value)),
+            Some(LoadField::Other) | None => {}
+        }
+    }
+    Ok(load)
+}
+
+/// All instances of one process, and the lists that they share.
+#[derive(Default)]
+pub struct Host {
+    lists: HashMap<u16, Vec<Entry>>,
+    /// In order of number, so that replies come out the same whatever else the process hosts.
+    instances: BTreeMap<u32, Instance>,
+    /// Instances that had an event in the batch under way.
+    touched: Vec<u32>,
+}
+
+impl Host {
+    /// Takes one frame (without its length) and makes the reply to it.
+    pub fn batch(&mut self, frame: &[u8]) -> Result<Vec<u8>, String> {
+        let mut f = Fields::new(frame);
+        let now = tenths(f.f64("clock")?);
+        self.touched.clear();
+        while !f.is_empty() {
+            self.event(&mut f)?;
+        }
+        self.touched.sort_unstable();
+        self.touched.dedup();
+        let mut reply = Reply::new();
+        for &who in &self.touched {
+            let Some(instance) = self.instances.get_mut(&who) else { continue };
+            instance.arrivals.now = now;
+            let mut encoder = Encoder { who, names: &mut instance.names, reply: &mut reply };
+            let (coordinator, arrivals) = (&mut instance.coordinator, &instance.arrivals);
+            if let Err(cause) = catch_unwind(AssertUnwindSafe(|| coordinator.round(arrivals, &mut encoder))) {
+                let text = match (cause.downcast_ref::<String>(), cause.downcast_ref::<&str>()) {
+                    (Some(text), _) => text.as_str(),
+                    (None, Some(text)) => text,
+                    (None, None) => "the decision module panicked",
+                };
+                reply.record(3, who).put_text(text);
+            }
+            instance.arrivals = Arrivals::default();
+        }
+        Ok(reply.finish())
+    }
+
+    fn event(&mut self, f: &mut Fields) -> Result<(), String> {
+        let code = f.u8("event code")?;
+        if code == 11 {
+            let number = f.u16("ref")?;
+            let n = f.u32("elements")?;
+            let entries = (0..n).map(|_| read_entry(f)).collect::<Result<_, _>>()?;
+            self.lists.insert(number, entries);
+            return Ok(());
+        }
+        if !(1..=10).contains(&code) {
+            return Err(format!("unknown event code {code}"));
+        }
+        let who = f.u32("who")?;
+        if code == 1 {
+            let seed = f.u64("init-seed")?;
+            let n = f.u32("config")? as usize;
+            let (deployment, load) = terms::decode(f.bytes(n, "config")?)?;
+            let coordinator = Coordinator::new(deployment, seed);
+            let arrivals = Arrivals::default();
+            self.instances.insert(who, Instance { coordinator, names: Names::default(), load, arrivals });
+            self.touched.push(who);
+            return Ok(());
+        }
+        let instance = self.instances.get_mut(&who).ok_or_else(|| format!("unknown instance {who}"))?;
+        self.touched.push(who);
+        let (names, arrivals) = (&mut instance.names, &mut instance.arrivals);
+        match code {
+            2 => {
+                let mode = f.u8("mode")?;
+                f.u64("rev")?;
+                let number = f.u16("ref")?;
+                if mode == 3 {
+                    arrivals.roster.push(RosterNews::Failed);
+                    return Ok(());
+                }
+                let entries = self.lists.get(&number).ok_or_else(|| format!("unknown list {number}"))?;
+                let listed = entries
+                    .iter()
+                    .map(|e| Listed {
+                        replica: names.replica(e.replica),
+                        id: u64::from(e.replica),
+                        cell: usize::from(e.cell),
+                        phase: e.phase,
+                        started: (e.started != 0.0).then(|| tenths(e.started)),
+                    })
+                    .collect();
+                arrivals.roster.push(match mode {
+                    0 => RosterNews::Changes(listed),
+                    1 => RosterNews::Whole(listed),
+                    2 => RosterNews::Remembered(listed),
+                    other => return Err(format!("unknown registry mode {other}")),
+                });
+            }
+            3 => read_request(f, names, arrivals)?,
+            4 => {
+                f.bytes(21, "streaming")?; // no index of this family streams
+            }
+            5 => {
+                let id = f.u64("request-id")?;
+                let call = usize::from(f.u8("try")?);
+                f.u32("replica")?;
+                let ending = ending(f.u16("rc")?)?;
+                let took = tenths(f.f64("delay-seen-ms")?);
+                f.u8("no-more")?;
+                let load = read_load(f, &instance.load)?;
+                if let Some(&(lookup, Some(part))) = names.by_id.get(&id) {
+                    arrivals.returns.push(Return { lookup, part, call, ending, took, load });
+                }
+            }
+            6 => {
+                let id = f.u64("request-id")?;
+                if let Some(&(lookup, None)) = names.by_id.get(&id) {
+                    arrivals.lapsed.push(lookup);
+                }
+            }
+            7 => {
+                f.u64("label")?; // there is one wake-up; being called is its whole message
+            }
+            8 => {
+                let replica = names.replica(f.u32("replica")?);
+                let ending = ending(f.u16("rc")?)?;
+                f.f64("delay-seen-ms")?;
+                let load = read_load(f, &instance.load)?;
+                arrivals.probes.push(ProbeReturn { replica, ending, load });
+            }
+            9 => {
+                f.u32("from")?;
+                let n = usize::from(f.u16("body")?);
+                f.bytes(n, "body")?; // co-ordinators share nothing
+            }
+            _ => {
+                self.instances.remove(&who);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn read_request(f: &mut Fields, names: &mut Names, arrivals: &mut Arrivals) -> Result<(), String> {
+    let id = f.u64("request-id")?;
+    let index = usize::from(f.u16("class")?);
+    let customer = f.u32("client-group")? as usize;
+    let key = f.u64("partition-key")?;
+    let hard_deadline = (f.f64("deadline-ms")? * 10.0).floor() as Tenths;
+    let work = f.f64("expected-ms")?;
+    let number = f.f32("whole-no")?;
+    let shard = f.f32("segment-no")?;
+    let amount = f64::from(f.f32("size-or-weight")?);
+    let hinted = f.u16("marks")? & 1 != 0;
+    if shard < 0.0 {
+        let lookup = names.add_lookup(id, number.to_bits());
+        let key = (key != 0).then_some(key);
+        let number = u64::from(number.to_bits());
+        arrivals.lookups.push(NewLookup { lookup, index, customer, key, number, hard_deadline });
+    } else if let Some(&lookup) = names.by_number.get(&number.to_bits()) {
+        let parts = &mut names.lookups[lookup].parts;
+        names.by_id.insert(id, (lookup, Some(parts.len())));
+        parts.push(id);
+        let work = hinted.then(|| tenths(work));
+        arrivals.parts.push(NewPart { lookup, shard: shard as usize, weight: amount, work });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/linenthread-adapter/src/terms.rs
@@ -0,0 +1,137 @@
+//! Decodes the text handed over at an instance's start into a [`Deployment`].
+
+use linenthread_core::interface::{
+    Allowance, ColdStart, Deployment, Effect, FurtherCalls, Index, Layout, Tenths,
+};
+use serde_json::Value;
+
+/// The load report's value that stands at each place, as far as the core reads it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum LoadField {
+    Waiting,
+    Busy,
+    Service,
+    Other,
+}
+
+pub fn tenths(ms: f64) -> Tenths {
+    (ms * 10.0).round() as Tenths
+}
+
+/// The value at a dotted path, where there is one.
+fn find<'a>(root: &'a Value, path: &str) -> Option<&'a Value> {
+    path.split('.').try_fold(root, |v, key| v.get(key)).filter(|v| !v.is_null())
+}
+
+fn need<'a, T>(root: &'a Value, path: &str, read: impl Fn(&'a Value) -> Option<T>) -> Result<T, String> {
+    let value = find(root, path).ok_or_else(|| format!("settings lack {path}"))?;
+    read(value).ok_or_else(|| format!("settings: {path} cannot be {value}"))
+}
+
+fn number(root: &Value, path: &str) -> Result<f64, String> {
+    need(root, path, Value::as_f64)
+}
+
+fn time(root: &Value, path: &str) -> Result<Tenths, String> {
+    number(root, path).map(tenths)
+}
+
+fn count(root: &Value, path: &str) -> Result<usize, String> {
+    need(root, path, Value::as_u64).map(|n| n as usize)
+}
+
+fn flag(root: &Value, path: &str) -> Result<bool, String> {
+    need(root, path, Value::as_bool)
+}
+
+fn numbers(root: &Value, path: &str) -> Result<Vec<f64>, String> {
+    need(root, path, |v| v.as_array()?.iter().map(Value::as_f64).collect())
+}
+
+fn index(root: &Value, i: usize, class: &Value) -> Result<Index, String> {
+    let of = |path: &str| {
+        numbers(root, path)?.get(i).copied().ok_or_else(|| format!("settings: {path} is too short"))
+    };
+    let effect = match need(class, "idempotency", Value::as_str)? {
+        "safe" => Effect::Idempotent,
+        "keyed" => Effect::Fingerprinted(time(class, "window-ms")?),
+        "unsafe" => Effect::OnceOnly,
+        other => return Err(format!("settings: idempotency cannot be {other}")),
+    };
+    Ok(Index {
+        effect,
+        soft_deadline: time(class, "promise-ms")?,
+        gain: number(class, "worth")?,
+        late_share: number(class, "late-share")?,
+        need: of("family-info.need-by-class")?,
+        floor: of("family-info.floor-by-class")?,
+        partial_gain: of("family-info.incomplete-worth")?,
+        second_step: of("family-info.fetch-parts")? as usize,
+    })
+}
+
+pub fn decode(text: &[u8]) -> Result<(Deployment, Vec<LoadField>), String> {
+    let root: Value = serde_json::from_slice(text).map_err(|e| format!("settings do not parse: {e}"))?;
+    let root = &root;
+    let classes = need(root, "classes", Value::as_array)?;
+    let further_calls = match find(root, "safety.repeat-ratio") {
+        None => None,
+        Some(_) => Some(FurtherCalls {
+            free: find(root, "safety.free-resends").and_then(Value::as_f64).unwrap_or(0.0),
+            share: number(root, "safety.repeat-ratio")?,
+            window: time(root, "safety.budget-span-ms")?,
+        }),
+    };
+    let deployment = Deployment {
+        co_ordinators: count(root, "balancers")?.max(1),
+        indexes: classes.iter().enumerate().map(|(i, c)| index(root, i, c)).collect::<Result<_, _>>()?,
+        customer_quotas: find(root, "accounts")
+            .and_then(Value::as_array)
+            .map_or(&[][..], Vec::as_slice)
+            .iter()
+            .map(|account| number(account, "quota-rps"))
+            .collect::<Result<_, _>>()?,
+        over_share_gain: find(root, "over-share-worth").and_then(Value::as_f64).unwrap_or(1.0),
+        layout: Layout {
+            cells: count(root, "family-info.cells")?.max(1),
+            in_a_row: count(root, "family-info.in-a-row")?,
+            parts_a_call: count(root, "family-info.parts-a-call")?,
+        },
+        allowance: Allowance {
+            calls_a_part: count(root, "allowed.max-attempts")?,
+            second_copies: flag(root, "allowed.second-copies")?,
+            withdraw: flag(root, "allowed.cancel")?,
+            probes: flag(root, "allowed.probes")?,
+            retry_advice: match flag(root, "allowed.retry-after")? {
+                true => Some(time(root, "allowed.max-retry-after-ms")?),
+                false => None,
+            },
+            max_open: count(root, "allowed.max-open")?,
+        },
+        cold: ColdStart {
+            share: number(root, "safety.cold-share")?,
+            warm_up: time(root, "safety.warm-up-ms")?,
+            multiple: number(root, "safety.fall-multiple")?,
+            window: time(root, "safety.tip-after-ms")?,
+        },
+        further_calls,
+        ask_roster_every: match need(root, "membership-mode", Value::as_str)? {
+            "on_request" => Some(time(root, "safety.ask-every-ms")?),
+            _ => None,
+        },
+        round: time(root, "tick-ms")?.max(1),
+    };
+    let load = match find(root, "telemetry.names").and_then(Value::as_array) {
+        None => Vec::new(),
+        Some(names) => names
+            .iter()
+            .map(|name| match name.as_str() {
+                Some("queue") => LoadField::Waiting,
+                Some("util") => LoadField::Busy,
+                Some("latency_ms") => LoadField::Service,
+                _ => LoadField::Other,
+            })
+            .collect(),
+    };
+    Ok((deployment, load))
+}
--- /dev/null
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -0,0 +1,688 @@
+//! The decisions of one co-ordinator.
+//!
+//! Make a [`Coordinator`] from what its deployment states and a seed, then call [`Coordinator::round`] with
+//! all that came in since the last call and a [`Writer`] that takes the decisions. The types of both are
+//! in [`crate::interface`]. It asks to be woken by itself; it reads no clock and shares nothing.
+//!
+//! The ordinary path is dynamic snitching: each part has a natural replica, the first in a hash of shard and
+//! key, and leaves it only while that replica's score is worse than the best by more than [`BADNESS`].
+
+use std::collections::VecDeque;
+
+use oorandom::Rand64;
+
+use crate::interface::*;
+
+/// Scores are made anew this often.
+const TICK: Tenths = 200;
+/// All scores are forgotten this often, so that each replica gets a fair shot again.
+const RESET: Tenths = 100_000;
+/// How much worse than the best a natural replica may score and keep its parts.
+const BADNESS: f64 = 0.5;
+/// What a replica that only fails adds to its score, against 1 for the slowest median.
+const SEVERITY: f64 = 4.0;
+/// Within so long an observation loses most of its weight.
+const RECENT: Tenths = 30_000;
+/// Parts that a replica must answer, one at a time, after a reset that found it bad.
+const TRIAL: u32 = 2;
+/// A client's answer must leave this long before the moment that it must be there.
+const MARGIN: Tenths = 150;
+/// The module asks to be woken at least this often.
+const BEAT: Tenths = 100;
+/// How long to wait before a replica that failed a part is asked for the same part again.
+const PAUSE: Tenths = 1_000;
+/// Share of parts that may have a second copy sent because the first is late.
+const COPIES: f64 = 0.1;
+/// Weights are sums of rounded shares.
+const ROUNDING: f64 = 0.0001;
+
+/// Sums over recent values, fading with age and brought up to date when they are read.
+#[derive(Clone, Copy, Default)]
+struct Fading {
+    at: Tenths,
+    weight: f64,
+    sum: f64,
+    square: f64,
+}
+
+impl Fading {
+    fn fade(&mut self, now: Tenths) {
+        if now > self.at {
+            let keep = (-((now - self.at) as f64) / RECENT as f64).exp();
+            self.weight *= keep;
+            self.sum *= keep;
+            self.square *= keep;
+            self.at = now;
+        }
+    }
+
+    fn add(&mut self, now: Tenths, value: f64) {
+        self.fade(now);
+        self.weight += 1.0;
+        self.sum += value;
+        self.square += value * value;
+    }
+
+    /// Mean and deviation, where anything was heard of late.
+    fn shape(&self) -> Option<(f64, f64)> {
+        (self.weight > 0.1).then(|| {
+            let mean = self.sum / self.weight;
+            (mean, (self.square / self.weight - mean * mean).max(0.0).sqrt())
+        })
+    }
+}
+
+struct Replica {
+    id: u64,
+    cell: usize,
+    phase: Phase,
+    started: Option<Tenths>,
+    /// Logarithms of answer times: their mean is the median's, since the times are about log-normal.
+    times: Fading,
+    /// 1 for each failure, 0 for each answer.
+    failures: Fading,
+    out: u32,
+    /// When it last answered, or was sent a part with none out.
+    heard: Tenths,
+    trial: u32,
+    score: f64,
+    /// Sends within the last window of the cold budget.
+    cold_sends: VecDeque<Tenths>,
+}
+
+struct Call {
+    replica: usize,
+    sent: Tenths,
+    ending: Option<Ending>,
+}
+
+struct Part {
+    shard: usize,
+    weight: f64,
+    calls: Vec<Call>,
+    answered: bool,
+}
+
+impl Part {
+    fn out(&self) -> usize {
+        self.calls.iter().filter(|c| c.ending.is_none()).count()
+    }
+
+    fn never_ran(&self) -> bool {
+        self.calls.iter().all(|c| c.ending.is_some_and(Ending::never_ran))
+    }
+
+    /// When the first part call that may have run was sent.
+    fn may_have_run(&self) -> Option<Tenths> {
+        self.calls.iter().find(|c| !c.ending.is_some_and(Ending::never_ran)).map(|c| c.sent)
+    }
+}
+
+struct Lookup {
+    index: usize,
+    customer: usize,
+    key: u64,
+    soft: Tenths,
+    hard: Tenths,
+    parts: Vec<Part>,
+    /// Where the parts of the step under way begin.
+    step: usize,
+    /// The first step is answered, and its answer was whole.
+    first_whole: Option<bool>,
+    admitted: bool,
+    over: bool,
+}
+
+/// One co-ordinator; see the head of this file.
+pub struct Coordinator {
+    deployment: Deployment,
+    chance: Rand64,
+    now: Tenths,
+    replicas: Vec<Replica>,
+    lookups: Vec<Option<Lookup>>,
+    /// Lookups not yet released, oldest first.
+    open: Vec<usize>,
+    times: Fading,
+    /// 1 for each second copy, 0 for each first part call.
+    copies: Fading,
+    /// Part calls that a warm replica gets from here within the cold window, as seen of late.
+    usual: f64,
+    customers: Vec<Fading>,
+    /// Lookups and parts taken, and further part calls made, within the window of the further-call budget.
+    taken: VecDeque<(Tenths, usize)>,
+    further: VecDeque<Tenths>,
+    next_tick: Tenths,
+    next_reset: Tenths,
+    next_wake: Tenths,
+    ask_at: Option<Tenths>,
+    ask_failures: u32,
+}
+
+/// A hash of ids that all co-ordinators agree on.
+fn mix(words: [u64; 3]) -> u64 {
+    words.iter().fold(0x9e37_79b9_7f4a_7c15, |h: u64, w| {
+        let x = (h ^ w).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let x = (x ^ (x >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 32)
+    })
+}
+
+impl Coordinator {
+    pub fn new(deployment: Deployment, seed: u64) -> Self {
+        Coordinator {
+            customers: vec![Fading::default(); deployment.customer_quotas.len()],
+            deployment,
+            chance: Rand64::new(u128::from(seed)),
+            now: 0,
+            replicas: Vec::new(),
+            lookups: Vec::new(),
+            open: Vec::new(),
+            times: Fading::default(),
+            copies: Fading::default(),
+            usual: 0.0,
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            next_tick: 0,
+            next_reset: 0,
+            next_wake: 0,
+            ask_at: None,
+            ask_failures: 0,
+        }
+    }
+
+    /// Takes all that came in and writes what is decided on it.
+    pub fn round(&mut self, arrivals: &Arrivals, writer: &mut impl Writer) {
+        if self.now == 0 {
+            self.next_reset = arrivals.now + RESET;
+        }
+        self.now = arrivals.now;
+        for news in &arrivals.roster {
+            self.hear_roster(news);
+        }
+        for new in &arrivals.lookups {
+            self.take(new);
+        }
+        for new in &arrivals.parts {
+            self.take_part(new);
+        }
+        for back in &arrivals.returns {
+            self.hear(back, writer);
+        }
+        for &lapsed in &arrivals.lapsed {
+            if let Some(Some(lookup)) = self.lookups.get_mut(lapsed) {
+                lookup.over = true;
+            }
+        }
+        self.score();
+        for l in self.open.clone() {
+            self.settle(l, writer);
+        }
+        self.release(writer);
+        self.ask_roster(writer);
+        if self.next_wake <= self.now {
+            self.next_wake = self.now + BEAT;
+            writer.wake_at(self.next_wake);
+        }
+    }
+
+    // --- what comes in ---
+
+    fn hear_roster(&mut self, news: &RosterNews) {
+        let (listed, whole) = match news {
+            RosterNews::Changes(listed) => (listed, false),
+            RosterNews::Whole(listed) => (listed, true),
+            RosterNews::Remembered(listed) => {
+                // Restarts may come together: their questions to the roster are spread out.
+                self.ask_at = self.deployment.ask_roster_every.map(|_| self.now + self.chance_up_to(2_000));
+                (listed, true)
+            }
+            RosterNews::Failed => {
+                self.ask_failures = (self.ask_failures + 1).min(4);
+                let wait = 2_500 << self.ask_failures;
+                self.ask_at = Some(self.now + wait / 2 + self.chance_up_to(wait / 2));
+                return;
+            }
+        };
+        self.ask_failures = 0;
+        if whole {
+            for replica in &mut self.replicas {
+                replica.phase = Phase::Gone;
+            }
+        }
+        for entry in listed {
+            while self.replicas.len() <= entry.replica {
+                self.replicas.push(Replica {
+                    id: 0,
+                    cell: 0,
+                    phase: Phase::Gone,
+                    started: None,
+                    times: Fading::default(),
+                    failures: Fading::default(),
+                    out: 0,
+                    heard: 0,
+                    trial: 0,
+                    score: 0.0,
+                    cold_sends: VecDeque::new(),
+                });
+            }
+            let replica = &mut self.replicas[entry.replica];
+            if replica.started != entry.started {
+                // A new process: nothing seen of the old one counts against it.
+                (replica.times, replica.failures, replica.trial) = (Fading::default(), Fading::default(), 0);
+            }
+            replica.id = entry.id;
+            replica.cell = entry.cell;
+            replica.phase = entry.phase;
+            replica.started = entry.started;
+        }
+    }
+
+    fn take(&mut self, new: &NewLookup) {
+        let index = &self.deployment.indexes[new.index];
+        if self.lookups.len() <= new.lookup {
+            self.lookups.resize_with(new.lookup + 1, || None);
+        }
+        self.lookups[new.lookup] = Some(Lookup {
+            index: new.index,
+            customer: new.customer,
+            key: new.key.unwrap_or_else(|| mix([new.number, 0, 1])),
+            soft: self.now + index.soft_deadline - MARGIN,
+            hard: new.hard_deadline - MARGIN,
+            parts: Vec::new(),
+            step: 0,
+            first_whole: None,
+            admitted: false,
+            over: false,
+        });
+        self.open.push(new.lookup);
+        self.count_taken();
+        if let Some(seen) = self.customers.get_mut(new.customer) {
+            seen.add(self.now, 1.0);
+        }
+    }
+
+    fn take_part(&mut self, new: &NewPart) {
+        self.count_taken();
+        if let Some(Some(lookup)) = self.lookups.get_mut(new.lookup) {
+            lookup.parts.push(Part {
+                shard: new.shard,
+                weight: new.weight,
+                calls: Vec::new(),
+                answered: false,
+            });
+        }
+    }
+
+    fn count_taken(&mut self) {
+        match self.taken.back_mut() {
+            Some((at, n)) if *at == self.now => *n += 1,
+            _ => self.taken.push_back((self.now, 1)),
+        }
+    }
+
+    fn hear(&mut self, back: &Return, writer: &mut impl Writer) {
+        let Some(Some(lookup)) = self.lookups.get_mut(back.lookup) else { return };
+        let Some(part) = lookup.parts.get_mut(back.part) else { return };
+        let Some(call) = part.calls.get_mut(back.call) else { return };
+        call.ending = Some(back.ending);
+        let replica = &mut self.replicas[call.replica];
+        replica.out -= 1;
+        let time = (back.took.max(1) as f64).ln();
+        let late = replica.times.shape().is_some_and(|(median, _)| time > median);
+        match back.ending {
+            Ending::Answered => {
+                part.answered |= !lookup.over;
+                replica.heard = self.now;
+                replica.trial = replica.trial.saturating_sub(1);
+                replica.failures.add(self.now, 0.0);
+                replica.times.add(self.now, time);
+                self.times.add(self.now, time);
+                if self.deployment.allowance.withdraw && !lookup.over {
+                    for (c, _) in part.calls.iter().enumerate().filter(|(_, c)| c.ending.is_none()) {
+                        writer.withdraw(back.lookup, back.part, c);
+                    }
+                }
+            }
+            // It would have taken longer still: that much is known.
+            Ending::Withdrawn if late => replica.times.add(self.now, time),
+            Ending::Withdrawn | Ending::Unsent => {}
+            Ending::Errored
+            | Ending::TurnedAway
+            | Ending::TimedOut
+            | Ending::Unconnected
+            | Ending::Broken => {
+                replica.failures.add(self.now, 1.0);
+            }
+        }
+    }
+
+    // --- the design's ordinary path ---
+
+    /// Makes the scores anew, once a tick.
+    fn score(&mut self) {
+        if self.now < self.next_tick {
+            return;
+        }
+        self.next_tick = self.now + TICK;
+        let now = self.now;
+        let slow = self.slow();
+        let ready = |r: &&mut Replica| r.phase == Phase::Ready;
+        let (mut heard, mut total, mut largest) = (0.0, 0.0, 0.0f64);
+        for replica in self.replicas.iter_mut().filter(ready) {
+            replica.times.fade(now);
+            replica.failures.fade(now);
+            if let Some((median, _)) = replica.times.shape() {
+                heard += 1.0;
+                total += median.exp();
+                largest = largest.max(median.exp());
+            }
+        }
+        let mean = if heard > 0.0 { total / heard } else { 1.0 };
+        let largest = if heard > 0.0 { largest } else { 1.0 };
+        for replica in self.replicas.iter_mut().filter(ready) {
+            let median = replica.times.shape().map_or(mean, |(median, _)| median.exp());
+            let severity = replica.failures.sum / (replica.failures.weight + 1.0);
+            let quiet = if replica.out > 0 { now - replica.heard } else { 0 };
+            let silence = (quiet as f64 - slow).max(0.0) / largest;
+            replica.score = median / largest + SEVERITY * severity + silence;
+        }
+        let best = self.replicas.iter_mut().filter(ready).map(|r| r.score).fold(f64::INFINITY, f64::min);
+        if now >= self.next_reset {
+            self.next_reset = now + RESET;
+            for replica in self.replicas.iter_mut() {
+                // Exception to the design: what was bad regains its parts only after a trial.
+                replica.trial = if replica.score > best * (1.0 + BADNESS) { TRIAL } else { 0 };
+                replica.times = Fading::default();
+                replica.failures = Fading::default();
+            }
+        }
+        let (mut warm, mut calls) = (0.0, 0.0);
+        for r in 0..self.replicas.len() {
+            if self.replicas[r].phase == Phase::Ready && self.cold_share(r).is_none() {
+                warm += 1.0;
+                calls += self.replicas[r].failures.weight;
+            }
+        }
+        if warm > 0.0 {
+            let usual = calls / warm * self.deployment.cold.window as f64 / RECENT as f64;
+            self.usual = usual.max(self.usual * (1.0 - TICK as f64 / RESET as f64));
+        }
+    }
+
+    /// How long all but a few parts take of late, over all replicas.
+    fn slow(&self) -> f64 {
+        match self.times.shape() {
+            Some((mean, deviation)) => (mean + 2.0 * deviation).exp(),
+            None => self.deployment.indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0) as f64 / 2.0,
+        }
+    }
+
+    /// The replica for a part's next call: its natural one unless that scores too badly.
+    fn choose(&self, l: usize, p: usize) -> Option<usize> {
+        let lookup = self.lookups[l].as_ref()?;
+        let part = &lookup.parts[p];
+        let layout = &self.deployment.layout;
+        // Where a call carries several parts at a cost of its own, parts of one key that lie together go together.
+        let spread = if layout.parts_a_call > 1 { 0 } else { part.shard as u64 + 1 };
+        let fit: Vec<usize> = self.holders(part.shard).filter(|&r| self.may_call(l, p, r)).collect();
+        let tried = |r: usize| part.calls.iter().any(|c| c.replica == r);
+        let once_only = self.deployment.indexes[lookup.index].effect == Effect::OnceOnly;
+        let on_trial = |r: usize| self.replicas[r].trial > 0 && (once_only || self.replicas[r].out > 0);
+        let paused = part.calls.last().is_some_and(|c| self.now < c.sent + PAUSE);
+        (0..3).find_map(|level| {
+            let allowed = || {
+                fit.iter().copied().filter(move |&r| match level {
+                    0 => !tried(r) && !on_trial(r) && self.cold_room(r, 1.0),
+                    1 => !tried(r),
+                    _ => !paused,
+                })
+            };
+            let natural = allowed().max_by_key(|&r| mix([lookup.key, spread, self.replicas[r].id]))?;
+            let best =
+                allowed().min_by(|&a, &b| self.replicas[a].score.total_cmp(&self.replicas[b].score))?;
+            let leaves = self.replicas[natural].score > self.replicas[best].score * (1.0 + BADNESS);
+            Some(if leaves { best } else { natural })
+        })
+    }
+
+    fn holders(&self, shard: usize) -> impl Iterator<Item = usize> {
+        let Layout { cells, in_a_row, .. } = self.deployment.layout;
+        let holds =
+            move |r: &Replica| r.phase == Phase::Ready && (r.cell + cells - shard % cells) % cells < in_a_row;
+        (0..self.replicas.len()).filter(move |&r| holds(&self.replicas[r]))
+    }
+
+    // --- the gate ---
+
+    /// Whether a part call may be made at all. Every send passes here, and nothing else holds the rules.
+    fn may_call(&self, l: usize, p: usize, r: usize) -> bool {
+        let Some(Some(lookup)) = self.lookups.get(l) else { return false };
+        let part = &lookup.parts[p];
+        let allowance = &self.deployment.allowance;
+        let out = part.out();
+        self.may_run_again(lookup, part)
+            && !lookup.over
+            && !part.answered
+            && self.replicas[r].phase == Phase::Ready
+            && part.calls.len() < allowance.calls_a_part
+            && (out == 0 || allowance.second_copies && out == 1)
+            && part.calls.iter().all(|c| c.ending.is_some() || c.replica != r)
+            && self.cold_room(r, self.deployment.cold.multiple * 0.8)
+            && (part.calls.is_empty() || self.further_room())
+    }
+
+    /// Whether the effect of its index lets a part be sent, after what became of its calls so far.
+    fn may_run_again(&self, lookup: &Lookup, part: &Part) -> bool {
+        match self.deployment.indexes[lookup.index].effect {
+            Effect::Idempotent => true,
+            Effect::Fingerprinted(window) => {
+                part.may_have_run().is_none_or(|first| self.now <= first + window)
+            }
+            Effect::OnceOnly => part.never_ran(),
+        }
+    }
+
+    /// What share of its full work a replica can do at least, while it is cold.
+    fn cold_share(&self, r: usize) -> Option<f64> {
+        let cold = &self.deployment.cold;
+        let age = self.now - self.replicas[r].started?;
+        (age < cold.warm_up)
+            .then(|| cold.share + (1.0 - cold.share) * age.max(0) as f64 / cold.warm_up as f64)
+    }
+
+    /// Whether a cold replica has room for one more within each window. Capacity is not told; what warm ones
+    /// get from here is never more than they can do, and each co-ordinator keeps to its own part of it.
+    fn cold_room(&self, r: usize, multiple: f64) -> bool {
+        let Some(share) = self.cold_share(r) else { return true };
+        let since = self.now - self.deployment.cold.window;
+        let sent = self.replicas[r].cold_sends.iter().filter(|&&at| at > since).count();
+        ((sent + 1) as f64) <= (multiple * share * self.usual).max(1.0)
+    }
+
+    fn further_room(&self) -> bool {
+        let Some(budget) = &self.deployment.further_calls else { return true };
+        let since = self.now - budget.window;
+        let taken: usize = self.taken.iter().filter(|(at, _)| *at > since).map(|(_, n)| n).sum();
+        let further = self.further.iter().filter(|&&at| at >= since).count();
+        (further + 1) as f64 <= budget.free + budget.share * taken as f64
+    }
+
+    /// Makes a part call, if a replica may take it.
+    fn call(&mut self, l: usize, p: usize, writer: &mut impl Writer) -> bool {
+        let Some(r) = self.choose(l, p) else { return false };
+        let now = self.now;
+        let cold = self.cold_share(r).is_some();
+        let lookup = self.lookups[l].as_mut().expect("chosen for");
+        let end =
+            if self.deployment.indexes[lookup.index].late_share > 0.0 { lookup.hard } else { lookup.soft };
+        let part = &mut lookup.parts[p];
+        let further = !part.calls.is_empty();
+        self.copies.add(now, if part.out() > 0 { 1.0 } else { 0.0 });
+        part.calls.push(Call { replica: r, sent: now, ending: None });
+        let replica = &mut self.replicas[r];
+        if replica.out == 0 {
+            replica.heard = now;
+        }
+        replica.out += 1;
+        if cold {
+            let since = now - self.deployment.cold.window;
+            replica.cold_sends.retain(|&at| at > since);
+            replica.cold_sends.push_back(now);
+        }
+        if let (Some(budget), true) = (&self.deployment.further_calls, further) {
+            let since = now - budget.window;
+            self.further.retain(|&at| at >= since);
+            self.taken.retain(|(at, _)| *at >= since);
+            self.further.push_back(now);
+        }
+        writer.call(l, p, r, (end - now).max(1));
+        true
+    }
+
+    // --- lookups ---
+
+    /// Answers a lookup, gives it up, or sends what it still needs.
+    fn settle(&mut self, l: usize, writer: &mut impl Writer) {
+        let Some(Some(lookup)) = self.lookups.get(l) else { return };
+        if lookup.over {
+            return;
+        }
+        let index = &self.deployment.indexes[lookup.index];
+        let end = if index.late_share > 0.0 { lookup.hard } else { lookup.soft.min(lookup.hard) };
+        let parts = &lookup.parts[lookup.step..];
+        if parts.is_empty() {
+            if self.now >= lookup.hard {
+                self.give_up(l, writer);
+            }
+            return;
+        }
+        let total: f64 = parts.iter().map(|p| p.weight).sum();
+        let got: f64 = parts.iter().filter(|p| p.answered).map(|p| p.weight).sum::<f64>() / total;
+        let lost: f64 =
+            parts.iter().filter(|p| self.is_lost(lookup, p)).map(|p| p.weight).sum::<f64>() / total;
+        let need = if lookup.step > 0 { 1.0 } else { index.need };
+        let floor = if lookup.step > 0 && index.floor >= index.need { 1.0 } else { index.floor };
+        let enough = |share: f64, of: f64| share >= of - ROUNDING / 2.0;
+        let whole = enough(got, need);
+        let can_be_whole = enough(1.0 - lost, need);
+        let partial_pays = index.partial_gain * got / need > index.late_share;
+        let answer = whole
+            || enough(got, floor)
+                && (!can_be_whole || self.now >= end || self.now >= lookup.soft && partial_pays);
+        let marked_whole = whole && lookup.first_whole.unwrap_or(true);
+        if answer {
+            let ends = lookup.first_whole.is_some() || index.second_step == 0;
+            writer.satisfy(l, marked_whole);
+            self.withdraw_all(l, writer);
+            let lookup = self.lookups[l].as_mut().expect("open");
+            lookup.over = ends;
+            lookup.first_whole = Some(marked_whole);
+            lookup.step = lookup.parts.len();
+        } else if self.now >= end || !enough(1.0 - lost, floor) || !lookup.admitted && !self.admits(l) {
+            self.give_up(l, writer);
+        } else {
+            self.lookups[l].as_mut().expect("open").admitted = true;
+            self.send(l, writer);
+        }
+    }
+
+    /// No further part call can bring this part's answer.
+    fn is_lost(&self, lookup: &Lookup, part: &Part) -> bool {
+        !part.answered
+            && part.out() == 0
+            && (!self.may_run_again(lookup, part)
+                || part.calls.len() >= self.deployment.allowance.calls_a_part
+                || self.holders(part.shard).next().is_none())
+    }
+
+    /// Whether a new lookup is taken on: not when parts take so long of late that it would end too late.
+    fn admits(&mut self, l: usize) -> bool {
+        let Some(Some(lookup)) = self.lookups.get(l) else { return false };
+        let quota = self.deployment.customer_quotas.get(lookup.customer);
+        let over_share = quota.zip(self.customers.get(lookup.customer)).is_some_and(|(quota, seen)| {
+            let rate = seen.weight / (RECENT as f64 / 10_000.0);
+            rate > 1.1 * quota / self.deployment.co_ordinators as f64
+        });
+        let soft = lookup.soft;
+        let from = if over_share { 0.3 } else { 0.6 };
+        let slow = self.times.shape().map_or(0.0, |(mean, deviation)| (mean + 1.5 * deviation).exp());
+        let pressure = slow / (soft - self.now).max(1) as f64;
+        pressure < from + 0.6 * self.chance.rand_float()
+    }
+
+    /// Sends parts not yet asked for, those that failed, and second copies of those that are late.
+    fn send(&mut self, l: usize, writer: &mut impl Writer) {
+        let slow = self.slow();
+        let Some(Some(lookup)) = self.lookups.get(l) else { return };
+        let idempotent = self.deployment.indexes[lookup.index].effect != Effect::OnceOnly;
+        for p in lookup.step..lookup.parts.len() {
+            let part = &self.lookups[l].as_ref().expect("open").parts[p];
+            if part.answered {
+                continue;
+            }
+            let late = part.calls.last().is_some_and(|c| (self.now - c.sent) as f64 > slow);
+            self.copies.fade(self.now);
+            let spare = self.copies.sum < COPIES * self.copies.weight + 1.0;
+            if part.out() == 0 || idempotent && part.out() == 1 && late && spare {
+                self.call(l, p, writer);
+            }
+        }
+    }
+
+    /// Ends a lookup without an answer, at once: a nack where asking again is harmless.
+    fn give_up(&mut self, l: usize, writer: &mut impl Writer) {
+        let Some(Some(lookup)) = self.lookups.get(l) else { return };
+        let harmless = match self.deployment.indexes[lookup.index].effect {
+            Effect::Idempotent => true,
+            _ => lookup.parts.iter().all(Part::never_ran),
+        };
+        if harmless {
+            let advice = self.deployment.allowance.retry_advice.map(|most| {
+                let wait = self.slow() as Tenths;
+                (wait / 2 + self.chance_up_to(wait.max(1))).min(most)
+            });
+            writer.nack(l, advice);
+        } else {
+            writer.abort(l);
+        }
+        self.withdraw_all(l, writer);
+        self.lookups[l].as_mut().expect("open").over = true;
+    }
+
+    fn withdraw_all(&self, l: usize, writer: &mut impl Writer) {
+        let Some(Some(lookup)) = self.lookups.get(l) else { return };
+        if !self.deployment.allowance.withdraw {
+            return;
+        }
+        for (p, part) in lookup.parts.iter().enumerate() {
+            for (c, _) in part.calls.iter().enumerate().filter(|(_, c)| c.ending.is_none()) {
+                writer.withdraw(l, p, c);
+            }
+        }
+    }
+
+    fn release(&mut self, writer: &mut impl Writer) {
+        let lookups = &mut self.lookups;
+        self.open.retain(|&l| {
+            let done = lookups[l].as_ref().is_none_or(|k| k.over && k.parts.iter().all(|p| p.out() == 0));
+            if done {
+                lookups[l] = None;
+                writer.release(l);
+            }
+            !done
+        });
+    }
+
+    // --- the roster ---
+
+    fn ask_roster(&mut self, writer: &mut impl Writer) {
+        if self.ask_at.is_some_and(|at| at <= self.now) {
+            self.ask_at = None;
+            writer.watch_roster();
+        }
+    }
+
+    fn chance_up_to(&mut self, most: Tenths) -> Tenths {
+        (self.chance.rand_float() * most as f64) as Tenths
+    }
+}
--- /dev/null
+++ b/crates/linenthread-core/src/interface.rs
@@ -0,0 +1,223 @@
+//! What goes into a [`Coordinator`](crate::Coordinator) and the [`Writer`] its decisions go to.
+//!
+//! Replicas, lookups and parts are small indices handed out by the caller. A replica keeps its index for
+//! good. A lookup's index may be handed out again once [`Writer::release`] has named it. The parts of a
+//! lookup are numbered from 0 in the order they came, those of a second step after those of the first.
+
+/// A moment or a length of time, in tenths of a millisecond.
+pub type Tenths = i64;
+
+/// Whether a part, or a whole lookup, may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    /// A repeat is dropped by the replicas for this long after the first part call that may have run.
+    Fingerprinted(Tenths),
+    OnceOnly,
+}
+
+/// One index: a sort of lookup.
+#[derive(Clone, Debug)]
+pub struct Index {
+    pub effect: Effect,
+    pub soft_deadline: Tenths,
+    pub gain: f64,
+    /// Share of the gain that an answer after the soft deadline still earns.
+    pub late_share: f64,
+    /// Share of the parts' weight that makes a whole answer.
+    pub need: f64,
+    /// Share of the parts' weight under which no answer may be given.
+    pub floor: f64,
+    /// What an answer that is not whole earns, times the share that is in.
+    pub partial_gain: f64,
+    /// Parts that a first answer brings; 0 where there is one step only.
+    pub second_step: usize,
+}
+
+/// Where the shards lie and what one call carries.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    pub cells: usize,
+    /// Shard s lies in cells s, s + 1, ... (so many, round the ring).
+    pub in_a_row: usize,
+    pub parts_a_call: usize,
+}
+
+/// What the deployment permits.
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    pub calls_a_part: usize,
+    pub second_copies: bool,
+    pub withdraw: bool,
+    pub probes: bool,
+    /// The longest wait that clients heed, where retry advice reaches them.
+    pub retry_advice: Option<Tenths>,
+    pub max_open: usize,
+}
+
+/// How a replica that has just started is to be treated.
+#[derive(Clone, Debug)]
+pub struct ColdStart {
+    pub share: f64,
+    pub warm_up: Tenths,
+    pub multiple: f64,
+    pub window: Tenths,
+}
+
+/// The further part calls permitted in any window.
+#[derive(Clone, Debug)]
+pub struct FurtherCalls {
+    pub free: f64,
+    pub share: f64,
+    pub window: Tenths,
+}
+
+/// All that a co-ordinator is told at its start.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub co_ordinators: usize,
+    pub indexes: Vec<Index>,
+    /// Lookups a second that each customer's share allows, over all co-ordinators.
+    pub customer_quotas: Vec<f64>,
+    pub over_share_gain: f64,
+    pub layout: Layout,
+    pub allowance: Allowance,
+    pub cold: ColdStart,
+    pub further_calls: Option<FurtherCalls>,
+    /// Set where the roster answers only when asked: how often it must be, at the least.
+    pub ask_roster_every: Option<Tenths>,
+    /// Least time between two rounds.
+    pub round: Tenths,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One replica as the roster lists it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub replica: usize,
+    /// The replica's original id, the same at every co-ordinator.
+    pub id: u64,
+    pub cell: usize,
+    pub phase: Phase,
+    /// When it last started; `None` for long ago.
+    pub started: Option<Tenths>,
+}
+
+/// News from the roster, in the order it came.
+#[derive(Clone, Debug)]
+pub enum RosterNews {
+    Changes(Vec<Listed>),
+    /// The whole list; what it leaves out is gone.
+    Whole(Vec<Listed>),
+    /// The list as last held, of any age.
+    Remembered(Vec<Listed>),
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+pub struct NewPart {
+    pub lookup: usize,
+    pub shard: usize,
+    pub weight: f64,
+    /// Rough work of the part, where the client hints at it.
+    pub work: Option<Tenths>,
+}
+
+#[derive(Clone, Debug)]
+pub struct NewLookup {
+    pub lookup: usize,
+    pub index: usize,
+    pub customer: usize,
+    /// `None` where the lookup carries no key.
+    pub key: Option<u64>,
+    /// The lookup's own number, which stands in for a key it lacks.
+    pub number: u64,
+    /// When the client gives this try up.
+    pub hard_deadline: Tenths,
+}
+
+/// How a part call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Answered,
+    Errored,
+    /// Turned away unseen: full or draining.
+    TurnedAway,
+    TimedOut,
+    Unconnected,
+    Broken,
+    Withdrawn,
+    /// Never left this side.
+    Unsent,
+}
+
+impl Ending {
+    /// The part call is known not to have run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::TurnedAway | Ending::Unconnected | Ending::Unsent)
+    }
+}
+
+/// A replica's own word on its load; each figure only where the deployment reports it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub waiting: Option<f64>,
+    pub busy: Option<f64>,
+    pub service: Option<Tenths>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Return {
+    pub lookup: usize,
+    pub part: usize,
+    /// The part call's number, from 0 in the order the part's calls were made.
+    pub call: usize,
+    pub ending: Ending,
+    pub took: Tenths,
+    pub load: Load,
+}
+
+#[derive(Clone, Debug)]
+pub struct ProbeReturn {
+    pub replica: usize,
+    pub ending: Ending,
+    pub load: Load,
+}
+
+/// All that came in for one co-ordinator since its last round.
+#[derive(Clone, Debug, Default)]
+pub struct Arrivals {
+    pub now: Tenths,
+    pub roster: Vec<RosterNews>,
+    pub lookups: Vec<NewLookup>,
+    pub parts: Vec<NewPart>,
+    pub returns: Vec<Return>,
+    pub probes: Vec<ProbeReturn>,
+    /// Lookups whose client has left.
+    pub lapsed: Vec<usize>,
+}
+
+/// Where decisions go, in the order they are taken.
+pub trait Writer {
+    fn call(&mut self, lookup: usize, part: usize, replica: usize, time_out: Tenths);
+    fn withdraw(&mut self, lookup: usize, part: usize, call: usize);
+    /// Answer from the parts that are in. With a second step to come this is not yet the final answer.
+    fn satisfy(&mut self, lookup: usize, whole: bool);
+    /// Turned away: asking again is harmless.
+    fn nack(&mut self, lookup: usize, retry_after: Option<Tenths>);
+    /// Given up, with no promise.
+    fn abort(&mut self, lookup: usize);
+    /// The lookup has ended and nothing of it is out: its index may be used again.
+    fn release(&mut self, lookup: usize);
+    fn probe(&mut self, replica: usize);
+    fn watch_roster(&mut self);
+    fn wake_at(&mut self, at: Tenths);
+    /// A line for the operators' log.
+    fn note(&mut self, text: &str);
+}
--- /dev/null
+++ b/crates/linenthread-core/src/lib.rs
@@ -0,0 +1,10 @@
+//! The decisions of a co-ordinator of lookups over replicated shards.
+//!
+//! [`Coordinator`] decides; [`interface`] holds the plain types that go in and the [`Writer`] that
+//! decisions come out through. Nothing here does I/O, reads a clock or knows a protocol.
+
+pub mod coordinator;
+pub mod interface;
+
+pub use coordinator::Coordinator;
+pub use interface::Writer;
