--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -32,7 +32,11 @@
 /// How long to wait before a replica that failed a part is asked for the same part again.
 const PAUSE: Tenths = 1_000;
 /// Share of parts that may have a second copy sent because the first is late.
-const COPIES: f64 = 0.1;
+const COPIES: f64 = 0.05;
+/// A second copy goes out when no more than so many slow answers' time is left.
+const URGENT: f64 = 2.5;
+/// Parts out are held to what comes back within this share of the shortest soft deadline.
+const HELD: f64 = 0.4;
 /// Weights are sums of rounded shares.
 const ROUNDING: f64 = 0.0001;
 
@@ -595,19 +599,31 @@
                 || self.holders(part.shard).next().is_none())
     }
 
-    /// Whether a new lookup is taken on: not when parts take so long of late that it would end too late.
+    /// Whether a new lookup is taken on. What is out is held to what comes back within a share of the shortest
+    /// soft deadline: where answers come fast this never binds, where queues grow it keeps them short.
     fn admits(&mut self, l: usize) -> bool {
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
+        let indexes = &self.deployment.indexes;
         let quota = self.deployment.customer_quotas.get(lookup.customer);
         let over_share = quota.zip(self.customers.get(lookup.customer)).is_some_and(|(quota, seen)| {
             let rate = seen.weight / (RECENT as f64 / 10_000.0);
             rate > 1.1 * quota / self.deployment.co_ordinators as f64
         });
-        let soft = lookup.soft;
-        let from = if over_share { 0.3 } else { 0.6 };
-        let slow = self.times.shape().map_or(0.0, |(mean, deviation)| (mean + 1.5 * deviation).exp());
-        let pressure = slow / (soft - self.now).max(1) as f64;
-        pressure < from + 0.6 * self.chance.rand_float()
+        let least = indexes.iter().map(|i| i.gain).fold(f64::INFINITY, f64::min);
+        let rich = indexes[lookup.index].gain > least;
+        let favour = if over_share {
+            0.6
+        } else if rich {
+            1.25
+        } else {
+            1.0
+        };
+        let soft = indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0) as f64;
+        self.times.fade(self.now);
+        let rate = self.times.weight / RECENT as f64;
+        let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
+        let (ready, out) = ready.fold((0.0, 0), |(n, out), r| (n + 1.0, out + r.out));
+        f64::from(out) < favour * (rate * soft * HELD).max(ready)
     }
 
     /// Sends parts not yet asked for, those that failed, and second copies of those that are late.
@@ -616,11 +632,14 @@
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
         let idempotent = self.deployment.indexes[lookup.index].effect != Effect::OnceOnly;
         for p in lookup.step..lookup.parts.len() {
-            let part = &self.lookups[l].as_ref().expect("open").parts[p];
+            let lookup = self.lookups[l].as_ref().expect("open");
+            let part = &lookup.parts[p];
             if part.answered {
                 continue;
             }
-            let late = part.calls.last().is_some_and(|c| (self.now - c.sent) as f64 > slow);
+            // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
+            let urgent = (lookup.soft - self.now) as f64 <= URGENT * slow;
+            let late = part.calls.last().is_some_and(|c| (self.now - c.sent) as f64 > slow) && urgent;
             self.copies.fade(self.now);
             let spare = self.copies.sum < COPIES * self.copies.weight + 1.0;
             if part.out() == 0 || idempotent && part.out() == 1 && late && spare {
