--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -19,6 +19,10 @@
 const RESET: Tenths = 100_000;
 /// How much worse than the best a natural replica may score and keep its parts.
 const BADNESS: f64 = 0.5;
+/// How many answers the average of all replicas weighs in each one's median.
+const LEAN: f64 = 3.0;
+/// What each part that this co-ordinator has out at a replica adds to its median, as a share.
+const LOAD: f64 = 0.3;
 /// What a replica that only fails adds to its score, against 1 for the slowest median.
 const SEVERITY: f64 = 4.0;
 /// Within so long an observation loses most of its weight.
@@ -36,7 +40,7 @@
 /// A second copy goes out when no more than so many slow answers' time is left.
 const URGENT: f64 = 2.5;
 /// Parts out are held to what comes back within this share of the shortest soft deadline.
-const HELD: f64 = 0.4;
+const HELD: f64 = 0.65;
 /// Weights are sums of rounded shares.
 const ROUNDING: f64 = 0.0001;
 
@@ -155,6 +159,7 @@
     /// Lookups and parts taken, and further part calls made, within the window of the further-call budget.
     taken: VecDeque<(Tenths, usize)>,
     further: VecDeque<Tenths>,
+    began: Tenths,
     next_tick: Tenths,
     next_reset: Tenths,
     next_wake: Tenths,
@@ -186,6 +191,7 @@
             usual: 0.0,
             taken: VecDeque::new(),
             further: VecDeque::new(),
+            began: 0,
             next_tick: 0,
             next_reset: 0,
             next_wake: 0,
@@ -196,7 +202,8 @@
 
     /// Takes all that came in and writes what is decided on it.
     pub fn round(&mut self, arrivals: &Arrivals, writer: &mut impl Writer) {
-        if self.now == 0 {
+        if self.next_reset == 0 {
+            self.began = arrivals.now;
             self.next_reset = arrivals.now + RESET;
         }
         self.now = arrivals.now;
@@ -371,20 +378,21 @@
         let now = self.now;
         let slow = self.slow();
         let ready = |r: &&mut Replica| r.phase == Phase::Ready;
-        let (mut heard, mut total, mut largest) = (0.0, 0.0, 0.0f64);
+        let (mut heard, mut total) = (0.0, 0.0);
         for replica in self.replicas.iter_mut().filter(ready) {
             replica.times.fade(now);
             replica.failures.fade(now);
             if let Some((median, _)) = replica.times.shape() {
                 heard += 1.0;
-                total += median.exp();
-                largest = largest.max(median.exp());
+                total += median;
             }
         }
-        let mean = if heard > 0.0 { total / heard } else { 1.0 };
-        let largest = if heard > 0.0 { largest } else { 1.0 };
+        // An unheard replica counts as the average of the heard ones, and one of few answers leans on it.
+        let mean = if heard > 0.0 { total / heard } else { 0.0 };
+        let median = |r: &Replica| ((r.times.sum + LEAN * mean) / (r.times.weight + LEAN)).exp();
+        let largest = self.replicas.iter_mut().filter(ready).map(|r| median(r)).fold(1.0, f64::max);
         for replica in self.replicas.iter_mut().filter(ready) {
-            let median = replica.times.shape().map_or(mean, |(median, _)| median.exp());
+            let median = median(replica) * (1.0 + LOAD * f64::from(replica.out));
             let severity = replica.failures.sum / (replica.failures.weight + 1.0);
             let quiet = if replica.out > 0 { now - replica.heard } else { 0 };
             let silence = (quiet as f64 - slow).max(0.0) / largest;
@@ -620,7 +628,9 @@
         };
         let soft = indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0) as f64;
         self.times.fade(self.now);
-        let rate = self.times.weight / RECENT as f64;
+        // A co-ordinator that has just started has not yet seen a whole span of answers.
+        let seen = RECENT as f64 * (1.0 - (-((self.now - self.began) as f64) / RECENT as f64).exp());
+        let rate = self.times.weight / seen.max(TICK as f64);
         let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
         let (ready, out) = ready.fold((0.0, 0), |(n, out), r| (n + 1.0, out + r.out));
         f64::from(out) < favour * (rate * soft * HELD).max(ready)
