--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -20,9 +20,9 @@
 /// How much worse than the best a natural replica may score and keep its parts.
 const BADNESS: f64 = 0.5;
 /// How many answers the average of all replicas weighs in each one's median.
-const LEAN: f64 = 3.0;
+const LEAN: f64 = 8.0;
 /// What each part that this co-ordinator has out at a replica adds to its median, as a share.
-const LOAD: f64 = 0.3;
+const LOAD: f64 = 0.5;
 /// What a replica that only fails adds to its score, against 1 for the slowest median.
 const SEVERITY: f64 = 4.0;
 /// Within so long an observation loses most of its weight.
@@ -387,12 +387,15 @@
                 total += median;
             }
         }
+        let ready_count = self.replicas.iter_mut().filter(ready).count().max(1);
+        let usual_out = self.replicas.iter_mut().filter(ready).map(|r| f64::from(r.out)).sum::<f64>()
+            / ready_count as f64;
         // An unheard replica counts as the average of the heard ones, and one of few answers leans on it.
         let mean = if heard > 0.0 { total / heard } else { 0.0 };
         let median = |r: &Replica| ((r.times.sum + LEAN * mean) / (r.times.weight + LEAN)).exp();
         let largest = self.replicas.iter_mut().filter(ready).map(|r| median(r)).fold(1.0, f64::max);
         for replica in self.replicas.iter_mut().filter(ready) {
-            let median = median(replica) * (1.0 + LOAD * f64::from(replica.out));
+            let median = median(replica) * (1.0 + LOAD * (f64::from(replica.out) - usual_out).max(0.0));
             let severity = replica.failures.sum / (replica.failures.weight + 1.0);
             let quiet = if replica.out > 0 { now - replica.heard } else { 0 };
             let silence = (quiet as f64 - slow).max(0.0) / largest;
