Count overdue parts as failures before their time-outs, and copy from suspects at once

Overdue calls now count into severity and no longer into admission. It also covers a hung replica and a lost site; it may hurt when the whole fleet slows faster than the slow time follows.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -20,9 +20,11 @@
 /// How much worse than the best a natural replica may score and keep its parts.
 const BADNESS: f64 = 0.5;
 /// How many answers the average of all replicas weighs in each one's median.
-const LEAN: f64 = 8.0;
+const LEAN: f64 = 4.0;
 /// What each part that this co-ordinator has out at a replica adds to its median, as a share.
 const LOAD: f64 = 0.5;
+/// Share of failures from which parts out at a replica are taken for lost.
+const SUSPECT: f64 = 0.5;
 /// What a replica that only fails adds to its score, against 1 for the slowest median.
 const SEVERITY: f64 = 4.0;
 /// Within so long an observation loses most of its weight.
@@ -90,6 +92,10 @@
     /// 1 for each failure, 0 for each answer.
     failures: Fading,
     out: u32,
+    /// Of those out, the ones that should have been answered long ago.
+    overdue: u32,
+    /// It hangs or fails much: parts out there are as good as lost.
+    suspect: bool,
     /// When it last answered, or was sent a part with none out.
     heard: Tenths,
     trial: u32,
@@ -270,6 +276,8 @@
                     times: Fading::default(),
                     failures: Fading::default(),
                     out: 0,
+                    overdue: 0,
+                    suspect: false,
                     heard: 0,
                     trial: 0,
                     score: 0.0,
@@ -387,6 +395,7 @@
                 total += median;
             }
         }
+        self.count_overdue(slow);
         let ready_count = self.replicas.iter_mut().filter(ready).count().max(1);
         let usual_out = self.replicas.iter_mut().filter(ready).map(|r| f64::from(r.out)).sum::<f64>()
             / ready_count as f64;
@@ -396,8 +405,12 @@
         let largest = self.replicas.iter_mut().filter(ready).map(|r| median(r)).fold(1.0, f64::max);
         for replica in self.replicas.iter_mut().filter(ready) {
             let median = median(replica) * (1.0 + LOAD * (f64::from(replica.out) - usual_out).max(0.0));
-            let severity = replica.failures.sum / (replica.failures.weight + 1.0);
+            // Parts long overdue count as failures before their time-outs say so: that meets a replica which
+            // answers some and swallows others, as well as one that hangs.
+            let overdue = f64::from(replica.overdue);
+            let severity = (replica.failures.sum + overdue) / (replica.failures.weight + overdue + 1.0);
             let quiet = if replica.out > 0 { now - replica.heard } else { 0 };
+            replica.suspect = severity > SUSPECT || quiet as f64 > 2.0 * slow;
             let silence = (quiet as f64 - slow).max(0.0) / largest;
             replica.score = median / largest + SEVERITY * severity + silence;
         }
@@ -424,6 +437,18 @@
         }
     }
 
+    /// Counts the parts out at each replica that should have been answered long ago.
+    fn count_overdue(&mut self, slow: f64) {
+        for replica in &mut self.replicas {
+            replica.overdue = 0;
+        }
+        for lookup in self.open.iter().filter_map(|&l| self.lookups[l].as_ref()) {
+            for call in lookup.parts.iter().flat_map(|p| &p.calls).filter(|c| c.ending.is_none()) {
+                self.replicas[call.replica].overdue += u32::from((self.now - call.sent) as f64 > slow);
+            }
+        }
+    }
+
     /// How long all but a few parts take of late, over all replicas.
     fn slow(&self) -> f64 {
         match self.times.shape() {
@@ -635,7 +660,8 @@
         let seen = RECENT as f64 * (1.0 - (-((self.now - self.began) as f64) / RECENT as f64).exp());
         let rate = self.times.weight / seen.max(TICK as f64);
         let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
-        let (ready, out) = ready.fold((0.0, 0), |(n, out), r| (n + 1.0, out + r.out));
+        let (ready, out) =
+            ready.fold((0.0, 0), |(n, out), r| (n + 1.0, out + r.out.saturating_sub(r.overdue)));
         f64::from(out) < favour * (rate * soft * HELD).max(ready)
     }
 
@@ -652,10 +678,11 @@
             }
             // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
             let urgent = (lookup.soft - self.now) as f64 <= URGENT * slow;
-            let late = part.calls.last().is_some_and(|c| (self.now - c.sent) as f64 > slow) && urgent;
+            let late = part.calls.last().is_some_and(|c| (self.now - c.sent) as f64 > slow);
+            let suspect = part.calls.last().is_some_and(|c| self.replicas[c.replica].suspect);
             self.copies.fade(self.now);
-            let spare = self.copies.sum < COPIES * self.copies.weight + 1.0;
-            if part.out() == 0 || idempotent && part.out() == 1 && late && spare {
+            let spare = urgent && self.copies.sum < COPIES * self.copies.weight + 1.0;
+            if part.out() == 0 || idempotent && part.out() == 1 && late && (spare || suspect) {
                 self.call(l, p, writer);
             }
         }
