--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -19,6 +19,8 @@
 const RESET: Tenths = 100_000;
 /// How much worse than the best a natural replica may score and keep its parts.
 const BADNESS: f64 = 0.5;
+/// How much of the cold budget is used, as reckoned from what warm replicas get.
+const COLD_USE: f64 = 0.8;
 /// How many answers the average of all replicas weighs in each one's median.
 const LEAN: f64 = 4.0;
 /// What each part that this co-ordinator has out at a replica adds to its median, as a share.
@@ -472,7 +474,7 @@
         (0..3).find_map(|level| {
             let allowed = || {
                 fit.iter().copied().filter(move |&r| match level {
-                    0 => !tried(r) && !on_trial(r) && self.cold_room(r, 1.0),
+                    0 => !tried(r) && !on_trial(r),
                     1 => !tried(r),
                     _ => !paused,
                 })
@@ -507,7 +509,7 @@
             && part.calls.len() < allowance.calls_a_part
             && (out == 0 || allowance.second_copies && out == 1)
             && part.calls.iter().all(|c| c.ending.is_some() || c.replica != r)
-            && self.cold_room(r, self.deployment.cold.multiple * 0.8)
+            && self.cold_room(r, self.deployment.cold.multiple * COLD_USE)
             && (part.calls.is_empty() || self.further_room())
     }
 
