--- a/crates/linenthread-adapter/src/host.rs
+++ b/crates/linenthread-adapter/src/host.rs
@@ -72,6 +72,7 @@
     coordinator: Coordinator,
     names: Names,
     load: Vec<LoadField>,
+    indexes: usize,
     arrivals: Arrivals,
 }
 
@@ -248,9 +249,10 @@
             let seed = f.u64("init-seed")?;
             let n = f.u32("config")? as usize;
             let (deployment, load) = terms::decode(f.bytes(n, "config")?)?;
+            let indexes = deployment.indexes.len();
             let coordinator = Coordinator::new(deployment, seed);
-            let arrivals = Arrivals::default();
-            self.instances.insert(who, Instance { coordinator, names: Names::default(), load, arrivals });
+            let (names, arrivals) = (Names::default(), Arrivals::default());
+            self.instances.insert(who, Instance { coordinator, names, load, indexes, arrivals });
             self.touched.push(who);
             return Ok(());
         }
@@ -284,7 +286,7 @@
                     other => return Err(format!("unknown registry mode {other}")),
                 });
             }
-            3 => read_request(f, names, arrivals)?,
+            3 => read_request(f, instance.indexes, names, arrivals)?,
             4 => {
                 f.bytes(21, "streaming")?; // no index of this family streams
             }
@@ -329,9 +331,17 @@
     }
 }
 
-fn read_request(f: &mut Fields, names: &mut Names, arrivals: &mut Arrivals) -> Result<(), String> {
+fn read_request(
+    f: &mut Fields,
+    indexes: usize,
+    names: &mut Names,
+    arrivals: &mut Arrivals,
+) -> Result<(), String> {
     let id = f.u64("request-id")?;
     let index = usize::from(f.u16("class")?);
+    if index >= indexes {
+        return Err(format!("unknown class {index}"));
+    }
     let customer = f.u32("client-group")? as usize;
     let key = f.u64("partition-key")?;
     let hard_deadline = (f.f64("deadline-ms")? * 10.0).floor() as Tenths;
--- /dev/null
+++ b/crates/linenthread-adapter/tests/wire.rs
@@ -0,0 +1,120 @@
+//! Feeds the adapter bytes and reads what it writes, exits with and complains of.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const SETTINGS: &str = r#"{"accounts": [], "unheard-of": 1, "balancers": 1, "membership-mode": "pushed",
+ "allowed": {"cancel": true, "max-attempts": 3, "max-open": 75, "max-retry-after-ms": 500.0, "probes": true,
+  "retry-after": false, "second-copies": true},
+ "classes": [{"deadline-ms": 4000.0, "idempotency": "safe", "late-share": 0.1, "name": "a", "promise-ms": 2000.0,
+  "window-ms": 5000.0, "worth": 1.0}],
+ "family-info": {"cells": 1, "fetch-parts": [0], "floor-by-class": [1.0], "in-a-row": 1, "incomplete-worth": [0.9],
+  "need-by-class": [1.0], "parts-a-call": 1},
+ "safety": {"cold-share": 0.2, "drain-grace-ms": 500.0, "fall-multiple": 3.0, "tip-after-ms": 3000.0,
+  "warm-up-ms": 14000.0}, "tick-ms": 5.0, "telemetry": {"names": ["odd", "queue"], "source": "answers"}}"#;
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
+    digits.chunks(2).map(|d| u8::from_str_radix(std::str::from_utf8(d).unwrap(), 16).unwrap()).collect()
+}
+
+fn frame(clock_ms: f64, records: &[Vec<u8>]) -> Vec<u8> {
+    let body = records.concat();
+    let mut frame = (body.len() as u32 + 12).to_be_bytes().to_vec();
+    frame.extend(clock_ms.to_be_bytes());
+    frame.extend(body);
+    frame
+}
+
+fn boot(settings: &str) -> Vec<u8> {
+    let mut record = bytes("01 00000003 0000000000000007");
+    record.extend((settings.len() as u32).to_be_bytes());
+    record.extend(settings.as_bytes());
+    record
+}
+
+/// One ready replica, in the wire page's layout of a list, and the news that it is all there is.
+fn roster() -> Vec<u8> {
+    bytes(
+        "0b 0000 00000001 03124a07 0000 0000 0000 01 3f800000 0000000000000000 02 00000003 02 0000000000000029 0000",
+    )
+}
+
+/// A lookup of one part, both due at 13000 ms.
+fn lookup() -> Vec<u8> {
+    bytes(
+        "03 00000003 000643ee0e6f2b19 0000 00000000 91f03b7c55d20a64 40c9640000000000 0000000000000000 \
+         43560000 bf800000 3f800000 0000 \
+         03 00000003 000a7e015d3a91c4 0000 00000000 91f03b7c55d20a64 40c9640000000000 4028000000000000 \
+         43560000 00000000 3f800000 0001",
+    )
+}
+
+fn run(input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_linenthread-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // The adapter may stop reading at bad input: that the rest is not taken is no fault.
+    let _ = child.stdin.take().unwrap().write_all(input);
+    child.wait_with_output().unwrap()
+}
+
+fn holds(output: &[u8], hex: &str) -> bool {
+    let record = bytes(hex);
+    output.windows(record.len()).any(|w| w == record)
+}
+
+#[test]
+fn an_empty_batch_gets_an_empty_reply() {
+    let output = run(&bytes("0000000c 40c06e2000000000"));
+    assert_eq!((output.status.code(), output.stdout), (Some(0), bytes("00000008 00000000")));
+}
+
+#[test]
+fn a_part_is_routed_answered_and_its_lookup_concluded() {
+    let reply =
+        bytes("05 00000003 000a7e015d3a91c4 00 03124a07 0064 4032800000000000 01 02 3f800000 3f800000");
+    let ended = bytes("06 00000003 000643ee0e6f2b19");
+    let output = run(&[
+        frame(10_000.0, &[boot(SETTINGS), roster(), lookup()]),
+        frame(10_018.5, &[reply]),
+        frame(10_020.0, &[ended]),
+    ]
+    .concat());
+    assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(holds(&output.stdout, "0c 00000003 000a7e015d3a91c4 03124a07"));
+    assert!(holds(&output.stdout, "08 00000003 000643ee0e6f2b19 01"));
+}
+
+#[test]
+fn a_killed_instance_starts_anew_in_the_same_batch() {
+    let killed = bytes("0a 00000003");
+    let output =
+        run(&frame(10_000.0, &[boot(SETTINGS), roster(), lookup(), killed, boot(SETTINGS), roster()]));
+    assert_eq!(output.status.code(), Some(0));
+    assert!(!holds(&output.stdout, "000a7e015d3a91c4"));
+}
+
+#[test]
+fn bad_input_is_named_in_one_line() {
+    let lacking = SETTINGS.replace("\"cold-share\": 0.2, ", "");
+    let cases = [
+        (bytes("0000000c 40c06e20"), "truncated frame"),
+        (bytes("0000"), "truncated frame"),
+        (frame(1.0, &[bytes("2a")]), "unknown event code 42"),
+        (frame(1.0, &[bytes("06 00000005 000643ee0e6f2b19")]), "unknown instance 5"),
+        (frame(1.0, &[boot("{")]), "settings do not parse"),
+        (frame(1.0, &[boot(&lacking)]), "settings lack safety.cold-share"),
+        (frame(1.0, &[boot(SETTINGS), bytes("02 00000003 02 0000000000000029 0007")]), "unknown list 7"),
+        (frame(1.0, &[boot(SETTINGS), bytes("06 00000003 0006")]), "truncated frame: request-id"),
+    ];
+    for (input, message) in cases {
+        let output = run(&input);
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(said.contains(message) && said.lines().count() == 1, "{message}: {said}");
+        assert_eq!(output.status.code(), Some(1), "{message}");
+    }
+}
--- /dev/null
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -0,0 +1,452 @@
+//! Plays the scenarios beside this file. A scenario is a list of lines:
+//!
+//! - `index once-only soft 1000 late 0.1 need 1 floor 0.8 step 2` and `with calls 3 cells 4 ...` set things up;
+//! - `list a:0 b:1`, `change a:0 draining`, `change a:0 ready 500` (started then), `remember a:0`, `unheard`;
+//! - `lookup L key 7 hard 4000 shards 0 1`, `more L 0 1` (a second step), `lapsed L`;
+//! - `L.0 errored` ends the oldest call out of a part, `L.0#1 answered` a certain one;
+//! - `serve a 100` answers all calls to a after 100 ms, `serve a errored 5` fails them, `serve a never` hangs;
+//! - `stream 50 hard 4000 shards 0 1` starts a lookup every 50 ms from here on, `stream 0` ends that;
+//! - `at 300` runs rounds up to that time;
+//! - `expect call L.0 $x` takes a decision off the log, and `never`, `most 3`, `least 3` count what matches there;
+//!   `*` stands for any word, `$x` for the word that it first met; `forget` empties the log.
+
+use std::collections::HashMap;
+use std::fs;
+use std::path::Path;
+
+use linenthread_core::interface::*;
+use linenthread_core::{Coordinator, Writer};
+
+type Res<T> = Result<T, String>;
+
+#[derive(Default)]
+struct Log {
+    lines: Vec<Vec<String>>,
+    calls: Vec<(usize, usize, usize)>,
+    names: HashMap<usize, String>,
+    replicas: Vec<String>,
+}
+
+impl Log {
+    fn add(&mut self, words: &[&str]) {
+        self.lines.push(words.iter().map(|w| w.to_string()).collect());
+    }
+
+    fn on(&mut self, word: &str, lookup: usize) {
+        let name = self.names[&lookup].clone();
+        self.add(&[word, &name]);
+    }
+}
+
+impl Writer for Log {
+    fn call(&mut self, lookup: usize, part: usize, replica: usize, time_out: Tenths) {
+        assert!(time_out > 0);
+        let (name, replica_name) =
+            (format!("{}.{part}", self.names[&lookup]), self.replicas[replica].clone());
+        self.add(&["call", &name, &replica_name]);
+        self.calls.push((lookup, part, replica));
+    }
+    fn withdraw(&mut self, lookup: usize, part: usize, call: usize) {
+        let name = format!("{}.{part}#{call}", self.names[&lookup]);
+        self.add(&["withdraw", &name]);
+    }
+    fn satisfy(&mut self, lookup: usize, whole: bool) {
+        self.on(if whole { "whole" } else { "partial" }, lookup);
+    }
+    fn nack(&mut self, lookup: usize, retry_after: Option<Tenths>) {
+        let (name, advice) = (self.names[&lookup].clone(), retry_after.map_or("unadvised", |_| "advised"));
+        self.add(&["nack", &name, advice]);
+    }
+    fn abort(&mut self, lookup: usize) {
+        self.on("abort", lookup);
+    }
+    fn release(&mut self, lookup: usize) {
+        self.on("release", lookup);
+    }
+    fn probe(&mut self, replica: usize) {
+        let name = self.replicas[replica].clone();
+        self.add(&["probe", &name]);
+    }
+    fn watch_roster(&mut self) {
+        self.add(&["watch"]);
+    }
+    fn wake_at(&mut self, _: Tenths) {}
+    fn note(&mut self, _: &str) {}
+}
+
+struct Out {
+    lookup: usize,
+    part: usize,
+    call: usize,
+    replica: usize,
+    sent: Tenths,
+}
+
+struct Play {
+    deployment: Deployment,
+    coordinator: Option<Coordinator>,
+    arrivals: Arrivals,
+    now: Tenths,
+    log: Log,
+    lookups: HashMap<String, usize>,
+    calls: HashMap<(usize, usize), usize>,
+    out: Vec<Out>,
+    serve: HashMap<usize, (Ending, Tenths)>,
+    stream: Option<(Tenths, Tenths, Vec<String>)>,
+    bound: HashMap<String, String>,
+}
+
+fn number<T: std::str::FromStr>(word: Option<&&str>) -> Res<T> {
+    let word = word.ok_or("a number is missing")?;
+    word.parse().map_err(|_| format!("{word} is no number"))
+}
+
+fn ms(word: Option<&&str>) -> Res<Tenths> {
+    Ok((number::<f64>(word)? * 10.0) as Tenths)
+}
+
+fn ending(word: &str) -> Res<Ending> {
+    Ok(match word {
+        "answered" => Ending::Answered,
+        "errored" => Ending::Errored,
+        "full" => Ending::TurnedAway,
+        "timed-out" => Ending::TimedOut,
+        "unconnected" => Ending::Unconnected,
+        "broken" => Ending::Broken,
+        "withdrawn" => Ending::Withdrawn,
+        _ => return Err(format!("{word} is no ending")),
+    })
+}
+
+impl Play {
+    fn new() -> Self {
+        let deployment = Deployment {
+            co_ordinators: 1,
+            indexes: Vec::new(),
+            customer_quotas: Vec::new(),
+            over_share_gain: 0.1,
+            layout: Layout { cells: 4, in_a_row: 4, parts_a_call: 1 },
+            allowance: Allowance {
+                calls_a_part: 3,
+                second_copies: true,
+                withdraw: true,
+                probes: true,
+                retry_advice: None,
+                max_open: 1000,
+            },
+            cold: ColdStart { share: 0.2, warm_up: 100_000, multiple: 2.0, window: 10_000 },
+            further_calls: None,
+            ask_roster_every: None,
+            round: 50,
+        };
+        Play {
+            deployment,
+            coordinator: None,
+            arrivals: Arrivals::default(),
+            now: 10_000_000,
+            log: Log::default(),
+            lookups: HashMap::new(),
+            calls: HashMap::new(),
+            out: Vec::new(),
+            serve: HashMap::new(),
+            stream: None,
+            bound: HashMap::new(),
+        }
+    }
+
+    /// One round with all that has come in.
+    fn round(&mut self) {
+        let mut arrivals = std::mem::take(&mut self.arrivals);
+        arrivals.now = self.now;
+        let (mut i, now) = (0, self.now);
+        while i < self.out.len() {
+            let o = &self.out[i];
+            match self.serve.get(&o.replica) {
+                Some(&(ending, after)) if o.sent + after <= now => {
+                    let (lookup, part, call, took) = (o.lookup, o.part, o.call, now - o.sent);
+                    arrivals.returns.push(Return { lookup, part, call, ending, took, load: Load::default() });
+                    self.out.remove(i);
+                }
+                _ => i += 1,
+            }
+        }
+        let deployment = &self.deployment;
+        let coordinator = self.coordinator.get_or_insert_with(|| Coordinator::new(deployment.clone(), 7));
+        coordinator.round(&arrivals, &mut self.log);
+        for (lookup, part, replica) in self.log.calls.drain(..) {
+            let call = self.calls.entry((lookup, part)).or_default();
+            self.out.push(Out { lookup, part, call: *call, replica, sent: now });
+            *call += 1;
+        }
+    }
+
+    fn run_to(&mut self, end: Tenths) {
+        self.round();
+        while self.now < end {
+            self.now += 50;
+            if let Some((every, next, words)) = self.stream.clone().filter(|(_, next, _)| *next <= self.now) {
+                let name = format!("s{}", self.lookups.len());
+                let key = (self.lookups.len() + 1000).to_string();
+                let mut line = vec!["lookup", &name, "key", &key];
+                line.extend(words.iter().map(String::as_str));
+                self.line(&line).expect("a streamed lookup");
+                self.stream = Some((every, next + every, words));
+            }
+            self.round();
+        }
+    }
+
+    fn listed(&mut self, word: &str, phase: &str, started: Option<Tenths>) -> Res<Listed> {
+        let (name, cell) = word.split_once(':').ok_or_else(|| format!("{word} is not name:cell"))?;
+        let replica = self.log.replicas.iter().position(|r| r == name).unwrap_or_else(|| {
+            self.log.replicas.push(name.to_string());
+            self.log.replicas.len() - 1
+        });
+        let phase = match phase {
+            "ready" => Phase::Ready,
+            "draining" => Phase::Draining,
+            "gone" => Phase::Gone,
+            _ => return Err(format!("{phase} is no phase")),
+        };
+        Ok(Listed { replica, id: replica as u64 + 77, cell: number(Some(&cell))?, phase, started })
+    }
+
+    fn shards(&mut self, lookup: usize, words: &[&str]) -> Res<()> {
+        for word in words {
+            let weight = 1.0 / words.len() as f64;
+            self.arrivals.parts.push(NewPart { lookup, shard: number(Some(word))?, weight, work: None });
+        }
+        Ok(())
+    }
+
+    fn set_up(&mut self, words: &[&str]) -> Res<()> {
+        let d = &mut self.deployment;
+        for pair in words.chunks(2) {
+            let value = pair.get(1);
+            match pair[0] {
+                "co-ordinators" => d.co_ordinators = number(value)?,
+                "cells" => d.layout.cells = number(value)?,
+                "in-a-row" => d.layout.in_a_row = number(value)?,
+                "parts-a-call" => d.layout.parts_a_call = number(value)?,
+                "calls" => d.allowance.calls_a_part = number(value)?,
+                "copies" => d.allowance.second_copies = number::<u8>(value)? > 0,
+                "advice" => d.allowance.retry_advice = Some(ms(value)?),
+                "quota" => d.customer_quotas = vec![number(value)?],
+                "ask" => d.ask_roster_every = Some(ms(value)?),
+                "further" => {
+                    d.further_calls =
+                        Some(FurtherCalls { free: number(value)?, share: 0.0, window: 100_000 });
+                }
+                other => return Err(format!("{other} cannot be set")),
+            }
+        }
+        Ok(())
+    }
+
+    fn index(&mut self, words: &[&str]) -> Res<()> {
+        let effect = match *words.first().ok_or("an effect is missing")? {
+            "idempotent" => Effect::Idempotent,
+            "once-only" => Effect::OnceOnly,
+            "fingerprinted" => Effect::Fingerprinted(5_000),
+            other => return Err(format!("{other} is no effect")),
+        };
+        let mut index = Index {
+            effect,
+            soft_deadline: 10_000,
+            gain: 1.0,
+            late_share: 0.1,
+            need: 1.0,
+            floor: 1.0,
+            partial_gain: 0.9,
+            second_step: 0,
+        };
+        for pair in words[1..].chunks(2) {
+            let value = pair.get(1);
+            match pair[0] {
+                "soft" => index.soft_deadline = ms(value)?,
+                "late" => index.late_share = number(value)?,
+                "need" => index.need = number(value)?,
+                "floor" => index.floor = number(value)?,
+                "step" => index.second_step = number(value)?,
+                other => return Err(format!("{other} is nothing of an index")),
+            }
+        }
+        self.deployment.indexes.push(index);
+        Ok(())
+    }
+
+    fn lookup(&mut self, words: &[&str]) -> Res<()> {
+        let (name, mut rest) = words.split_first().ok_or("a name is missing")?;
+        let lookup = self.lookups.len();
+        let mut new = NewLookup {
+            lookup,
+            index: 0,
+            customer: 0,
+            key: None,
+            number: lookup as u64,
+            hard_deadline: self.now + 40_000,
+        };
+        self.lookups.insert(name.to_string(), lookup);
+        self.log.names.insert(lookup, name.to_string());
+        while let Some((word, tail)) = rest.split_first() {
+            match *word {
+                "key" => new.key = Some(number(tail.first())?),
+                "index" => new.index = number(tail.first())?,
+                "hard" => new.hard_deadline = self.now + ms(tail.first())?,
+                "shards" => {
+                    self.arrivals.lookups.push(new);
+                    return self.shards(lookup, tail);
+                }
+                other => return Err(format!("{other} is nothing of a lookup")),
+            }
+            rest = tail.get(1..).unwrap_or(&[]);
+        }
+        Err("shards are missing".into())
+    }
+
+    fn part_ends(&mut self, word: &str, how: &str) -> Res<()> {
+        let (part, call) = word.split_once('#').unwrap_or((word, ""));
+        let (name, part) = part.split_once('.').ok_or_else(|| format!("what is {word}?"))?;
+        let lookup = *self.lookups.get(name).ok_or_else(|| format!("no lookup {name}"))?;
+        let part: usize = number(Some(&part))?;
+        let call: Option<usize> = if call.is_empty() { None } else { Some(number(Some(&call))?) };
+        self.round();
+        let at = self
+            .out
+            .iter()
+            .position(|o| o.lookup == lookup && o.part == part && call.is_none_or(|c| c == o.call))
+            .ok_or_else(|| format!("no call of {word} is out"))?;
+        let o = self.out.remove(at);
+        let (ending, took) = (ending(how)?, self.now - o.sent);
+        self.arrivals.returns.push(Return {
+            lookup,
+            part,
+            call: o.call,
+            ending,
+            took,
+            load: Load::default(),
+        });
+        Ok(())
+    }
+
+    /// Which lines of the log match, and what they bind.
+    fn matches(&self, pattern: &[&str]) -> Vec<(usize, HashMap<String, String>)> {
+        let one = |line: &[String]| -> Option<HashMap<String, String>> {
+            let mut bound = self.bound.clone();
+            let fits = line.len() >= pattern.len()
+                && pattern.iter().zip(line).all(|(p, word)| match p.strip_prefix('$') {
+                    Some(_) => bound.entry(p.to_string()).or_insert_with(|| word.clone()) == word,
+                    None => *p == "*" || p == word,
+                });
+            fits.then_some(bound)
+        };
+        self.log.lines.iter().enumerate().filter_map(|(i, line)| Some((i, one(line)?))).collect()
+    }
+
+    fn line(&mut self, words: &[&str]) -> Res<()> {
+        let (first, rest) = words.split_first().ok_or("an empty line")?;
+        match *first {
+            "with" => self.set_up(rest)?,
+            "index" => self.index(rest)?,
+            "list" | "remember" => {
+                let listed = rest.iter().map(|w| self.listed(w, "ready", None)).collect::<Res<_>>()?;
+                let whole = *first == "list";
+                let news = if whole { RosterNews::Whole(listed) } else { RosterNews::Remembered(listed) };
+                self.arrivals.roster.push(news);
+            }
+            "change" => {
+                let started = if rest.len() > 2 { Some(10_000_000 + ms(rest.get(2))?) } else { None };
+                let [word, phase, ..] = rest else { return Err("change NAME:CELL PHASE".into()) };
+                let listed = self.listed(word, phase, started)?;
+                self.arrivals.roster.push(RosterNews::Changes(vec![listed]));
+            }
+            "unheard" => self.arrivals.roster.push(RosterNews::Failed),
+            "lookup" => self.lookup(rest)?,
+            "more" => {
+                let lookup = *self.lookups.get(rest[0]).ok_or("no such lookup")?;
+                self.shards(lookup, &rest[1..])?;
+            }
+            "lapsed" => self.arrivals.lapsed.push(*self.lookups.get(rest[0]).ok_or("no such lookup")?),
+            "serve" => {
+                let name = rest.first().ok_or("a replica is missing")?;
+                let name = self.bound.get(*name).map_or(*name, String::as_str);
+                let replica = self.log.replicas.iter().position(|r| r == name).ok_or("no such replica")?;
+                match rest.get(1) {
+                    Some(&"never") => self.serve.remove(&replica),
+                    Some(how) if ending(how).is_ok() => {
+                        self.serve.insert(replica, (ending(how)?, ms(rest.get(2))?))
+                    }
+                    after => self.serve.insert(replica, (Ending::Answered, ms(after)?)),
+                };
+            }
+            "stream" => {
+                let every = ms(rest.first())?;
+                let words = rest[1..].iter().map(|w| w.to_string()).collect();
+                self.stream = (every > 0).then_some((every, self.now + every, words));
+            }
+            "at" => {
+                let end = 10_000_000 + ms(rest.first())?;
+                self.run_to(end);
+            }
+            "forget" => {
+                self.round();
+                self.log.lines.clear();
+            }
+            "expect" => {
+                self.round();
+                let found = self.matches(rest).into_iter().next();
+                let (at, bound) = found.ok_or_else(|| format!("not decided; log: {:?}", self.log.lines))?;
+                self.log.lines.remove(at);
+                self.bound = bound;
+            }
+            "never" | "most" | "least" => {
+                self.round();
+                let never = *first == "never";
+                let (limit, pattern) = if never { (0, rest) } else { (number(rest.first())?, &rest[1..]) };
+                let n = self.matches(pattern).len();
+                if if *first == "least" { n < limit } else { n > limit } {
+                    return Err(format!("decided {n} times; log: {:?}", self.log.lines));
+                }
+            }
+            part => {
+                let [how] = rest else { return Err(format!("what is {part}?")) };
+                self.part_ends(part, how)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn play(name: &str, text: &str) -> Res<()> {
+    let mut play = Play::new();
+    for (i, line) in text.lines().enumerate() {
+        // A comment starts with "# ", so that the # of a call's number does not.
+        let words: Vec<&str> = line.split("# ").next().unwrap_or("").split_whitespace().collect();
+        if words.is_empty() {
+            continue;
+        }
+        play.line(&words).map_err(|e| format!("{name}:{}: {line}: {e}", i + 1))?;
+    }
+    Ok(())
+}
+
+#[test]
+fn all_scenarios_play_out() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let mut files: Vec<_> = fs::read_dir(folder).unwrap().map(|f| f.unwrap().path()).collect();
+    files.sort();
+    assert!(!files.is_empty());
+    let failures: Vec<String> = files
+        .iter()
+        .filter_map(|f| {
+            play(&f.file_name().unwrap().to_string_lossy(), &fs::read_to_string(f).unwrap()).err()
+        })
+        .collect();
+    assert!(failures.is_empty(), "\n{}", failures.join("\n"));
+}
+
+#[test]
+fn a_malformed_scenario_names_its_file_and_line() {
+    let error = play("bad.txt", "index idempotent\nlookup L key x shards 0").unwrap_err();
+    assert!(error.starts_with("bad.txt:2: "), "{error}");
+}
