Probe what cannot be connected to and send it no parts meanwhile

Told from a hang by resets and failed connects. Also covers flapping processes and a full connection table; a replica that answers parts but no probes is tried again after 3 s.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -37,6 +37,10 @@
 const MARGIN: Tenths = 150;
 /// The module asks to be woken at least this often.
 const BEAT: Tenths = 100;
+/// What cannot be connected to is probed after so long, and as much again by chance.
+const PROBE: Tenths = 1_500;
+/// When no probe was answered for so long, parts may try a replica again: it may be bad to probes only.
+const GIVEN_UP: Tenths = 30_000;
 /// How long to wait before a replica that failed a part is asked for the same part again.
 const PAUSE: Tenths = 1_000;
 /// Share of parts that may have a second copy sent because the first is late.
@@ -96,6 +100,9 @@
     out: u32,
     /// Of those out, the ones that should have been answered long ago.
     overdue: u32,
+    /// Its connections fail or broke: since when, and when it is next probed. It gets no parts until a probe or
+    /// a part is answered.
+    down: Option<(Tenths, Tenths)>,
     /// It hangs or fails much: parts out there are as good as lost.
     suspect: bool,
     /// When it last answered, or was sent a part with none out.
@@ -227,6 +234,9 @@
         for back in &arrivals.returns {
             self.hear(back, writer);
         }
+        for back in &arrivals.probes {
+            self.hear_probe(back);
+        }
         for &lapsed in &arrivals.lapsed {
             if let Some(Some(lookup)) = self.lookups.get_mut(lapsed) {
                 lookup.over = true;
@@ -237,6 +247,7 @@
             self.settle(l, writer);
         }
         self.release(writer);
+        self.probe(writer);
         self.ask_roster(writer);
         if self.next_wake <= self.now {
             self.next_wake = self.now + BEAT;
@@ -280,6 +291,7 @@
                     out: 0,
                     overdue: 0,
                     suspect: false,
+                    down: None,
                     heard: 0,
                     trial: 0,
                     score: 0.0,
@@ -290,6 +302,7 @@
             if replica.started != entry.started {
                 // A new process: nothing seen of the old one counts against it.
                 (replica.times, replica.failures, replica.trial) = (Fading::default(), Fading::default(), 0);
+                replica.down = None;
             }
             replica.id = entry.id;
             replica.cell = entry.cell;
@@ -354,6 +367,7 @@
             Ending::Answered => {
                 part.answered |= !lookup.over;
                 replica.heard = self.now;
+                replica.down = None;
                 replica.trial = replica.trial.saturating_sub(1);
                 replica.failures.add(self.now, 0.0);
                 replica.times.add(self.now, time);
@@ -373,6 +387,30 @@
             | Ending::Unconnected
             | Ending::Broken => {
                 replica.failures.add(self.now, 1.0);
+                if matches!(back.ending, Ending::Unconnected | Ending::Broken) {
+                    replica.down.get_or_insert((self.now, self.now));
+                }
+            }
+        }
+    }
+
+    fn hear_probe(&mut self, back: &ProbeReturn) {
+        let Some(replica) = self.replicas.get_mut(back.replica) else { return };
+        if back.ending == Ending::Answered && replica.down.take().is_some() {
+            replica.trial = TRIAL;
+        }
+    }
+
+    /// Probes what cannot be connected to: a part sent there would be lost time and a spent call.
+    fn probe(&mut self, writer: &mut impl Writer) {
+        for r in 0..self.replicas.len() {
+            let Some((since, next)) = self.replicas[r].down.filter(|_| self.deployment.allowance.probes)
+            else {
+                continue;
+            };
+            if self.replicas[r].phase == Phase::Ready && next <= self.now {
+                self.replicas[r].down = Some((since, self.now + PROBE + self.chance_up_to(PROBE)));
+                writer.probe(r);
             }
         }
     }
@@ -471,12 +509,13 @@
         let once_only = self.deployment.indexes[lookup.index].effect == Effect::OnceOnly;
         let on_trial = |r: usize| self.replicas[r].trial > 0 && (once_only || self.replicas[r].out > 0);
         let paused = part.calls.last().is_some_and(|c| self.now < c.sent + PAUSE);
+        let up = |r: usize| self.replicas[r].down.is_none_or(|(since, _)| self.now > since + GIVEN_UP);
         (0..3).find_map(|level| {
             let allowed = || {
                 fit.iter().copied().filter(move |&r| match level {
-                    0 => !tried(r) && !on_trial(r),
-                    1 => !tried(r),
-                    _ => !paused,
+                    0 => up(r) && !tried(r) && !on_trial(r),
+                    1 => up(r) && !tried(r),
+                    _ => up(r) && !paused,
                 })
             };
             let natural = allowed().max_by_key(|&r| mix([lookup.key, spread, self.replicas[r].id]))?;
