--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -464,11 +464,12 @@
                 replica.failures = Fading::default();
             }
         }
+        // Only answered parts tell what a replica can do.
         let (mut warm, mut calls) = (0.0, 0.0);
         for r in 0..self.replicas.len() {
             if self.replicas[r].phase == Phase::Ready && self.cold_share(r).is_none() {
                 warm += 1.0;
-                calls += self.replicas[r].failures.weight;
+                calls += self.replicas[r].failures.weight - self.replicas[r].failures.sum;
             }
         }
         if warm > 0.0 {
