Refuse a lookup whose replicas are jammed, not only when the fleet is full

A lookup is now refused when a replica it needs has more out than its even share of what comes back within 0.8 of the shortest soft deadline (four at least). The fleet-wide share goes from 0.65 to 0.9. It covers any hot replica or shard; it may hurt by refusing a lookup for one slow part of many.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -47,8 +47,12 @@
 const COPIES: f64 = 0.05;
 /// A second copy goes out when no more than so many slow answers' time is left.
 const URGENT: f64 = 2.5;
+/// So many parts out at one replica are never too many.
+const FEW: f64 = 4.0;
+/// Nor does a lookup start while a replica it needs has this much more out than its even share of that time.
+const JAM: f64 = 0.8;
 /// Parts out are held to what comes back within this share of the shortest soft deadline.
-const HELD: f64 = 0.65;
+const HELD: f64 = 0.9;
 /// Weights are sums of rounded shares.
 const ROUNDING: f64 = 0.0001;
 
@@ -702,9 +706,12 @@
         let seen = RECENT as f64 * (1.0 - (-((self.now - self.began) as f64) / RECENT as f64).exp());
         let rate = self.times.weight / seen.max(TICK as f64);
         let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
-        let (ready, out) =
-            ready.fold((0.0, 0), |(n, out), r| (n + 1.0, out + r.out.saturating_sub(r.overdue)));
-        f64::from(out) < favour * (rate * soft * HELD).max(ready)
+        let waiting = |r: &Replica| f64::from(r.out.saturating_sub(r.overdue));
+        let (ready, out) = ready.fold((0.0, 0.0), |(n, out), r| (n + 1.0, out + waiting(r)));
+        let jam = (rate * soft * JAM / ready).max(FEW);
+        let mut parts = 0..lookup.parts.len();
+        out < favour * (rate * soft * HELD).max(ready)
+            && !parts.any(|p| self.choose(l, p).is_some_and(|r| waiting(&self.replicas[r]) > favour * jam))
     }
 
     /// Sends parts not yet asked for, those that failed, and second copies of those that are late.
