Give a lookup up at its soft deadline where late answers earn next to nothing

The line is drawn at 0.15 of the gain. It may hurt where clients value late answers more than their settings say.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -47,6 +47,8 @@
 const COPIES: f64 = 0.05;
 /// A second copy goes out when no more than so many slow answers' time is left.
 const URGENT: f64 = 2.5;
+/// An index whose late answers earn no more than this is given up at its soft deadline.
+const LATE_PAYS: f64 = 0.15;
 /// So many parts out at one replica are never too many.
 const FEW: f64 = 4.0;
 /// Nor does a lookup start while a replica it needs has this much more out than its even share of that time.
@@ -599,8 +601,11 @@
         let now = self.now;
         let cold = self.cold_share(r).is_some();
         let lookup = self.lookups[l].as_mut().expect("chosen for");
-        let end =
-            if self.deployment.indexes[lookup.index].late_share > 0.0 { lookup.hard } else { lookup.soft };
+        let end = if self.deployment.indexes[lookup.index].late_share > LATE_PAYS {
+            lookup.hard
+        } else {
+            lookup.soft
+        };
         let part = &mut lookup.parts[p];
         let further = !part.calls.is_empty();
         self.copies.add(now, if part.out() > 0 { 1.0 } else { 0.0 });
@@ -634,7 +639,7 @@
             return;
         }
         let index = &self.deployment.indexes[lookup.index];
-        let end = if index.late_share > 0.0 { lookup.hard } else { lookup.soft.min(lookup.hard) };
+        let end = if index.late_share > LATE_PAYS { lookup.hard } else { lookup.soft.min(lookup.hard) };
         let parts = &lookup.parts[lookup.step..];
         if parts.is_empty() {
             if self.now >= lookup.hard {
