Leave home at twice the best score, with each excess part counting a whole median

What matters is the ratio of the two: two excess parts send a part away; the larger threshold keeps noise in medians from it.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -18,13 +18,13 @@
 /// All scores are forgotten this often, so that each replica gets a fair shot again.
 const RESET: Tenths = 100_000;
 /// How much worse than the best a natural replica may score and keep its parts.
-const BADNESS: f64 = 0.5;
+const BADNESS: f64 = 1.0;
 /// How much of the cold budget is used, as reckoned from what warm replicas get.
 const COLD_USE: f64 = 0.8;
 /// How many answers the average of all replicas weighs in each one's median.
 const LEAN: f64 = 4.0;
 /// What each part that this co-ordinator has out at a replica adds to its median, as a share.
-const LOAD: f64 = 0.5;
+const LOAD: f64 = 1.0;
 /// Share of failures from which parts out at a replica are taken for lost.
 const SUSPECT: f64 = 0.5;
 /// What a replica that only fails adds to its score, against 1 for the slowest median.
