--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -28,7 +28,7 @@
 /// Share of failures from which parts out at a replica are taken for lost.
 const SUSPECT: f64 = 0.5;
 /// What a replica that only fails adds to its score, against 1 for the slowest median.
-const SEVERITY: f64 = 4.0;
+const SEVERITY: f64 = 8.0;
 /// Within so long an observation loses most of its weight.
 const RECENT: Tenths = 30_000;
 /// Parts that a replica must answer, one at a time, after a reset that found it bad.
