Judge a jam by all holders of a shard; copy parts that were overtaken at once

A part overtaken by half a slow time is lost, and its copy needs no spare; a shard is jammed by the mean of its holders.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -37,6 +37,8 @@
 const MARGIN: Tenths = 150;
 /// The module asks to be woken at least this often.
 const BEAT: Tenths = 100;
+/// A part is lost when its replica has answered one that was sent this many slow answers' time later.
+const OVERTAKEN: f64 = 0.5;
 /// What cannot be connected to is probed after so long, and as much again by chance.
 const PROBE: Tenths = 1_500;
 /// When no probe was answered for so long, parts may try a replica again: it may be bad to probes only.
@@ -94,6 +96,7 @@
     }
 }
 
+#[derive(Default)]
 struct Replica {
     id: u64,
     cell: usize,
@@ -104,6 +107,8 @@
     /// 1 for each failure, 0 for each answer.
     failures: Fading,
     out: u32,
+    /// When the latest of the parts it has answered was sent.
+    newest: Tenths,
     /// Of those out, the ones that should have been answered long ago.
     overdue: u32,
     /// Its connections fail or broke: since when, and when it is next probed. It gets no parts until a probe or
@@ -119,6 +124,13 @@
     cold_sends: VecDeque<Tenths>,
 }
 
+impl Replica {
+    /// Parts out that may still be answered.
+    fn waiting(&self) -> f64 {
+        f64::from(self.out.saturating_sub(self.overdue))
+    }
+}
+
 struct Call {
     replica: usize,
     sent: Tenths,
@@ -176,6 +188,9 @@
     copies: Fading,
     /// Part calls that a warm replica gets from here within the cold window, as seen of late.
     usual: f64,
+    /// Parts that may be out in all, and at one replica, for a new lookup to be taken on.
+    room: f64,
+    jam: f64,
     customers: Vec<Fading>,
     /// Lookups and parts taken, and further part calls made, within the window of the further-call budget.
     taken: VecDeque<(Tenths, usize)>,
@@ -210,6 +225,8 @@
             times: Fading::default(),
             copies: Fading::default(),
             usual: 0.0,
+            room: f64::INFINITY,
+            jam: f64::INFINITY,
             taken: VecDeque::new(),
             further: VecDeque::new(),
             began: 0,
@@ -286,23 +303,8 @@
             }
         }
         for entry in listed {
-            while self.replicas.len() <= entry.replica {
-                self.replicas.push(Replica {
-                    id: 0,
-                    cell: 0,
-                    phase: Phase::Gone,
-                    started: None,
-                    times: Fading::default(),
-                    failures: Fading::default(),
-                    out: 0,
-                    overdue: 0,
-                    suspect: false,
-                    down: None,
-                    heard: 0,
-                    trial: 0,
-                    score: 0.0,
-                    cold_sends: VecDeque::new(),
-                });
+            if self.replicas.len() <= entry.replica {
+                self.replicas.resize_with(entry.replica + 1, Replica::default);
             }
             let replica = &mut self.replicas[entry.replica];
             if replica.started != entry.started {
@@ -373,6 +375,7 @@
             Ending::Answered => {
                 part.answered |= !lookup.over;
                 replica.heard = self.now;
+                replica.newest = replica.newest.max(call.sent);
                 replica.down = None;
                 replica.trial = replica.trial.saturating_sub(1);
                 replica.failures.add(self.now, 0.0);
@@ -471,6 +474,13 @@
             }
         }
         // Only answered parts tell what a replica can do.
+        self.times.fade(now);
+        // A co-ordinator that has just started has not yet seen a whole span of answers.
+        let seen = RECENT as f64 * (1.0 - (-((now - self.began) as f64) / RECENT as f64).exp());
+        let soft = self.deployment.indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0) as f64;
+        let back_in_time = self.times.weight / seen.max(TICK as f64) * soft;
+        self.room = (back_in_time * HELD).max(ready_count as f64);
+        self.jam = (back_in_time * JAM / ready_count as f64).max(FEW);
         let (mut warm, mut calls) = (0.0, 0.0);
         for r in 0..self.replicas.len() {
             if self.replicas[r].phase == Phase::Ready && self.cold_share(r).is_none() {
@@ -520,7 +530,7 @@
         (0..3).find_map(|level| {
             let allowed = || {
                 fit.iter().copied().filter(move |&r| match level {
-                    0 => up(r) && !tried(r) && !on_trial(r),
+                    0 => up(r) && !tried(r) && !on_trial(r) && self.replicas[r].waiting() <= self.jam,
                     1 => up(r) && !tried(r),
                     _ => up(r) && !paused,
                 })
@@ -688,7 +698,7 @@
 
     /// Whether a new lookup is taken on. What is out is held to what comes back within a share of the shortest
     /// soft deadline: where answers come fast this never binds, where queues grow it keeps them short.
-    fn admits(&mut self, l: usize) -> bool {
+    fn admits(&self, l: usize) -> bool {
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
         let indexes = &self.deployment.indexes;
         let quota = self.deployment.customer_quotas.get(lookup.customer);
@@ -697,26 +707,20 @@
             rate > 1.1 * quota / self.deployment.co_ordinators as f64
         });
         let least = indexes.iter().map(|i| i.gain).fold(f64::INFINITY, f64::min);
-        let rich = indexes[lookup.index].gain > least;
-        let favour = if over_share {
-            0.6
-        } else if rich {
-            1.25
-        } else {
-            1.0
+        let favour = match (over_share, indexes[lookup.index].gain > least) {
+            (true, _) => 0.6,
+            (_, true) => 1.25,
+            _ => 1.0,
         };
-        let soft = indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0) as f64;
-        self.times.fade(self.now);
-        // A co-ordinator that has just started has not yet seen a whole span of answers.
-        let seen = RECENT as f64 * (1.0 - (-((self.now - self.began) as f64) / RECENT as f64).exp());
-        let rate = self.times.weight / seen.max(TICK as f64);
-        let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
-        let waiting = |r: &Replica| f64::from(r.out.saturating_sub(r.overdue));
-        let (ready, out) = ready.fold((0.0, 0.0), |(n, out), r| (n + 1.0, out + waiting(r)));
-        let jam = (rate * soft * JAM / ready).max(FEW);
-        let mut parts = 0..lookup.parts.len();
-        out < favour * (rate * soft * HELD).max(ready)
-            && !parts.any(|p| self.choose(l, p).is_some_and(|r| waiting(&self.replicas[r]) > favour * jam))
+        let waiting: f64 =
+            self.replicas.iter().filter(|r| r.phase == Phase::Ready).map(Replica::waiting).sum();
+        let jammed = |p: &Part| {
+            let (n, out) = self
+                .holders(p.shard)
+                .fold((0.0, 0.0), |(n, out), r| (n + 1.0, out + self.replicas[r].waiting()));
+            out > favour * self.jam * n
+        };
+        waiting < favour * self.room && !lookup.parts.iter().any(jammed)
     }
 
     /// Sends parts not yet asked for, those that failed, and second copies of those that are late.
@@ -733,10 +737,14 @@
             // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
             let urgent = (lookup.soft - self.now) as f64 <= URGENT * slow;
             let late = part.calls.last().is_some_and(|c| (self.now - c.sent) as f64 > slow);
-            let suspect = part.calls.last().is_some_and(|c| self.replicas[c.replica].suspect);
+            // Lost: its replica hangs or fails much, or has long since answered what was sent later.
+            let lost = part.calls.last().is_some_and(|c| {
+                let replica = &self.replicas[c.replica];
+                replica.suspect || (replica.newest - c.sent) as f64 > OVERTAKEN * slow
+            });
             self.copies.fade(self.now);
             let spare = urgent && self.copies.sum < COPIES * self.copies.weight + 1.0;
-            if part.out() == 0 || idempotent && part.out() == 1 && late && (spare || suspect) {
+            if part.out() == 0 || idempotent && part.out() == 1 && late && (spare || lost) {
                 self.call(l, p, writer);
             }
         }
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -90,10 +90,11 @@
     pub round: Tenths,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
