--- a/crates/linenthread-adapter/src/host.rs
+++ b/crates/linenthread-adapter/src/host.rs
@@ -5,12 +5,12 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use linenthread_core::interface::{
-    Arrivals, Ending, Listed, Load, NewLookup, NewPart, Phase, ProbeReturn, Return, RosterNews, Tenths,
+    Arrivals, Ending, Listed, NewLookup, NewPart, Phase, ProbeReturn, Return, RosterNews, Tenths,
 };
 use linenthread_core::{Coordinator, Writer};
 
 use crate::frame::{Fields, Reply};
-use crate::terms::{self, LoadField, tenths};
+use crate::terms::{self, tenths};
 
 /// A list entry as it came; it is matched to an instance's indices only when news refers to it.
 #[derive(Clone)]
@@ -71,7 +71,6 @@
 struct Instance {
     coordinator: Coordinator,
     names: Names,
-    load: Vec<LoadField>,
     indexes: usize,
     arrivals: Arrivals,
 }
@@ -178,18 +177,10 @@
     Ok(Entry { replica, cell, phase, started: f.f64("online-since-ms")? })
 }
 
-fn read_load(f: &mut Fields, fields: &[LoadField]) -> Result<Load, String> {
-    let mut load = Load::default();
-    for i in 0..f.u8("stats")? {
-        let value = f64::from(f.f32("stats")?);
-        match fields.get(usize::from(i)) {
-            Some(LoadField::Waiting) => load.waiting = Some(value),
-            Some(LoadField::Busy) => load.busy = Some(value),
-            Some(LoadField::Service) => load.service = Some(tenths(value)),
-            Some(LoadField::Other) | None => {}
-        }
-    }
-    Ok(load)
+/// Load reports are not read: the core decides by what it sees itself.
+fn skip_load(f: &mut Fields) -> Result<(), String> {
+    let values = usize::from(f.u8("stats")?);
+    f.bytes(4 * values, "stats").map(|_| ())
 }
 
 /// All instances of one process, and the lists that they share.
@@ -248,11 +239,11 @@
         if code == 1 {
             let seed = f.u64("init-seed")?;
             let n = f.u32("config")? as usize;
-            let (deployment, load) = terms::decode(f.bytes(n, "config")?)?;
+            let deployment = terms::decode(f.bytes(n, "config")?)?;
             let indexes = deployment.indexes.len();
             let coordinator = Coordinator::new(deployment, seed);
             let (names, arrivals) = (Names::default(), Arrivals::default());
-            self.instances.insert(who, Instance { coordinator, names, load, indexes, arrivals });
+            self.instances.insert(who, Instance { coordinator, names, indexes, arrivals });
             self.touched.push(who);
             return Ok(());
         }
@@ -297,9 +288,9 @@
                 let ending = ending(f.u16("rc")?)?;
                 let took = tenths(f.f64("delay-seen-ms")?);
                 f.u8("no-more")?;
-                let load = read_load(f, &instance.load)?;
+                skip_load(f)?;
                 if let Some(&(lookup, Some(part))) = names.by_id.get(&id) {
-                    arrivals.returns.push(Return { lookup, part, call, ending, took, load });
+                    arrivals.returns.push(Return { lookup, part, call, ending, took });
                 }
             }
             6 => {
@@ -315,8 +306,8 @@
                 let replica = names.replica(f.u32("replica")?);
                 let ending = ending(f.u16("rc")?)?;
                 f.f64("delay-seen-ms")?;
-                let load = read_load(f, &instance.load)?;
-                arrivals.probes.push(ProbeReturn { replica, ending, load });
+                skip_load(f)?;
+                arrivals.probes.push(ProbeReturn { replica, ending });
             }
             9 => {
                 f.u32("from")?;
@@ -345,11 +336,11 @@
     let customer = f.u32("client-group")? as usize;
     let key = f.u64("partition-key")?;
     let hard_deadline = (f.f64("deadline-ms")? * 10.0).floor() as Tenths;
-    let work = f.f64("expected-ms")?;
+    f.f64("expected-ms")?;
     let number = f.f32("whole-no")?;
     let shard = f.f32("segment-no")?;
     let amount = f64::from(f.f32("size-or-weight")?);
-    let hinted = f.u16("marks")? & 1 != 0;
+    f.u16("marks")?;
     if shard < 0.0 {
         let lookup = names.add_lookup(id, number.to_bits());
         let key = (key != 0).then_some(key);
@@ -359,8 +350,7 @@
         let parts = &mut names.lookups[lookup].parts;
         names.by_id.insert(id, (lookup, Some(parts.len())));
         parts.push(id);
-        let work = hinted.then(|| tenths(work));
-        arrivals.parts.push(NewPart { lookup, shard: shard as usize, weight: amount, work });
+        arrivals.parts.push(NewPart { lookup, shard: shard as usize, weight: amount });
     }
     Ok(())
 }
--- a/crates/linenthread-adapter/src/terms.rs
+++ b/crates/linenthread-adapter/src/terms.rs
@@ -5,15 +5,6 @@
 };
 use serde_json::Value;
 
-/// The load report's value that stands at each place, as far as the core reads it.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum LoadField {
-    Waiting,
-    Busy,
-    Service,
-    Other,
-}
-
 pub fn tenths(ms: f64) -> Tenths {
     (ms * 10.0).round() as Tenths
 }
@@ -70,7 +61,7 @@
     })
 }
 
-pub fn decode(text: &[u8]) -> Result<(Deployment, Vec<LoadField>), String> {
+pub fn decode(text: &[u8]) -> Result<Deployment, String> {
     let root: Value = serde_json::from_slice(text).map_err(|e| format!("settings do not parse: {e}"))?;
     let root = &root;
     let classes = need(root, "classes", Value::as_array)?;
@@ -82,7 +73,7 @@
             window: time(root, "safety.budget-span-ms")?,
         }),
     };
-    let deployment = Deployment {
+    Ok(Deployment {
         co_ordinators: count(root, "balancers")?.max(1),
         indexes: classes.iter().enumerate().map(|(i, c)| index(root, i, c)).collect::<Result<_, _>>()?,
         customer_quotas: find(root, "accounts")
@@ -106,7 +97,6 @@
                 true => Some(time(root, "allowed.max-retry-after-ms")?),
                 false => None,
             },
-            max_open: count(root, "allowed.max-open")?,
         },
         cold: ColdStart {
             share: number(root, "safety.cold-share")?,
@@ -115,23 +105,6 @@
             window: time(root, "safety.tip-after-ms")?,
         },
         further_calls,
-        ask_roster_every: match need(root, "membership-mode", Value::as_str)? {
-            "on_request" => Some(time(root, "safety.ask-every-ms")?),
-            _ => None,
-        },
-        round: time(root, "tick-ms")?.max(1),
-    };
-    let load = match find(root, "telemetry.names").and_then(Value::as_array) {
-        None => Vec::new(),
-        Some(names) => names
-            .iter()
-            .map(|name| match name.as_str() {
-                Some("queue") => LoadField::Waiting,
-                Some("util") => LoadField::Busy,
-                Some("latency_ms") => LoadField::Service,
-                _ => LoadField::Other,
-            })
-            .collect(),
-    };
-    Ok((deployment, load))
+        watch_roster: need(root, "membership-mode", Value::as_str)? == "on_request",
+    })
 }
--- a/crates/linenthread-adapter/tests/wire.rs
+++ b/crates/linenthread-adapter/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 const SETTINGS: &str = r#"{"accounts": [], "unheard-of": 1, "balancers": 1, "membership-mode": "pushed",
- "allowed": {"cancel": true, "max-attempts": 3, "max-open": 75, "max-retry-after-ms": 500.0, "probes": true,
+ "allowed": {"cancel": true, "max-attempts": 3, "max-retry-after-ms": 500.0, "probes": true,
   "retry-after": false, "second-copies": true},
  "classes": [{"deadline-ms": 4000.0, "idempotency": "safe", "late-share": 0.1, "name": "a", "promise-ms": 2000.0,
   "window-ms": 5000.0, "worth": 1.0}],
--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -174,9 +174,18 @@
     over: bool,
 }
 
+impl Lookup {
+    /// When it is given up.
+    fn end(&self, index: &Index) -> Tenths {
+        if index.late_share > LATE_PAYS { self.hard } else { self.soft.min(self.hard) }
+    }
+}
+
 /// One co-ordinator; see the head of this file.
 pub struct Coordinator {
     deployment: Deployment,
+    /// The shortest soft deadline of all indexes.
+    soft: f64,
     chance: Rand64,
     now: Tenths,
     replicas: Vec<Replica>,
@@ -215,6 +224,7 @@
 impl Coordinator {
     pub fn new(deployment: Deployment, seed: u64) -> Self {
         Coordinator {
+            soft: deployment.indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0) as f64,
             customers: vec![Fading::default(); deployment.customer_quotas.len()],
             deployment,
             chance: Rand64::new(u128::from(seed)),
@@ -271,7 +281,9 @@
         }
         self.release(writer);
         self.probe(writer);
-        self.ask_roster(writer);
+        if self.ask_at.take_if(|at| *at <= self.now).is_some() {
+            writer.watch_roster();
+        }
         if self.next_wake <= self.now {
             self.next_wake = self.now + BEAT;
             writer.wake_at(self.next_wake);
@@ -286,7 +298,7 @@
             RosterNews::Whole(listed) => (listed, true),
             RosterNews::Remembered(listed) => {
                 // Restarts may come together: their questions to the roster are spread out.
-                self.ask_at = self.deployment.ask_roster_every.map(|_| self.now + self.chance_up_to(2_000));
+                self.ask_at = self.deployment.watch_roster.then(|| self.now + self.chance_up_to(2_000));
                 (listed, true)
             }
             RosterNews::Failed => {
@@ -298,9 +310,7 @@
         };
         self.ask_failures = 0;
         if whole {
-            for replica in &mut self.replicas {
-                replica.phase = Phase::Gone;
-            }
+            self.replicas.iter_mut().for_each(|r| r.phase = Phase::Gone);
         }
         for entry in listed {
             if self.replicas.len() <= entry.replica {
@@ -356,6 +366,9 @@
     }
 
     fn count_taken(&mut self) {
+        let Some(budget) = &self.deployment.further_calls else { return };
+        let since = self.now - budget.window;
+        self.taken.retain(|(at, _)| *at >= since);
         match self.taken.back_mut() {
             Some((at, n)) if *at == self.now => *n += 1,
             _ => self.taken.push_back((self.now, 1)),
@@ -390,16 +403,10 @@
             // It would have taken longer still: that much is known.
             Ending::Withdrawn if late => replica.times.add(self.now, time),
             Ending::Withdrawn | Ending::Unsent => {}
-            Ending::Errored
-            | Ending::TurnedAway
-            | Ending::TimedOut
-            | Ending::Unconnected
-            | Ending::Broken => {
-                replica.failures.add(self.now, 1.0);
-                if matches!(back.ending, Ending::Unconnected | Ending::Broken) {
-                    replica.down.get_or_insert((self.now, self.now));
-                }
-            }
+            _ => replica.failures.add(self.now, 1.0),
+        }
+        if matches!(back.ending, Ending::Unconnected | Ending::Broken) {
+            replica.down.get_or_insert((self.now, self.now));
         }
     }
 
@@ -413,11 +420,11 @@
     /// Probes what cannot be connected to: a part sent there would be lost time and a spent call.
     fn probe(&mut self, writer: &mut impl Writer) {
         for r in 0..self.replicas.len() {
-            let Some((since, next)) = self.replicas[r].down.filter(|_| self.deployment.allowance.probes)
-            else {
-                continue;
-            };
-            if self.replicas[r].phase == Phase::Ready && next <= self.now {
+            if self.deployment.allowance.probes
+                && self.replicas[r].phase == Phase::Ready
+                && let Some((since, next)) = self.replicas[r].down
+                && next <= self.now
+            {
                 self.replicas[r].down = Some((since, self.now + PROBE + self.chance_up_to(PROBE)));
                 writer.probe(r);
             }
@@ -473,14 +480,19 @@
                 replica.failures = Fading::default();
             }
         }
-        // Only answered parts tell what a replica can do.
+        self.learn_capacity(ready_count as f64);
+    }
+
+    /// Reckons from what was answered of late how many parts may be out, and how many a warm replica can take.
+    fn learn_capacity(&mut self, ready: f64) {
+        let now = self.now;
         self.times.fade(now);
         // A co-ordinator that has just started has not yet seen a whole span of answers.
         let seen = RECENT as f64 * (1.0 - (-((now - self.began) as f64) / RECENT as f64).exp());
-        let soft = self.deployment.indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0) as f64;
-        let back_in_time = self.times.weight / seen.max(TICK as f64) * soft;
-        self.room = (back_in_time * HELD).max(ready_count as f64);
-        self.jam = (back_in_time * JAM / ready_count as f64).max(FEW);
+        let back_in_time = self.times.weight / seen.max(TICK as f64) * self.soft;
+        self.room = (back_in_time * HELD).max(ready);
+        self.jam = (back_in_time * JAM / ready).max(FEW);
+        // Only answered parts tell what a replica can do.
         let (mut warm, mut calls) = (0.0, 0.0);
         for r in 0..self.replicas.len() {
             if self.replicas[r].phase == Phase::Ready && self.cold_share(r).is_none() {
@@ -496,9 +508,7 @@
 
     /// Counts the parts out at each replica that should have been answered long ago.
     fn count_overdue(&mut self, slow: f64) {
-        for replica in &mut self.replicas {
-            replica.overdue = 0;
-        }
+        self.replicas.iter_mut().for_each(|r| r.overdue = 0);
         for lookup in self.open.iter().filter_map(|&l| self.lookups[l].as_ref()) {
             for call in lookup.parts.iter().flat_map(|p| &p.calls).filter(|c| c.ending.is_none()) {
                 self.replicas[call.replica].overdue += u32::from((self.now - call.sent) as f64 > slow);
@@ -510,7 +520,7 @@
     fn slow(&self) -> f64 {
         match self.times.shape() {
             Some((mean, deviation)) => (mean + 2.0 * deviation).exp(),
-            None => self.deployment.indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0) as f64 / 2.0,
+            None => self.soft / 2.0,
         }
     }
 
@@ -606,16 +616,12 @@
     }
 
     /// Makes a part call, if a replica may take it.
-    fn call(&mut self, l: usize, p: usize, writer: &mut impl Writer) -> bool {
-        let Some(r) = self.choose(l, p) else { return false };
+    fn call(&mut self, l: usize, p: usize, writer: &mut impl Writer) {
+        let Some(r) = self.choose(l, p) else { return };
         let now = self.now;
         let cold = self.cold_share(r).is_some();
         let lookup = self.lookups[l].as_mut().expect("chosen for");
-        let end = if self.deployment.indexes[lookup.index].late_share > LATE_PAYS {
-            lookup.hard
-        } else {
-            lookup.soft
-        };
+        let end = lookup.end(&self.deployment.indexes[lookup.index]);
         let part = &mut lookup.parts[p];
         let further = !part.calls.is_empty();
         self.copies.add(now, if part.out() > 0 { 1.0 } else { 0.0 });
@@ -633,11 +639,9 @@
         if let (Some(budget), true) = (&self.deployment.further_calls, further) {
             let since = now - budget.window;
             self.further.retain(|&at| at >= since);
-            self.taken.retain(|(at, _)| *at >= since);
             self.further.push_back(now);
         }
         writer.call(l, p, r, (end - now).max(1));
-        true
     }
 
     // --- lookups ---
@@ -649,7 +653,7 @@
             return;
         }
         let index = &self.deployment.indexes[lookup.index];
-        let end = if index.late_share > LATE_PAYS { lookup.hard } else { lookup.soft.min(lookup.hard) };
+        let end = lookup.end(index);
         let parts = &lookup.parts[lookup.step..];
         if parts.is_empty() {
             if self.now >= lookup.hard {
@@ -657,10 +661,11 @@
             }
             return;
         }
-        let total: f64 = parts.iter().map(|p| p.weight).sum();
-        let got: f64 = parts.iter().filter(|p| p.answered).map(|p| p.weight).sum::<f64>() / total;
-        let lost: f64 =
-            parts.iter().filter(|p| self.is_lost(lookup, p)).map(|p| p.weight).sum::<f64>() / total;
+        let weigh =
+            |of: &dyn Fn(&Part) -> bool| -> f64 { parts.iter().filter(|p| of(p)).map(|p| p.weight).sum() };
+        let total = weigh(&|_| true);
+        let got = weigh(&|p| p.answered) / total;
+        let lost = weigh(&|p| self.is_lost(lookup, p)) / total;
         let need = if lookup.step > 0 { 1.0 } else { index.need };
         let floor = if lookup.step > 0 && index.floor >= index.need { 1.0 } else { index.floor };
         let enough = |share: f64, of: f64| share >= of - ROUNDING / 2.0;
@@ -708,17 +713,16 @@
         });
         let least = indexes.iter().map(|i| i.gain).fold(f64::INFINITY, f64::min);
         let favour = match (over_share, indexes[lookup.index].gain > least) {
-            (true, _) => 0.6,
+            (true, _) => self.deployment.over_share_gain.max(0.6),
             (_, true) => 1.25,
             _ => 1.0,
         };
         let waiting: f64 =
             self.replicas.iter().filter(|r| r.phase == Phase::Ready).map(Replica::waiting).sum();
         let jammed = |p: &Part| {
-            let (n, out) = self
-                .holders(p.shard)
-                .fold((0.0, 0.0), |(n, out), r| (n + 1.0, out + self.replicas[r].waiting()));
-            out > favour * self.jam * n
+            let out: f64 =
+                self.holders(p.shard).map(|r| self.replicas[r].waiting() - favour * self.jam).sum();
+            out > 0.0
         };
         waiting < favour * self.room && !lookup.parts.iter().any(jammed)
     }
@@ -794,15 +798,6 @@
         });
     }
 
-    // --- the roster ---
-
-    fn ask_roster(&mut self, writer: &mut impl Writer) {
-        if self.ask_at.is_some_and(|at| at <= self.now) {
-            self.ask_at = None;
-            writer.watch_roster();
-        }
-    }
-
     fn chance_up_to(&mut self, most: Tenths) -> Tenths {
         (self.chance.rand_float() * most as f64) as Tenths
     }
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -52,7 +52,6 @@
     pub probes: bool,
     /// The longest wait that clients heed, where retry advice reaches them.
     pub retry_advice: Option<Tenths>,
-    pub max_open: usize,
 }
 
 /// How a replica that has just started is to be treated.
@@ -84,10 +83,8 @@
     pub allowance: Allowance,
     pub cold: ColdStart,
     pub further_calls: Option<FurtherCalls>,
-    /// Set where the roster answers only when asked: how often it must be, at the least.
-    pub ask_roster_every: Option<Tenths>,
-    /// Least time between two rounds.
-    pub round: Tenths,
+    /// The roster sends changes only to those who watch it.
+    pub watch_roster: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -126,8 +123,6 @@
     pub lookup: usize,
     pub shard: usize,
     pub weight: f64,
-    /// Rough work of the part, where the client hints at it.
-    pub work: Option<Tenths>,
 }
 
 #[derive(Clone, Debug)]
@@ -165,14 +160,6 @@
     }
 }
 
-/// A replica's own word on its load; each figure only where the deployment reports it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    pub waiting: Option<f64>,
-    pub busy: Option<f64>,
-    pub service: Option<Tenths>,
-}
-
 #[derive(Clone, Debug)]
 pub struct Return {
     pub lookup: usize,
@@ -181,14 +168,12 @@
     pub call: usize,
     pub ending: Ending,
     pub took: Tenths,
-    pub load: Load,
 }
 
 #[derive(Clone, Debug)]
 pub struct ProbeReturn {
     pub replica: usize,
     pub ending: Ending,
-    pub load: Load,
 }
 
 /// All that came in for one co-ordinator since its last round.
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -132,12 +132,10 @@
                 withdraw: true,
                 probes: true,
                 retry_advice: None,
-                max_open: 1000,
             },
             cold: ColdStart { share: 0.2, warm_up: 100_000, multiple: 2.0, window: 10_000 },
             further_calls: None,
-            ask_roster_every: None,
-            round: 50,
+            watch_roster: false,
         };
         Play {
             deployment,
@@ -164,7 +162,7 @@
             match self.serve.get(&o.replica) {
                 Some(&(ending, after)) if o.sent + after <= now => {
                     let (lookup, part, call, took) = (o.lookup, o.part, o.call, now - o.sent);
-                    arrivals.returns.push(Return { lookup, part, call, ending, took, load: Load::default() });
+                    arrivals.returns.push(Return { lookup, part, call, ending, took });
                     self.out.remove(i);
                 }
                 _ => i += 1,
@@ -214,7 +212,7 @@
     fn shards(&mut self, lookup: usize, words: &[&str]) -> Res<()> {
         for word in words {
             let weight = 1.0 / words.len() as f64;
-            self.arrivals.parts.push(NewPart { lookup, shard: number(Some(word))?, weight, work: None });
+            self.arrivals.parts.push(NewPart { lookup, shard: number(Some(word))?, weight });
         }
         Ok(())
     }
@@ -232,7 +230,7 @@
                 "copies" => d.allowance.second_copies = number::<u8>(value)? > 0,
                 "advice" => d.allowance.retry_advice = Some(ms(value)?),
                 "quota" => d.customer_quotas = vec![number(value)?],
-                "ask" => d.ask_roster_every = Some(ms(value)?),
+                "watched" => d.watch_roster = number::<u8>(value)? > 0,
                 "further" => {
                     d.further_calls =
                         Some(FurtherCalls { free: number(value)?, share: 0.0, window: 100_000 });
@@ -318,14 +316,7 @@
             .ok_or_else(|| format!("no call of {word} is out"))?;
         let o = self.out.remove(at);
         let (ending, took) = (ending(how)?, self.now - o.sent);
-        self.arrivals.returns.push(Return {
-            lookup,
-            part,
-            call: o.call,
-            ending,
-            took,
-            load: Load::default(),
-        });
+        self.arrivals.returns.push(Return { lookup, part, call: o.call, ending, took });
         Ok(())
     }
 
