One measure of a lost part: slow, and its replica silent or past it

Overdue parts of a merely grown queue counted as lost, so an overload looked emptier and each of its replicas failing. Suspects by share of failures go (errors return at once and need no copy).

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -25,8 +25,6 @@
 const LEAN: f64 = 4.0;
 /// What each part that this co-ordinator has out at a replica adds to its median, as a share.
 const LOAD: f64 = 1.0;
-/// Share of failures from which parts out at a replica are taken for lost.
-const SUSPECT: f64 = 0.5;
 /// What a replica that only fails adds to its score, against 1 for the slowest median.
 const SEVERITY: f64 = 8.0;
 /// Within so long an observation loses most of its weight.
@@ -109,13 +107,11 @@
     out: u32,
     /// When the latest of the parts it has answered was sent.
     newest: Tenths,
-    /// Of those out, the ones that should have been answered long ago.
-    overdue: u32,
+    /// Of those out, the ones that are as good as lost.
+    lost: u32,
     /// Its connections fail or broke: since when, and when it is next probed. It gets no parts until a probe or
     /// a part is answered.
     down: Option<(Tenths, Tenths)>,
-    /// It hangs or fails much: parts out there are as good as lost.
-    suspect: bool,
     /// When it last answered, or was sent a part with none out.
     heard: Tenths,
     trial: u32,
@@ -127,7 +123,7 @@
 impl Replica {
     /// Parts out that may still be answered.
     fn waiting(&self) -> f64 {
-        f64::from(self.out.saturating_sub(self.overdue))
+        f64::from(self.out.saturating_sub(self.lost))
     }
 }
 
@@ -451,7 +447,7 @@
                 total += median;
             }
         }
-        self.count_overdue(slow);
+        self.count_lost(slow);
         let ready_count = self.replicas.iter_mut().filter(ready).count().max(1);
         let usual_out = self.replicas.iter_mut().filter(ready).map(|r| f64::from(r.out)).sum::<f64>()
             / ready_count as f64;
@@ -461,12 +457,11 @@
         let largest = self.replicas.iter_mut().filter(ready).map(|r| median(r)).fold(1.0, f64::max);
         for replica in self.replicas.iter_mut().filter(ready) {
             let median = median(replica) * (1.0 + LOAD * (f64::from(replica.out) - usual_out).max(0.0));
-            // Parts long overdue count as failures before their time-outs say so: that meets a replica which
-            // answers some and swallows others, as well as one that hangs.
-            let overdue = f64::from(replica.overdue);
-            let severity = (replica.failures.sum + overdue) / (replica.failures.weight + overdue + 1.0);
+            // Lost parts count as failures before their time-outs say so: that meets a replica which answers
+            // some and swallows others, as well as one that hangs.
+            let lost = f64::from(replica.lost);
+            let severity = (replica.failures.sum + lost) / (replica.failures.weight + lost + 1.0);
             let quiet = if replica.out > 0 { now - replica.heard } else { 0 };
-            replica.suspect = severity > SUSPECT || quiet as f64 > 2.0 * slow;
             let silence = (quiet as f64 - slow).max(0.0) / largest;
             replica.score = median / largest + SEVERITY * severity + silence;
         }
@@ -506,16 +501,26 @@
         }
     }
 
-    /// Counts the parts out at each replica that should have been answered long ago.
-    fn count_overdue(&mut self, slow: f64) {
-        self.replicas.iter_mut().for_each(|r| r.overdue = 0);
+    /// Counts the parts out at each replica that are as good as lost.
+    fn count_lost(&mut self, slow: f64) {
+        self.replicas.iter_mut().for_each(|r| r.lost = 0);
         for lookup in self.open.iter().filter_map(|&l| self.lookups[l].as_ref()) {
-            for call in lookup.parts.iter().flat_map(|p| &p.calls).filter(|c| c.ending.is_none()) {
-                self.replicas[call.replica].overdue += u32::from((self.now - call.sent) as f64 > slow);
+            for call in lookup.parts.iter().flat_map(|p| &p.calls) {
+                let lost = self.is_lost(call, slow);
+                self.replicas[call.replica].lost += u32::from(lost);
             }
         }
     }
 
+    /// A slow part call whose replica has been silent for as long again, or has since answered what was sent
+    /// later. Where a queue has merely grown, parts come back in about the order they were sent.
+    fn is_lost(&self, call: &Call, slow: f64) -> bool {
+        let replica = &self.replicas[call.replica];
+        let silent = (self.now - replica.heard) as f64 > 2.0 * slow;
+        let overtaken = (replica.newest - call.sent) as f64 > OVERTAKEN * slow;
+        call.ending.is_none() && (self.now - call.sent) as f64 > slow && (silent || overtaken)
+    }
+
     /// How long all but a few parts take of late, over all replicas.
     fn slow(&self) -> f64 {
         match self.times.shape() {
@@ -665,7 +670,7 @@
             |of: &dyn Fn(&Part) -> bool| -> f64 { parts.iter().filter(|p| of(p)).map(|p| p.weight).sum() };
         let total = weigh(&|_| true);
         let got = weigh(&|p| p.answered) / total;
-        let lost = weigh(&|p| self.is_lost(lookup, p)) / total;
+        let lost = weigh(&|p| self.is_hopeless(lookup, p)) / total;
         let need = if lookup.step > 0 { 1.0 } else { index.need };
         let floor = if lookup.step > 0 && index.floor >= index.need { 1.0 } else { index.floor };
         let enough = |share: f64, of: f64| share >= of - ROUNDING / 2.0;
@@ -693,7 +698,7 @@
     }
 
     /// No further part call can bring this part's answer.
-    fn is_lost(&self, lookup: &Lookup, part: &Part) -> bool {
+    fn is_hopeless(&self, lookup: &Lookup, part: &Part) -> bool {
         !part.answered
             && part.out() == 0
             && (!self.may_run_again(lookup, part)
@@ -741,14 +746,10 @@
             // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
             let urgent = (lookup.soft - self.now) as f64 <= URGENT * slow;
             let late = part.calls.last().is_some_and(|c| (self.now - c.sent) as f64 > slow);
-            // Lost: its replica hangs or fails much, or has long since answered what was sent later.
-            let lost = part.calls.last().is_some_and(|c| {
-                let replica = &self.replicas[c.replica];
-                replica.suspect || (replica.newest - c.sent) as f64 > OVERTAKEN * slow
-            });
+            let lost = part.calls.last().is_some_and(|c| self.is_lost(c, slow));
             self.copies.fade(self.now);
             let spare = urgent && self.copies.sum < COPIES * self.copies.weight + 1.0;
-            if part.out() == 0 || idempotent && part.out() == 1 && late && (spare || lost) {
+            if part.out() == 0 || idempotent && part.out() == 1 && (late && spare || lost) {
                 self.call(l, p, writer);
             }
         }
