--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -49,8 +49,8 @@
 const URGENT: f64 = 2.5;
 /// An index whose late answers earn no more than this is given up at its soft deadline.
 const LATE_PAYS: f64 = 0.15;
-/// So many parts out at one replica are never too many.
-const FEW: f64 = 4.0;
+/// So many parts out at one replica, over all co-ordinators, are never too many.
+const FEW: f64 = 14.0;
 /// Nor does a lookup start while a replica it needs has this much more out than its even share of that time.
 const JAM: f64 = 0.8;
 /// Parts out are held to what comes back within this share of the shortest soft deadline.
@@ -486,7 +486,7 @@
         let seen = RECENT as f64 * (1.0 - (-((now - self.began) as f64) / RECENT as f64).exp());
         let back_in_time = self.times.weight / seen.max(TICK as f64) * self.soft;
         self.room = (back_in_time * HELD).max(ready);
-        self.jam = (back_in_time * JAM / ready).max(FEW);
+        self.jam = (back_in_time * JAM / ready).max(FEW / self.deployment.co_ordinators as f64);
         // Only answered parts tell what a replica can do.
         let (mut warm, mut calls) = (0.0, 0.0);
         for r in 0..self.replicas.len() {
