Turn nothing away in a co-ordinator's first soft deadline's time

A restarted co-ordinator had no answers to reckon from and refused its first lookups. It may hurt where co-ordinators restart into an overload: for at most one soft deadline.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -482,11 +482,6 @@
     fn learn_capacity(&mut self, ready: f64) {
         let now = self.now;
         self.times.fade(now);
-        // A co-ordinator that has just started has not yet seen a whole span of answers.
-        let seen = RECENT as f64 * (1.0 - (-((now - self.began) as f64) / RECENT as f64).exp());
-        let back_in_time = self.times.weight / seen.max(TICK as f64) * self.soft;
-        self.room = (back_in_time * HELD).max(ready);
-        self.jam = (back_in_time * JAM / ready).max(FEW / self.deployment.co_ordinators as f64);
         // Only answered parts tell what a replica can do.
         let (mut warm, mut calls) = (0.0, 0.0);
         for r in 0..self.replicas.len() {
@@ -499,6 +494,14 @@
             let usual = calls / warm * self.deployment.cold.window as f64 / RECENT as f64;
             self.usual = usual.max(self.usual * (1.0 - TICK as f64 / RESET as f64));
         }
+        // In its first soft deadline's time a co-ordinator has seen too little to turn anything away.
+        if (now - self.began) as f64 >= self.soft {
+            // A co-ordinator that has just started has not yet seen a whole span of answers.
+            let seen = RECENT as f64 * (1.0 - (-((now - self.began) as f64) / RECENT as f64).exp());
+            let back_in_time = self.times.weight / seen * self.soft;
+            self.room = (back_in_time * HELD).max(ready);
+            self.jam = (back_in_time * JAM / ready).max(FEW / self.deployment.co_ordinators as f64);
+        }
     }
 
     /// Counts the parts out at each replica that are as good as lost.
