--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -487,7 +487,7 @@
         for r in 0..self.replicas.len() {
             if self.replicas[r].phase == Phase::Ready && self.cold_share(r).is_none() {
                 warm += 1.0;
-                calls += self.replicas[r].failures.weight - self.replicas[r].failures.sum;
+                calls += self.replicas[r].times.weight;
             }
         }
         if warm > 0.0 {
