--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -1,12 +1,11 @@
 //! Plays the scenarios beside this file. A scenario is a list of lines:
 //!
-//! - `index once-only soft 1000 late 0.1 need 1 floor 0.8 step 2` and `with calls 3 cells 4 ...` set things up;
+//! - `with soft 500 late 0.3 floor 0.8 step 2 runs once calls 2 ...` sets things up, `index` adds a second index;
 //! - `list a:0 b:1`, `change a:0 draining`, `change a:0 ready 500` (started then), `remember a:0`, `unheard`;
 //! - `lookup L key 7 hard 4000 shards 0 1`, `more L 0 1` (a second step), `lapsed L`;
 //! - `L.0 errored` ends the oldest call out of a part, `L.0#1 answered` a certain one;
-//! - `serve a 100` answers all calls to a after 100 ms, `serve a errored 5` fails them, `serve a never` hangs;
-//! - `stream 50 hard 4000 shards 0 1` starts a lookup every 50 ms from here on, `stream 0` ends that;
-//! - `at 300` runs rounds up to that time;
+//! - `serve 100 a b` answers all calls to these after 100 ms, `serve errored a` fails them, `serve never a` hangs;
+//! - `at 300` runs rounds up to that time, `stream 50 300 shards 0 1` does so and starts a lookup every 50 ms;
 //! - `expect call L.0 $x` takes a decision off the log, and `never`, `most 3`, `least 3` count what matches there;
 //!   `*` stands for any word, `$x` for the word that it first met; `forget` empties the log.
 
@@ -23,52 +22,43 @@
 struct Log {
     lines: Vec<Vec<String>>,
     calls: Vec<(usize, usize, usize)>,
-    names: HashMap<usize, String>,
+    names: Vec<String>,
     replicas: Vec<String>,
 }
 
 impl Log {
-    fn add(&mut self, words: &[&str]) {
-        self.lines.push(words.iter().map(|w| w.to_string()).collect());
-    }
-
-    fn on(&mut self, word: &str, lookup: usize) {
-        let name = self.names[&lookup].clone();
-        self.add(&[word, &name]);
+    fn add(&mut self, line: String) {
+        self.lines.push(line.split(' ').map(str::to_string).collect());
     }
 }
 
 impl Writer for Log {
     fn call(&mut self, lookup: usize, part: usize, replica: usize, time_out: Tenths) {
         assert!(time_out > 0);
-        let (name, replica_name) =
-            (format!("{}.{part}", self.names[&lookup]), self.replicas[replica].clone());
-        self.add(&["call", &name, &replica_name]);
+        self.add(format!("call {}.{part} {}", self.names[lookup], self.replicas[replica]));
         self.calls.push((lookup, part, replica));
     }
     fn withdraw(&mut self, lookup: usize, part: usize, call: usize) {
-        let name = format!("{}.{part}#{call}", self.names[&lookup]);
-        self.add(&["withdraw", &name]);
+        self.add(format!("withdraw {}.{part}#{call}", self.names[lookup]));
     }
     fn satisfy(&mut self, lookup: usize, whole: bool) {
-        self.on(if whole { "whole" } else { "partial" }, lookup);
+        self.add(format!("{} {}", if whole { "whole" } else { "partial" }, self.names[lookup]));
     }
     fn nack(&mut self, lookup: usize, retry_after: Option<Tenths>) {
-        let (name, advice) = (self.names[&lookup].clone(), retry_after.map_or("unadvised", |_| "advised"));
-        self.add(&["nack", &name, advice]);
+        let advice = retry_after.map_or("unadvised", |_| "advised");
+        self.add(format!("nack {} {advice}", self.names[lookup]));
     }
     fn abort(&mut self, lookup: usize) {
-        self.on("abort", lookup);
+        self.add(format!("abort {}", self.names[lookup]));
     }
     fn release(&mut self, lookup: usize) {
-        self.on("release", lookup);
+        self.add(format!("release {}", self.names[lookup]));
     }
     fn probe(&mut self, replica: usize) {
-        let name = self.replicas[replica].clone();
-        self.add(&["probe", &name]);
+        self.add(format!("probe {}", self.replicas[replica]));
     }
     fn watch_roster(&mut self) {
-        self.add(&["watch"]);
+        self.add("watch".into());
     }
     fn wake_at(&mut self, _: Tenths) {}
     fn note(&mut self, _: &str) {}
@@ -88,11 +78,9 @@
     arrivals: Arrivals,
     now: Tenths,
     log: Log,
-    lookups: HashMap<String, usize>,
     calls: HashMap<(usize, usize), usize>,
     out: Vec<Out>,
-    serve: HashMap<usize, (Ending, Tenths)>,
-    stream: Option<(Tenths, Tenths, Vec<String>)>,
+    serve: HashMap<usize, Option<(Ending, Tenths)>>,
     bound: HashMap<String, String>,
 }
 
@@ -118,11 +106,25 @@
     })
 }
 
+/// The clock when a scenario begins.
+const START: Tenths = 10_000_000;
+
+const INDEX: Index = Index {
+    effect: Effect::Idempotent,
+    soft_deadline: 10_000,
+    gain: 1.0,
+    late_share: 0.1,
+    need: 1.0,
+    floor: 1.0,
+    partial_gain: 0.9,
+    second_step: 0,
+};
+
 impl Play {
     fn new() -> Self {
         let deployment = Deployment {
             co_ordinators: 1,
-            indexes: Vec::new(),
+            indexes: vec![INDEX],
             customer_quotas: Vec::new(),
             over_share_gain: 0.1,
             layout: Layout { cells: 4, in_a_row: 4, parts_a_call: 1 },
@@ -141,33 +143,25 @@
             deployment,
             coordinator: None,
             arrivals: Arrivals::default(),
-            now: 10_000_000,
+            now: START,
             log: Log::default(),
-            lookups: HashMap::new(),
             calls: HashMap::new(),
             out: Vec::new(),
             serve: HashMap::new(),
-            stream: None,
             bound: HashMap::new(),
         }
     }
 
     /// One round with all that has come in.
     fn round(&mut self) {
-        let mut arrivals = std::mem::take(&mut self.arrivals);
-        arrivals.now = self.now;
-        let (mut i, now) = (0, self.now);
-        while i < self.out.len() {
-            let o = &self.out[i];
-            match self.serve.get(&o.replica) {
-                Some(&(ending, after)) if o.sent + after <= now => {
-                    let (lookup, part, call, took) = (o.lookup, o.part, o.call, now - o.sent);
-                    arrivals.returns.push(Return { lookup, part, call, ending, took });
-                    self.out.remove(i);
-                }
-                _ => i += 1,
+        let now = self.now;
+        for at in (0..self.out.len()).rev() {
+            match self.serve.get(&self.out[at].replica) {
+                Some(&Some((ending, after))) if self.out[at].sent + after <= now => self.back(at, ending),
+                _ => {}
             }
         }
+        let arrivals = Arrivals { now, ..std::mem::take(&mut self.arrivals) };
         let deployment = &self.deployment;
         let coordinator = self.coordinator.get_or_insert_with(|| Coordinator::new(deployment.clone(), 7));
         coordinator.round(&arrivals, &mut self.log);
@@ -182,14 +176,6 @@
         self.round();
         while self.now < end {
             self.now += 50;
-            if let Some((every, next, words)) = self.stream.clone().filter(|(_, next, _)| *next <= self.now) {
-                let name = format!("s{}", self.lookups.len());
-                let key = (self.lookups.len() + 1000).to_string();
-                let mut line = vec!["lookup", &name, "key", &key];
-                line.extend(words.iter().map(String::as_str));
-                self.line(&line).expect("a streamed lookup");
-                self.stream = Some((every, next + every, words));
-            }
             self.round();
         }
     }
@@ -209,6 +195,10 @@
         Ok(Listed { replica, id: replica as u64 + 77, cell: number(Some(&cell))?, phase, started })
     }
 
+    fn named(&self, name: &str) -> Res<usize> {
+        self.log.names.iter().position(|n| n == name).ok_or_else(|| format!("no lookup {name}"))
+    }
+
     fn shards(&mut self, lookup: usize, words: &[&str]) -> Res<()> {
         for word in words {
             let weight = 1.0 / words.len() as f64;
@@ -217,65 +207,35 @@
         Ok(())
     }
 
+    /// Settings by name and value; those of an index go to the last one.
     fn set_up(&mut self, words: &[&str]) -> Res<()> {
-        let d = &mut self.deployment;
+        let (allowance, index) =
+            (&mut self.deployment.allowance, self.deployment.indexes.last_mut().unwrap());
         for pair in words.chunks(2) {
             let value = pair.get(1);
-            match pair[0] {
-                "co-ordinators" => d.co_ordinators = number(value)?,
-                "cells" => d.layout.cells = number(value)?,
-                "in-a-row" => d.layout.in_a_row = number(value)?,
-                "parts-a-call" => d.layout.parts_a_call = number(value)?,
-                "calls" => d.allowance.calls_a_part = number(value)?,
-                "copies" => d.allowance.second_copies = number::<u8>(value)? > 0,
-                "advice" => d.allowance.retry_advice = Some(ms(value)?),
-                "quota" => d.customer_quotas = vec![number(value)?],
-                "watched" => d.watch_roster = number::<u8>(value)? > 0,
-                "further" => {
-                    d.further_calls =
-                        Some(FurtherCalls { free: number(value)?, share: 0.0, window: 100_000 });
+            match (pair[0], value) {
+                ("calls", _) => allowance.calls_a_part = number(value)?,
+                ("advice", _) => allowance.retry_advice = Some(ms(value)?),
+                ("roster", Some(&"watched")) => self.deployment.watch_roster = true,
+                ("further", _) => {
+                    let free = number(value)?;
+                    self.deployment.further_calls = Some(FurtherCalls { free, share: 0.0, window: 100_000 });
                 }
-                other => return Err(format!("{other} cannot be set")),
+                ("runs", Some(&"once")) => index.effect = Effect::OnceOnly,
+                ("window", _) => index.effect = Effect::Fingerprinted(ms(value)?),
+                ("soft", _) => index.soft_deadline = ms(value)?,
+                ("late", _) => index.late_share = number(value)?,
+                ("floor", _) => index.floor = number(value)?,
+                ("step", _) => index.second_step = number(value)?,
+                (other, _) => return Err(format!("{other} cannot be set")),
             }
         }
         Ok(())
     }
 
-    fn index(&mut self, words: &[&str]) -> Res<()> {
-        let effect = match *words.first().ok_or("an effect is missing")? {
-            "idempotent" => Effect::Idempotent,
-            "once-only" => Effect::OnceOnly,
-            "fingerprinted" => Effect::Fingerprinted(5_000),
-            other => return Err(format!("{other} is no effect")),
-        };
-        let mut index = Index {
-            effect,
-            soft_deadline: 10_000,
-            gain: 1.0,
-            late_share: 0.1,
-            need: 1.0,
-            floor: 1.0,
-            partial_gain: 0.9,
-            second_step: 0,
-        };
-        for pair in words[1..].chunks(2) {
-            let value = pair.get(1);
-            match pair[0] {
-                "soft" => index.soft_deadline = ms(value)?,
-                "late" => index.late_share = number(value)?,
-                "need" => index.need = number(value)?,
-                "floor" => index.floor = number(value)?,
-                "step" => index.second_step = number(value)?,
-                other => return Err(format!("{other} is nothing of an index")),
-            }
-        }
-        self.deployment.indexes.push(index);
-        Ok(())
-    }
-
     fn lookup(&mut self, words: &[&str]) -> Res<()> {
         let (name, mut rest) = words.split_first().ok_or("a name is missing")?;
-        let lookup = self.lookups.len();
+        let lookup = self.log.names.len();
         let mut new = NewLookup {
             lookup,
             index: 0,
@@ -284,8 +244,7 @@
             number: lookup as u64,
             hard_deadline: self.now + 40_000,
         };
-        self.lookups.insert(name.to_string(), lookup);
-        self.log.names.insert(lookup, name.to_string());
+        self.log.names.push(name.to_string());
         while let Some((word, tail)) = rest.split_first() {
             match *word {
                 "key" => new.key = Some(number(tail.first())?),
@@ -305,7 +264,7 @@
     fn part_ends(&mut self, word: &str, how: &str) -> Res<()> {
         let (part, call) = word.split_once('#').unwrap_or((word, ""));
         let (name, part) = part.split_once('.').ok_or_else(|| format!("what is {word}?"))?;
-        let lookup = *self.lookups.get(name).ok_or_else(|| format!("no lookup {name}"))?;
+        let lookup = self.named(name)?;
         let part: usize = number(Some(&part))?;
         let call: Option<usize> = if call.is_empty() { None } else { Some(number(Some(&call))?) };
         self.round();
@@ -314,12 +273,16 @@
             .iter()
             .position(|o| o.lookup == lookup && o.part == part && call.is_none_or(|c| c == o.call))
             .ok_or_else(|| format!("no call of {word} is out"))?;
-        let o = self.out.remove(at);
-        let (ending, took) = (ending(how)?, self.now - o.sent);
-        self.arrivals.returns.push(Return { lookup, part, call: o.call, ending, took });
+        self.back(at, ending(how)?);
         Ok(())
     }
 
+    /// The call at this place among those out comes back.
+    fn back(&mut self, at: usize, ending: Ending) {
+        let Out { lookup, part, call, sent, .. } = self.out.remove(at);
+        self.arrivals.returns.push(Return { lookup, part, call, ending, took: self.now - sent });
+    }
+
     /// Which lines of the log match, and what they bind.
     fn matches(&self, pattern: &[&str]) -> Vec<(usize, HashMap<String, String>)> {
         let one = |line: &[String]| -> Option<HashMap<String, String>> {
@@ -338,7 +301,7 @@
         let (first, rest) = words.split_first().ok_or("an empty line")?;
         match *first {
             "with" => self.set_up(rest)?,
-            "index" => self.index(rest)?,
+            "index" => self.deployment.indexes.push(INDEX),
             "list" | "remember" => {
                 let listed = rest.iter().map(|w| self.listed(w, "ready", None)).collect::<Res<_>>()?;
                 let whole = *first == "list";
@@ -346,7 +309,7 @@
                 self.arrivals.roster.push(news);
             }
             "change" => {
-                let started = if rest.len() > 2 { Some(10_000_000 + ms(rest.get(2))?) } else { None };
+                let started = if rest.len() > 2 { Some(START + ms(rest.get(2))?) } else { None };
                 let [word, phase, ..] = rest else { return Err("change NAME:CELL PHASE".into()) };
                 let listed = self.listed(word, phase, started)?;
                 self.arrivals.roster.push(RosterNews::Changes(vec![listed]));
@@ -354,31 +317,34 @@
             "unheard" => self.arrivals.roster.push(RosterNews::Failed),
             "lookup" => self.lookup(rest)?,
             "more" => {
-                let lookup = *self.lookups.get(rest[0]).ok_or("no such lookup")?;
+                let lookup = self.named(rest[0])?;
                 self.shards(lookup, &rest[1..])?;
             }
-            "lapsed" => self.arrivals.lapsed.push(*self.lookups.get(rest[0]).ok_or("no such lookup")?),
+            "lapsed" => self.arrivals.lapsed.push(self.named(rest[0])?),
             "serve" => {
-                let name = rest.first().ok_or("a replica is missing")?;
-                let name = self.bound.get(*name).map_or(*name, String::as_str);
-                let replica = self.log.replicas.iter().position(|r| r == name).ok_or("no such replica")?;
-                match rest.get(1) {
-                    Some(&"never") => self.serve.remove(&replica),
-                    Some(how) if ending(how).is_ok() => {
-                        self.serve.insert(replica, (ending(how)?, ms(rest.get(2))?))
-                    }
-                    after => self.serve.insert(replica, (Ending::Answered, ms(after)?)),
-                };
+                let (how, names) = rest.split_first().ok_or("serve HOW REPLICA ...")?;
+                for name in names {
+                    let name = self.bound.get(*name).map_or(*name, String::as_str);
+                    let replica =
+                        self.log.replicas.iter().position(|r| r == name).ok_or("no such replica")?;
+                    let service = match (*how, ending(how)) {
+                        ("never", _) => None,
+                        (_, Ok(ending)) => Some((ending, 50)),
+                        (after, Err(_)) => Some((Ending::Answered, ms(Some(&after))?)),
+                    };
+                    self.serve.insert(replica, service);
+                }
             }
             "stream" => {
-                let every = ms(rest.first())?;
-                let words = rest[1..].iter().map(|w| w.to_string()).collect();
-                self.stream = (every > 0).then_some((every, self.now + every, words));
-            }
-            "at" => {
-                let end = 10_000_000 + ms(rest.first())?;
-                self.run_to(end);
+                let end = START + ms(rest.get(1))?;
+                while self.now < end {
+                    let n = self.log.names.len();
+                    let (name, key) = (format!("s{n}"), (n + 1000).to_string());
+                    self.line(&[&["lookup", &name, "key", &key], &rest[2..]].concat())?;
+                    self.run_to(self.now + ms(rest.first())?);
+                }
             }
+            "at" => self.run_to(START + ms(rest.first())?),
             "forget" => {
                 self.round();
                 self.log.lines.clear();
