--- a/crates/linenthread-adapter/src/host.rs
+++ b/crates/linenthread-adapter/src/host.rs
@@ -143,10 +143,6 @@
     fn wake_at(&mut self, at: Tenths) {
         self.reply.record(2, self.who).put(&0u64.to_be_bytes()).put(&ms(at));
     }
-
-    fn note(&mut self, text: &str) {
-        self.reply.record(7, self.who).put_text(text);
-    }
 }
 
 fn ending(code: u16) -> Result<Ending, String> {
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -204,6 +204,4 @@
     fn probe(&mut self, replica: usize);
     fn watch_roster(&mut self);
     fn wake_at(&mut self, at: Tenths);
-    /// A line for the operators' log.
-    fn note(&mut self, text: &str);
 }
