Halve the room once answers grow slow; leave it wide while they come fast

The room per replica and in all is now 0.45 and 0.5 of what comes back within the shortest soft deadline, up to twice that while the median answer takes less than 0.3 of it, so that bursts are still let in. It may hurt where a median answer takes long by nature.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -52,9 +52,11 @@
 /// So many parts out at one replica, over all co-ordinators, are never too many.
 const FEW: f64 = 14.0;
 /// Nor does a lookup start while a replica it needs has this much more out than its even share of that time.
-const JAM: f64 = 0.8;
+const JAM: f64 = 0.45;
 /// Parts out are held to what comes back within this share of the shortest soft deadline.
-const HELD: f64 = 0.9;
+const HELD: f64 = 0.5;
+/// That share doubles where the median answer takes half of this share of the shortest soft deadline.
+const QUICK: f64 = 0.3;
 /// Weights are sums of rounded shares.
 const ROUNDING: f64 = 0.0001;
 
@@ -498,7 +500,9 @@
         if (now - self.began) as f64 >= self.soft {
             // A co-ordinator that has just started has not yet seen a whole span of answers.
             let seen = RECENT as f64 * (1.0 - (-((now - self.began) as f64) / RECENT as f64).exp());
-            let back_in_time = self.times.weight / seen * self.soft;
+            // While answers still come fast a burst may fill what a jam may not.
+            let ease = (QUICK * self.soft / self.time_of_most(0.0)).clamp(1.0, 2.0);
+            let back_in_time = self.times.weight / seen * self.soft * ease;
             self.room = (back_in_time * HELD).max(ready);
             self.jam = (back_in_time * JAM / ready).max(FEW / self.deployment.co_ordinators as f64);
         }
@@ -526,10 +530,11 @@
 
     /// How long all but a few parts take of late, over all replicas.
     fn slow(&self) -> f64 {
-        match self.times.shape() {
-            Some((mean, deviation)) => (mean + 2.0 * deviation).exp(),
-            None => self.soft / 2.0,
-        }
+        self.time_of_most(2.0)
+    }
+
+    fn time_of_most(&self, deviations: f64) -> f64 {
+        self.times.shape().map_or(self.soft / 2.0, |(mean, deviation)| (mean + deviations * deviation).exp())
     }
 
     /// The replica for a part's next call: its natural one unless that scores too badly.
