--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -542,8 +542,13 @@
         let lookup = self.lookups[l].as_ref()?;
         let part = &lookup.parts[p];
         let layout = &self.deployment.layout;
-        // Where a call carries several parts at a cost of its own, parts of one key that lie together go together.
-        let spread = if layout.parts_a_call > 1 { 0 } else { part.shard as u64 + 1 };
+        // Where a call carries several parts at a cost of its own, a key has every so manieth cell for its home,
+        // so that neighbouring shards travel together; the hash decides among the rest.
+        let together = layout.parts_a_call > 1;
+        let home =
+            |r: usize| together && (self.replicas[r].cell as u64 + lookup.key) % layout.in_a_row as u64 == 0;
+        let spread = if together { 0 } else { part.shard as u64 + 1 };
+        let order = |&r: &usize| (home(r), mix([lookup.key, spread, self.replicas[r].id]));
         let fit: Vec<usize> = self.holders(part.shard).filter(|&r| self.may_call(l, p, r)).collect();
         let tried = |r: usize| part.calls.iter().any(|c| c.replica == r);
         let once_only = self.deployment.indexes[lookup.index].effect == Effect::OnceOnly;
@@ -558,7 +563,7 @@
                     _ => up(r) && !paused,
                 })
             };
-            let natural = allowed().max_by_key(|&r| mix([lookup.key, spread, self.replicas[r].id]))?;
+            let natural = allowed().max_by_key(&order)?;
             let best =
                 allowed().min_by(|&a, &b| self.replicas[a].score.total_cmp(&self.replicas[b].score))?;
             let leaves = self.replicas[natural].score > self.replicas[best].score * (1.0 + BADNESS);
