A part that leaves home goes to the next in its hash order that scores well enough

It went to the best replica, wherever the hash put that. Now all co-ordinators fall back the same way and parts that travel together still do.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -135,6 +135,7 @@
     ending: Option<Ending>,
 }
 
+#[derive(Default)]
 struct Part {
     shard: usize,
     weight: f64,
@@ -157,6 +158,7 @@
     }
 }
 
+#[derive(Default)]
 struct Lookup {
     index: usize,
     customer: usize,
@@ -338,11 +340,7 @@
             key: new.key.unwrap_or_else(|| mix([new.number, 0, 1])),
             soft: self.now + index.soft_deadline - MARGIN,
             hard: new.hard_deadline - MARGIN,
-            parts: Vec::new(),
-            step: 0,
-            first_whole: None,
-            admitted: false,
-            over: false,
+            ..Lookup::default()
         });
         self.open.push(new.lookup);
         self.count_taken();
@@ -354,12 +352,7 @@
     fn take_part(&mut self, new: &NewPart) {
         self.count_taken();
         if let Some(Some(lookup)) = self.lookups.get_mut(new.lookup) {
-            lookup.parts.push(Part {
-                shard: new.shard,
-                weight: new.weight,
-                calls: Vec::new(),
-                answered: false,
-            });
+            lookup.parts.push(Part { shard: new.shard, weight: new.weight, ..Part::default() });
         }
     }
 
@@ -563,11 +556,8 @@
                     _ => up(r) && !paused,
                 })
             };
-            let natural = allowed().max_by_key(&order)?;
-            let best =
-                allowed().min_by(|&a, &b| self.replicas[a].score.total_cmp(&self.replicas[b].score))?;
-            let leaves = self.replicas[natural].score > self.replicas[best].score * (1.0 + BADNESS);
-            Some(if leaves { best } else { natural })
+            let best = allowed().map(|r| self.replicas[r].score).min_by(f64::total_cmp)?;
+            allowed().filter(|&r| self.replicas[r].score <= best * (1.0 + BADNESS)).max_by_key(order)
         })
     }
 
