--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -538,8 +538,8 @@
         // Where a call carries several parts at a cost of its own, a key has every so manieth cell for its home,
         // so that neighbouring shards travel together; the hash decides among the rest.
         let together = layout.parts_a_call > 1;
-        let home =
-            |r: usize| together && (self.replicas[r].cell as u64 + lookup.key) % layout.in_a_row as u64 == 0;
+        let (turn, row) = (mix([lookup.key, 0, 0]) as usize, layout.in_a_row.max(1));
+        let home = |r: usize| together && self.replicas[r].cell % row == turn % row;
         let spread = if together { 0 } else { part.shard as u64 + 1 };
         let order = |&r: &usize| (home(r), mix([lookup.key, spread, self.replicas[r].id]));
         let fit: Vec<usize> = self.holders(part.shard).filter(|&r| self.may_call(l, p, r)).collect();
