--- a/crates/linenthread-adapter/tests/wire.rs
+++ b/crates/linenthread-adapter/tests/wire.rs
@@ -6,10 +6,10 @@
 const SETTINGS: &str = r#"{"accounts": [], "unheard-of": 1, "balancers": 1, "membership-mode": "pushed",
  "allowed": {"cancel": true, "max-attempts": 3, "max-retry-after-ms": 500.0, "probes": true,
   "retry-after": false, "second-copies": true},
- "classes": [{"deadline-ms": 4000.0, "idempotency": "safe", "late-share": 0.1, "name": "a", "promise-ms": 2000.0,
-  "window-ms": 5000.0, "worth": 1.0}],
- "family-info": {"cells": 1, "fetch-parts": [0], "floor-by-class": [1.0], "in-a-row": 1, "incomplete-worth": [0.9],
-  "need-by-class": [1.0], "parts-a-call": 1},
+ "classes": [{"deadline-ms": 4000.0, "idempotency": "safe", "late-share": 0.1, "name": "a",
+  "promise-ms": 2000.0, "window-ms": 5000.0, "worth": 1.0}],
+ "family-info": {"cells": 1, "fetch-parts": [0], "floor-by-class": [1.0], "in-a-row": 1,
+  "incomplete-worth": [0.9], "need-by-class": [1.0], "parts-a-call": 1},
  "safety": {"cold-share": 0.2, "drain-grace-ms": 500.0, "fall-multiple": 3.0, "tip-after-ms": 3000.0,
   "warm-up-ms": 14000.0}, "tick-ms": 5.0, "telemetry": {"names": ["odd", "queue"], "source": "answers"}}"#;
 
@@ -36,7 +36,8 @@
 /// One ready replica, in the wire page's layout of a list, and the news that it is all there is.
 fn roster() -> Vec<u8> {
     bytes(
-        "0b 0000 00000001 03124a07 0000 0000 0000 01 3f800000 0000000000000000 02 00000003 02 0000000000000029 0000",
+        "0b 0000 00000001 03124a07 0000 0000 0000 01 3f800000 0000000000000000 \
+         02 00000003 02 0000000000000029 0000",
     )
 }
 
--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -111,8 +111,8 @@
     newest: Tenths,
     /// Of those out, the ones that are as good as lost.
     lost: u32,
-    /// Its connections fail or broke: since when, and when it is next probed. It gets no parts until a probe or
-    /// a part is answered.
+    /// Its connections fail or broke: since when, and when it is next probed. It gets no parts until a
+    /// probe or a part is answered.
     down: Option<(Tenths, Tenths)>,
     /// When it last answered, or was sent a part with none out.
     heard: Tenths,
@@ -473,7 +473,7 @@
         self.learn_capacity(ready_count as f64);
     }
 
-    /// Reckons from what was answered of late how many parts may be out, and how many a warm replica can take.
+    /// Reckons from what was answered of late how many parts may be out, and what a warm replica can take.
     fn learn_capacity(&mut self, ready: f64) {
         let now = self.now;
         self.times.fade(now);
@@ -535,8 +535,8 @@
         let lookup = self.lookups[l].as_ref()?;
         let part = &lookup.parts[p];
         let layout = &self.deployment.layout;
-        // Where a call carries several parts at a cost of its own, a key has every so manieth cell for its home,
-        // so that neighbouring shards travel together; the hash decides among the rest.
+        // Where a call carries several parts at a cost of its own, a key has every so manieth cell for its
+        // home, so that neighbouring shards travel together; the hash decides among the rest.
         let together = layout.parts_a_call > 1;
         let (turn, row) = (mix([lookup.key, 0, 0]) as usize, layout.in_a_row.max(1));
         let home = |r: usize| together && self.replicas[r].cell % row == turn % row;
@@ -709,8 +709,8 @@
                 || self.holders(part.shard).next().is_none())
     }
 
-    /// Whether a new lookup is taken on. What is out is held to what comes back within a share of the shortest
-    /// soft deadline: where answers come fast this never binds, where queues grow it keeps them short.
+    /// Whether a new lookup is taken on. What is out is held to what comes back within a share of the
+    /// shortest soft deadline: where answers come fast this never binds, where queues grow it keeps them short.
     fn admits(&self, l: usize) -> bool {
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
         let indexes = &self.deployment.indexes;
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -1,12 +1,12 @@
 //! Plays the scenarios beside this file. A scenario is a list of lines:
 //!
-//! - `with soft 500 late 0.3 floor 0.8 step 2 runs once calls 2 ...` sets things up, `index` adds a second index;
+//! - `with soft 500 late 0.3 floor 0.8 step 2 runs once ...` sets things up, `index` adds a second index;
 //! - `list a:0 b:1`, `change a:0 draining`, `change a:0 ready 500` (started then), `remember a:0`, `unheard`;
 //! - `lookup L key 7 hard 4000 shards 0 1`, `more L 0 1` (a second step), `lapsed L`;
 //! - `L.0 errored` ends the oldest call out of a part, `L.0#1 answered` a certain one;
-//! - `serve 100 a b` answers all calls to these after 100 ms, `serve errored a` fails them, `serve never a` hangs,
-//!   `probed a answered` is a probe's return;
-//! - `at 300` runs rounds up to that time, `stream 50 300 shards 0 1` does so and starts a lookup every 50 ms;
+//! - `serve 100 a b` answers all calls to these after 100 ms, `serve errored a` fails them, `serve never a`
+//!   hangs, `probed a answered` is a probe's return;
+//! - `at 300` runs rounds up to that time, `stream 50 300 shards 0` also starts a lookup every 50 ms;
 //! - `expect call L.0 $x` takes a decision off the log, and `never`, `most 3`, `least 3` count what matches there;
 //!   `*` stands for any word, `$x` for the word that it first met; `forget` empties the log.
 
