A replica whose parts time out with no answer since is down, probed and on trial

It is now down like one that cannot be connected to, and comes back one part at a time. It covers cut links and stopped processes; a replica of which this co-ordinator sees only slow parts may be put down for one probe.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -367,12 +367,17 @@
     }
 
     fn hear(&mut self, back: &Return, writer: &mut impl Writer) {
+        let slow = self.slow();
         let Some(Some(lookup)) = self.lookups.get_mut(back.lookup) else { return };
         let Some(part) = lookup.parts.get_mut(back.part) else { return };
         let Some(call) = part.calls.get_mut(back.call) else { return };
         call.ending = Some(back.ending);
         let replica = &mut self.replicas[call.replica];
         replica.out -= 1;
+        // A hung replica has nothing out between its time-outs, and so no silence: it is down as well.
+        let hung = matches!(back.ending, Ending::TimedOut | Ending::Withdrawn)
+            && replica.heard <= call.sent
+            && back.took as f64 > slow;
         let time = (back.took.max(1) as f64).ln();
         let late = replica.times.shape().is_some_and(|(median, _)| time > median);
         match back.ending {
@@ -396,15 +401,16 @@
             Ending::Withdrawn | Ending::Unsent => {}
             _ => replica.failures.add(self.now, 1.0),
         }
-        if matches!(back.ending, Ending::Unconnected | Ending::Broken) {
+        if hung || matches!(back.ending, Ending::Unconnected | Ending::Broken) {
             replica.down.get_or_insert((self.now, self.now));
+            replica.trial = TRIAL;
         }
     }
 
     fn hear_probe(&mut self, back: &ProbeReturn) {
         let Some(replica) = self.replicas.get_mut(back.replica) else { return };
-        if back.ending == Ending::Answered && replica.down.take().is_some() {
-            replica.trial = TRIAL;
+        if back.ending == Ending::Answered {
+            replica.down = None;
         }
     }
 
