--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -409,9 +409,7 @@
 
     fn hear_probe(&mut self, back: &ProbeReturn) {
         let Some(replica) = self.replicas.get_mut(back.replica) else { return };
-        if back.ending == Ending::Answered {
-            replica.down = None;
-        }
+        replica.down.take_if(|_| back.ending == Ending::Answered);
     }
 
     /// Probes what cannot be connected to: a part sent there would be lost time and a spent call.
@@ -554,11 +552,12 @@
         let on_trial = |r: usize| self.replicas[r].trial > 0 && (once_only || self.replicas[r].out > 0);
         let paused = part.calls.last().is_some_and(|c| self.now < c.sent + PAUSE);
         let up = |r: usize| self.replicas[r].down.is_none_or(|(since, _)| self.now > since + GIVEN_UP);
-        (0..3).find_map(|level| {
+        (0..4).find_map(|level| {
             let allowed = || {
                 fit.iter().copied().filter(move |&r| match level {
                     0 => up(r) && !tried(r) && !on_trial(r) && self.replicas[r].waiting() <= self.jam,
-                    1 => up(r) && !tried(r),
+                    1 => up(r) && !tried(r) && !on_trial(r),
+                    2 => up(r) && !tried(r),
                     _ => up(r) && !paused,
                 })
             };
