--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -715,7 +715,7 @@
     }
 
     /// Whether a new lookup is taken on. What is out is held to what comes back within a share of the
-    /// shortest soft deadline: where answers come fast this never binds, where queues grow it keeps them short.
+    /// shortest soft deadline: this does not bind while answers come fast, and keeps queues short.
     fn admits(&self, l: usize) -> bool {
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
         let indexes = &self.deployment.indexes;
