Merge twin code, drop a check the gate makes, and mend stale comments

One loop withdraws a part's calls. Sending no longer repeats that once-only parts get no copies: the gate refuses them, as one place for that rule. Work that is the same for all parts of a lookup leaves the loop. The cold budget takes its one multiple itself. The comments on jams and on replicas that are down say what the code does now. In the scenarios an index line with further words is an error instead of being passed over.

--- a/crates/linenthread-adapter/src/host.rs
+++ b/crates/linenthread-adapter/src/host.rs
@@ -13,7 +13,6 @@
 use crate::terms::{self, tenths};
 
 /// A list entry as it came; it is matched to an instance's indices only when news refers to it.
-#[derive(Clone)]
 struct Entry {
     replica: u32,
     cell: u16,
--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -37,7 +37,7 @@
 const BEAT: Tenths = 100;
 /// A part is lost when its replica has answered one that was sent this many slow answers' time later.
 const OVERTAKEN: f64 = 0.5;
-/// What cannot be connected to is probed after so long, and as much again by chance.
+/// What is down is probed after so long, and as much again by chance.
 const PROBE: Tenths = 1_500;
 /// When no probe was answered for so long, parts may try a replica again: it may be bad to probes only.
 const GIVEN_UP: Tenths = 30_000;
@@ -49,13 +49,13 @@
 const URGENT: f64 = 2.5;
 /// An index whose late answers earn no more than this is given up at its soft deadline.
 const LATE_PAYS: f64 = 0.15;
-/// So many parts out at one replica, over all co-ordinators, are never too many.
-const FEW: f64 = 14.0;
-/// Nor does a lookup start while a replica it needs has this much more out than its even share of that time.
-const JAM: f64 = 0.45;
 /// Parts out are held to what comes back within this share of the shortest soft deadline.
 const HELD: f64 = 0.5;
-/// That share doubles where the median answer takes half of this share of the shortest soft deadline.
+/// And at one replica to its even share of what comes back within this one: beyond that it is jammed.
+const JAM: f64 = 0.45;
+/// So many parts out at one replica, over all co-ordinators, are never a jam.
+const FEW: f64 = 14.0;
+/// Both shares double where the median answer takes half of this share of the shortest soft deadline.
 const QUICK: f64 = 0.3;
 /// Weights are sums of rounded shares.
 const ROUNDING: f64 = 0.0001;
@@ -111,8 +111,8 @@
     newest: Tenths,
     /// Of those out, the ones that are as good as lost.
     lost: u32,
-    /// Its connections fail or broke: since when, and when it is next probed. It gets no parts until a
-    /// probe or a part is answered.
+    /// Its connections fail or broke, or it hangs: since when, and when it is next probed. It gets no parts
+    /// until a probe or a part is answered.
     down: Option<(Tenths, Tenths)>,
     /// When it last answered, or was sent a part with none out.
     heard: Tenths,
@@ -148,6 +148,13 @@
         self.calls.iter().filter(|c| c.ending.is_none()).count()
     }
 
+    /// Withdraws the part's calls that are out.
+    fn withdraw(&self, l: usize, p: usize, writer: &mut impl Writer) {
+        for (c, _) in self.calls.iter().enumerate().filter(|(_, c)| c.ending.is_none()) {
+            writer.withdraw(l, p, c);
+        }
+    }
+
     fn never_ran(&self) -> bool {
         self.calls.iter().all(|c| c.ending.is_some_and(Ending::never_ran))
     }
@@ -197,7 +204,7 @@
     copies: Fading,
     /// Part calls that a warm replica gets from here within the cold window, as seen of late.
     usual: f64,
-    /// Parts that may be out in all, and at one replica, for a new lookup to be taken on.
+    /// Parts that may be out in all for a new lookup to be taken on, and at one replica before it is jammed.
     room: f64,
     jam: f64,
     customers: Vec<Fading>,
@@ -391,9 +398,7 @@
                 replica.times.add(self.now, time);
                 self.times.add(self.now, time);
                 if self.deployment.allowance.withdraw && !lookup.over {
-                    for (c, _) in part.calls.iter().enumerate().filter(|(_, c)| c.ending.is_none()) {
-                        writer.withdraw(back.lookup, back.part, c);
-                    }
+                    part.withdraw(back.lookup, back.part, writer);
                 }
             }
             // It would have taken longer still: that much is known.
@@ -412,7 +417,7 @@
         replica.down.take_if(|_| back.ending == Ending::Answered);
     }
 
-    /// Probes what cannot be connected to: a part sent there would be lost time and a spent call.
+    /// Probes what is down: a part sent there would be lost time and a spent call.
     fn probe(&mut self, writer: &mut impl Writer) {
         for r in 0..self.replicas.len() {
             if self.deployment.allowance.probes
@@ -588,7 +593,7 @@
             && part.calls.len() < allowance.calls_a_part
             && (out == 0 || allowance.second_copies && out == 1)
             && part.calls.iter().all(|c| c.ending.is_some() || c.replica != r)
-            && self.cold_room(r, self.deployment.cold.multiple * COLD_USE)
+            && self.cold_room(r)
             && (part.calls.is_empty() || self.further_room())
     }
 
@@ -613,11 +618,12 @@
 
     /// Whether a cold replica has room for one more within each window. Capacity is not told; what warm ones
     /// get from here is never more than they can do, and each co-ordinator keeps to its own part of it.
-    fn cold_room(&self, r: usize, multiple: f64) -> bool {
+    fn cold_room(&self, r: usize) -> bool {
         let Some(share) = self.cold_share(r) else { return true };
-        let since = self.now - self.deployment.cold.window;
+        let cold = &self.deployment.cold;
+        let since = self.now - cold.window;
         let sent = self.replicas[r].cold_sends.iter().filter(|&&at| at > since).count();
-        ((sent + 1) as f64) <= (multiple * share * self.usual).max(1.0)
+        ((sent + 1) as f64) <= (cold.multiple * COLD_USE * share * self.usual).max(1.0)
     }
 
     fn further_room(&self) -> bool {
@@ -743,21 +749,19 @@
     /// Sends parts not yet asked for, those that failed, and second copies of those that are late.
     fn send(&mut self, l: usize, writer: &mut impl Writer) {
         let slow = self.slow();
+        self.copies.fade(self.now);
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
-        let idempotent = self.deployment.indexes[lookup.index].effect != Effect::OnceOnly;
+        // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
+        let urgent = (lookup.soft - self.now) as f64 <= URGENT * slow;
         for p in lookup.step..lookup.parts.len() {
-            let lookup = self.lookups[l].as_ref().expect("open");
-            let part = &lookup.parts[p];
+            let part = &self.lookups[l].as_ref().expect("open").parts[p];
             if part.answered {
                 continue;
             }
-            // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
-            let urgent = (lookup.soft - self.now) as f64 <= URGENT * slow;
             let late = part.calls.last().is_some_and(|c| (self.now - c.sent) as f64 > slow);
             let lost = part.calls.last().is_some_and(|c| self.is_lost(c, slow));
-            self.copies.fade(self.now);
             let spare = urgent && self.copies.sum < COPIES * self.copies.weight + 1.0;
-            if part.out() == 0 || idempotent && part.out() == 1 && (late && spare || lost) {
+            if part.out() == 0 || part.out() == 1 && (late && spare || lost) {
                 self.call(l, p, writer);
             }
         }
@@ -789,9 +793,7 @@
             return;
         }
         for (p, part) in lookup.parts.iter().enumerate() {
-            for (c, _) in part.calls.iter().enumerate().filter(|(_, c)| c.ending.is_none()) {
-                writer.withdraw(l, p, c);
-            }
+            part.withdraw(l, p, writer);
         }
     }
 
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -242,7 +242,7 @@
 
     fn lookup(&mut self, words: &[&str]) -> Res<()> {
         let at = words.iter().position(|w| *w == "shards").ok_or("shards are missing")?;
-        let (lookup, number_of) = (self.log.names.len(), self.log.names.len() as u64);
+        let lookup = self.log.names.len();
         let (mut index, mut key, mut hard_deadline) = (0, None, self.now + 40_000);
         for pair in words[1..at].chunks(2) {
             match pair[0] {
@@ -252,7 +252,7 @@
                 other => return Err(format!("{other} is nothing of a lookup")),
             }
         }
-        let new = NewLookup { lookup, index, customer: 0, key, number: number_of, hard_deadline };
+        let new = NewLookup { lookup, index, customer: 0, key, number: lookup as u64, hard_deadline };
         self.log.names.push(words[0].to_string());
         self.arrivals.lookups.push(new);
         self.shards(lookup, &words[at + 1..])
@@ -291,7 +291,7 @@
         let (first, rest) = words.split_first().ok_or("an empty line")?;
         match *first {
             "with" => self.set_up(rest)?,
-            "index" => self.deployment.indexes.push(INDEX),
+            "index" if rest.is_empty() => self.deployment.indexes.push(INDEX),
             "list" | "remember" => {
                 let listed = rest.iter().map(|w| self.listed(w, "ready", None)).collect::<Res<_>>()?;
                 let whole = *first == "list";
@@ -396,6 +396,6 @@
 
 #[test]
 fn a_malformed_scenario_names_its_file_and_line() {
-    let error = play("bad.txt", "index idempotent\nlookup L key x shards 0").unwrap_err();
+    let error = play("bad.txt", "index\nlookup L key x shards 0").unwrap_err();
     assert!(error.starts_with("bad.txt:2: "), "{error}");
 }
