--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -50,7 +50,7 @@
 /// How long to wait before a replica that failed a part is asked for the same part again.
 const PAUSE: Tenths = 1_000;
 /// Share of parts that may have a second copy sent because the first is late.
-const COPIES: f64 = 0.1;
+const COPIES: f64 = 0.05;
 /// A part is late when it takes so many times what half of its lookup's parts took.
 const STRAGGLES: f64 = 3.0;
 /// A second copy goes out when no more than so many slow answers' time is left.
@@ -80,10 +80,10 @@
 const TOLD: f64 = 0.5;
 /// A lookup is refused when all holders of a shard say that so many times what a soft deadline has room for,
 /// one by one, waits there.
-const UNTOLD: f64 = 15.0;
+const UNTOLD: f64 = 6.0;
 const USUALLY: f64 = 0.2;
 const POWER: i32 = 3;
-const FULL: f64 = 0.5;
+const FULL: f64 = 1.0;
 /// A replica may have so many parts from here more than the least of those that hold the shard.
 const PILE: f64 = 1.0;
 /// Both shares double where the median answer takes half of this share of the shortest soft deadline.
