--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -98,7 +98,7 @@
 }
 
 /// One replica as the roster lists it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Listed {
     pub replica: usize,
     /// The replica's original id, the same at every co-ordinator.
--- a/crates/linenthread-core/src/lib.rs
+++ b/crates/linenthread-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod coordinator;
 pub mod interface;
+mod state;
 
 pub use coordinator::Coordinator;
 pub use interface::Writer;
--- /dev/null
+++ b/crates/linenthread-core/src/state.rs
@@ -0,0 +1,178 @@
+//! What a co-ordinator keeps in mind: plain records and sums. No decision is taken here and no figure is set.
+
+use std::collections::VecDeque;
+
+use crate::interface::*;
+
+/// Sums over recent values, fading with age and brought up to date when they are read.
+#[derive(Clone, Copy, Default)]
+pub struct Fading {
+    pub at: Tenths,
+    pub weight: f64,
+    pub sum: f64,
+    pub square: f64,
+}
+
+impl Fading {
+    pub fn fade(&mut self, now: Tenths, span: f64) {
+        let keep = (-((now - self.at).max(0) as f64) / span).exp();
+        (self.weight, self.sum, self.square) = (self.weight * keep, self.sum * keep, self.square * keep);
+        self.at = self.at.max(now);
+    }
+
+    pub fn add(&mut self, now: Tenths, span: f64, value: f64) {
+        self.fade(now, span);
+        self.weight += 1.0;
+        self.sum += value;
+        self.square += value * value;
+    }
+
+    /// Mean and deviation, where anything was heard of late.
+    pub fn shape(&self) -> Option<(f64, f64)> {
+        (self.weight > 0.1).then(|| {
+            let mean = self.sum / self.weight;
+            (mean, (self.square / self.weight - mean * mean).max(0.0).sqrt())
+        })
+    }
+}
+
+/// What was seen of one replica, or of all of a site.
+#[derive(Clone, Default)]
+pub struct Seen {
+    /// Logarithms of answer times: their mean is the median's, since the times are about log-normal.
+    pub times: Fading,
+    /// 1 for each failure, 0 for each answer.
+    pub failures: Fading,
+}
+
+/// Moments within a window that a rule speaks of.
+#[derive(Default)]
+pub struct Moments(VecDeque<Tenths>);
+
+impl Moments {
+    pub fn add(&mut self, now: Tenths, window: Tenths) {
+        self.0.retain(|&at| at >= now - window);
+        self.0.push_back(now);
+    }
+
+    pub fn since(&self, start: Tenths) -> usize {
+        self.0.iter().filter(|&&at| at >= start).count()
+    }
+}
+
+#[derive(Default)]
+pub struct Replica {
+    pub listed: Listed,
+    pub seen: Seen,
+    pub out: u32,
+    /// Of those out, the ones that are as good as lost.
+    pub lost: u32,
+    /// Its connections fail or broke, or it hangs: since when, and when it is next probed. It gets no parts
+    /// until a probe or a part is answered.
+    pub down: Option<(Tenths, Tenths)>,
+    /// When it last answered, or was sent a part with none out.
+    pub heard: Tenths,
+    /// When it last told anything, by an answer or a probe, and the parts it then had waiting.
+    pub told: Tenths,
+    pub queue: f64,
+    /// A probe is out since then.
+    pub asked: Option<Tenths>,
+    pub score: f64,
+    pub cold_sends: Moments,
+}
+
+impl Replica {
+    pub fn ready(&self) -> bool {
+        self.listed.phase == Phase::Ready
+    }
+
+    /// Parts out that may still be answered.
+    pub fn waiting(&self) -> f64 {
+        f64::from(self.out.saturating_sub(self.lost))
+    }
+
+    /// Parts that it last said were waiting; old word fades.
+    pub fn told_load(&self, now: Tenths, span: f64) -> f64 {
+        self.queue * (-((now - self.told) as f64) / span).exp()
+    }
+
+    pub fn tell(&mut self, now: Tenths, queue: f64) {
+        (self.told, self.queue) = (now, queue);
+    }
+}
+
+pub struct Call {
+    pub replica: usize,
+    pub sent: Tenths,
+    pub ending: Option<Ending>,
+}
+
+#[derive(Default)]
+pub struct Part {
+    pub shard: usize,
+    pub weight: f64,
+    pub calls: Vec<Call>,
+    pub answered: bool,
+}
+
+impl Part {
+    pub fn out(&self) -> usize {
+        self.calls.iter().filter(|c| c.ending.is_none()).count()
+    }
+
+    pub fn withdraw(&self, l: usize, p: usize, writer: &mut impl Writer) {
+        for (c, _) in self.calls.iter().enumerate().filter(|(_, c)| c.ending.is_none()) {
+            writer.withdraw(l, p, c);
+        }
+    }
+
+    pub fn never_ran(&self) -> bool {
+        self.calls.iter().all(|c| c.ending.is_some_and(Ending::never_ran))
+    }
+
+    /// When the first part call that may have run was sent.
+    pub fn may_have_run(&self) -> Option<Tenths> {
+        self.calls.iter().find(|c| !c.ending.is_some_and(Ending::never_ran)).map(|c| c.sent)
+    }
+}
+
+#[derive(Default)]
+pub struct Lookup {
+    pub index: usize,
+    pub customer: usize,
+    pub key: u64,
+    pub soft: Tenths,
+    pub hard: Tenths,
+    /// When its replicas were probed before its first parts.
+    pub asked: Option<Tenths>,
+    pub parts: Vec<Part>,
+    /// Where the parts of the step under way begin, when it began, and how long half of them took.
+    pub step: usize,
+    pub began: Tenths,
+    pub half: Option<Tenths>,
+    /// The first step is answered, and its answer was whole.
+    pub first_whole: Option<bool>,
+    /// Replicas that broke off under a part of it.
+    pub broke: Vec<usize>,
+    pub admitted: bool,
+    pub over: bool,
+}
+
+impl Lookup {
+    pub fn unanswered(&self) -> bool {
+        !self.parts.iter().any(|p| p.answered)
+    }
+
+    pub fn out(&self) -> bool {
+        self.parts.iter().any(|p| p.out() > 0)
+    }
+}
+
+/// A hash of ids that all co-ordinators agree on.
+pub fn mix(words: [u64; 3]) -> u64 {
+    words.iter().fold(0x9e37_79b9_7f4a_7c15, |h: u64, w| {
+        let x = (h ^ w).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let x = (x ^ (x >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 32)
+    })
+}
