--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -60,7 +60,7 @@
 /// soft deadline, twice that where the median answer takes half of the other, or so many at the least.
 const JAM: f64 = 0.45;
 const QUICK: f64 = 0.3;
-const FEW: f64 = 4.0;
+const FEW: f64 = 5.0;
 /// How many parts of usual delay, as a share of the shortest soft deadline and as its spread, weigh in what
 /// a lookup's slowest part is expected to take.
 const UNTOLD: f64 = 6.0;
@@ -89,6 +89,8 @@
     usual: f64,
     /// Parts that may be out at one replica before it is jammed.
     jam: f64,
+    /// And in all.
+    room: f64,
 }
 
 /// One co-ordinator; see the head of this file.
@@ -138,7 +140,13 @@
             deployment,
             chance: Rand64::new(u128::from(seed)),
             now: 0,
-            fleet: Fleet { span: RECENT, quick: f64::INFINITY, jam: f64::INFINITY, ..Fleet::default() },
+            fleet: Fleet {
+                span: RECENT,
+                quick: f64::INFINITY,
+                jam: f64::INFINITY,
+                room: f64::INFINITY,
+                ..Fleet::default()
+            },
             replicas: Vec::new(),
             sites: Vec::new(),
             lookups: Vec::new(),
@@ -212,12 +220,8 @@
             self.replicas.iter_mut().for_each(|r| r.listed.phase = Phase::Gone);
         }
         for entry in listed {
-            if self.replicas.len() <= entry.replica {
-                self.replicas.resize_with(entry.replica + 1, Replica::default);
-            }
-            if self.sites.len() <= entry.site {
-                self.sites.resize(entry.site + 1, Seen::default());
-            }
+            self.replicas.resize_with(self.replicas.len().max(entry.replica + 1), Replica::default);
+            self.sites.resize(self.sites.len().max(entry.site + 1), Seen::default());
             let replica = &mut self.replicas[entry.replica];
             if replica.listed.started != entry.started {
                 // A new process: nothing seen of the old one counts against it.
@@ -228,9 +232,7 @@
     }
 
     fn take(&mut self, new: &NewLookup) {
-        if self.lookups.len() <= new.lookup {
-            self.lookups.resize_with(new.lookup + 1, || None);
-        }
+        self.lookups.resize_with(self.lookups.len().max(new.lookup + 1), || None);
         self.lookups[new.lookup] = Some(Lookup {
             index: new.index,
             customer: new.customer,
@@ -292,9 +294,8 @@
             // It would have taken longer still: that much is known. A client that left early, or a copy that
             // was quicker, says no more of the replica.
             Ending::Withdrawn | Ending::TimedOut if back.ending == Ending::Withdrawn || took < slow => {
-                if late {
-                    replica.seen.times.add(now, span, took.ln());
-                    site.times.add(now, span, took.ln());
+                for seen in [&mut replica.seen, site].into_iter().filter(|_| late) {
+                    seen.times.add(now, span, took.ln());
                 }
             }
             Ending::Unsent => {}
@@ -423,7 +424,9 @@
             let seen = RECENT * (1.0 - (-age / RECENT).exp());
             // While answers still come fast a burst may fill what a jam may not.
             let ease = (QUICK * self.soft / median).clamp(1.0, 2.0);
-            fleet.jam = (fleet.times.weight / seen * self.soft * ease * JAM / ready).max(FEW);
+            let back_in_time = fleet.times.weight / seen * self.soft * ease;
+            fleet.jam = (back_in_time * JAM / ready).max(FEW);
+            fleet.room = (back_in_time * JAM).max(ready * 2.0);
         }
     }
 
@@ -698,7 +701,8 @@
             }
             out > 0.0 || told.is_finite() && told > favour * self.soft / self.fleet.quick
         };
-        !lookup.parts.iter().any(jammed)
+        let waiting: f64 = self.replicas.iter().map(Replica::waiting).sum();
+        waiting < favour * self.fleet.room && !lookup.parts.iter().any(jammed)
     }
 
     /// Holds a lookup while the holders that told nothing of late are probed, and shortly waited for: where
