--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -126,11 +126,6 @@
     if index.late_share > LATE_PAYS { lookup.hard } else { lookup.soft.min(lookup.hard) }
 }
 
-/// A lookup may be what brings replicas down: two broke off under it, and none has answered it.
-fn fells(lookup: &Lookup) -> bool {
-    lookup.broke.len() > 1 && lookup.unanswered()
-}
-
 impl Coordinator {
     pub fn new(deployment: Deployment, seed: u64) -> Self {
         Coordinator {
@@ -255,7 +250,7 @@
     }
 
     fn hear(&mut self, back: &Return, writer: &mut impl Writer) {
-        let (now, slow, span) = (self.now, self.slow(), self.fleet.span);
+        let (now, slow, span) = (self.now, self.time_of_most(2.0), self.fleet.span);
         let Some(Some(lookup)) = self.lookups.get_mut(back.lookup) else { return };
         let first = lookup.broke.is_empty() && lookup.unanswered();
         let Some(part) = lookup.parts.get_mut(back.part) else { return };
@@ -272,13 +267,12 @@
             }
             _ => {}
         }
-        let late = replica.seen.times.shape().is_some_and(|(median, _)| took.ln() > median);
+        let usual = replica.seen.times.shape().or(self.fleet.times.shape());
+        let late = usual.is_some_and(|(median, _)| took.ln() > median);
         match back.ending {
             Ending::Answered => {
                 part.answered |= !lookup.over;
-                if first {
-                    self.breaks[lookup.index].sum *= 0.7;
-                }
+                self.breaks[lookup.index].sum *= if first { 0.7 } else { 1.0 };
                 replica.heard = now;
                 replica.tell(now, back.queue.unwrap_or(0.0));
                 replica.down = None;
@@ -307,7 +301,7 @@
         let broken = back.ending == Ending::Broken;
         if broken && !lookup.broke.contains(&r) {
             lookup.broke.push(r);
-            self.breaks[lookup.index].add(now, WARY, 1.0);
+            replica.broke_under = Some(lookup.index);
         }
         if broken || back.ending == Ending::Unconnected {
             replica.down.get_or_insert((now, now));
@@ -318,6 +312,12 @@
         let now = self.now;
         let Some(replica) = self.replicas.get_mut(back.replica) else { return };
         let since = replica.asked.take().unwrap_or(now);
+        // A replica that broke off and is gone may have been brought down; one that answers was not.
+        if let Some(index) = replica.broke_under.take_if(|_| back.ending != Ending::TurnedAway)
+            && back.ending != Ending::Answered
+        {
+            self.breaks[index].add(now, WARY, 1.0);
+        }
         match back.ending {
             Ending::Answered => {
                 replica.down = None;
@@ -357,7 +357,7 @@
             return;
         }
         self.next_tick = self.now + TICK;
-        let (now, slow) = (self.now, self.slow());
+        let (now, slow) = (self.now, self.time_of_most(2.0));
         let ready_count = self.replicas.iter().filter(|r| r.ready()).count().max(1) as f64;
         let fleet = &mut self.fleet;
         fleet.times.fade(now, RECENT);
@@ -405,11 +405,10 @@
     fn learn_capacity(&mut self, ready: f64) {
         let (now, window) = (self.now, self.deployment.cold.window as f64);
         let median = self.time_of_most(0.0);
-        let warm =
-            (0..self.replicas.len()).filter(|&r| self.cold_share(r).is_none()).map(|r| &self.replicas[r]);
-        let (calls, warm) = warm
-            .filter(|r| r.ready())
-            .fold((0.0, 0.0), |(calls, warm), r| (calls + r.seen.times.weight, warm + 1.0));
+        let warm = |&r: &usize| self.replicas[r].ready() && self.cold_share(r).is_none();
+        let calls = |r: usize| (self.replicas[r].seen.times.weight, 1.0);
+        let warm = (0..self.replicas.len()).filter(warm).map(calls);
+        let (calls, warm) = warm.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let fleet = &mut self.fleet;
         let slowly = TICK as f64 / RESET as f64;
         fleet.quick = median.min(fleet.quick * (1.0 + slowly));
@@ -447,11 +446,8 @@
         call.ending.is_none() && (self.now - call.sent) as f64 > slow && silent
     }
 
-    /// How long all but a few parts take of late, over all replicas.
-    fn slow(&self) -> f64 {
-        self.time_of_most(2.0)
-    }
-
+    /// What parts take of late over all replicas: the median, and so many deviations more; all but a few
+    /// take less than two.
     fn time_of_most(&self, deviations: f64) -> f64 {
         self.fleet
             .times
@@ -603,15 +599,12 @@
         let index = &self.deployment.indexes[lookup.index];
         let end = given_up_at(lookup, index);
         let parts = &lookup.parts[lookup.step..];
-        if parts.is_empty() {
-            if self.now >= lookup.hard {
-                self.give_up(l, writer);
-            }
+        if parts.is_empty() && self.now < lookup.hard {
             return;
         }
         let weigh =
             |of: &dyn Fn(&Part) -> bool| -> f64 { parts.iter().filter(|p| of(p)).map(|p| p.weight).sum() };
-        let total = weigh(&|_| true);
+        let total = weigh(&|_| true).max(ROUNDING);
         let got = weigh(&|p| p.answered) / total;
         let lost = weigh(&|p| self.is_hopeless(lookup, p)) / total;
         let need = if lookup.step > 0 { 1.0 } else { index.need };
@@ -633,7 +626,7 @@
             lookup.step = lookup.parts.len();
             (lookup.began, lookup.half) = (self.now, None);
         } else if self.now >= end
-            || fells(lookup) && !lookup.out()
+            || self.fells(lookup) && !lookup.out()
             || !enough(1.0 - lost, floor)
             || !lookup.admitted && !self.admits(l)
         {
@@ -649,6 +642,11 @@
         }
     }
 
+    /// It may be what brings replicas down: two that broke off under it are gone, and none has answered it.
+    fn fells(&self, lookup: &Lookup) -> bool {
+        lookup.unanswered() && lookup.broke.iter().filter(|&&r| self.replicas[r].down.is_some()).count() > 1
+    }
+
     /// No further part call can bring this part's answer.
     fn is_hopeless(&self, lookup: &Lookup, part: &Part) -> bool {
         !part.answered
@@ -734,14 +732,14 @@
 
     /// Sends parts not yet asked for, those that failed, and second copies of those that are late.
     fn send(&mut self, l: usize, writer: &mut impl Writer) {
-        let (now, slow) = (self.now, self.slow());
+        let (now, slow) = (self.now, self.time_of_most(2.0));
         self.fleet.copies.fade(now, RECENT);
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
         // Breaks at several replicas may be the work of what an index asks for: one part goes first then.
         let breaks = &mut self.breaks[lookup.index];
         breaks.fade(now, WARY);
         let alone = lookup.unanswered() && breaks.sum >= 2.0;
-        if fells(lookup) || alone && lookup.out() {
+        if self.fells(lookup) || alone && lookup.out() {
             return;
         }
         // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
@@ -768,10 +766,9 @@
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
         let idempotent = self.deployment.indexes[lookup.index].effect == Effect::Idempotent;
         if idempotent || lookup.parts.iter().all(Part::never_ran) {
-            let advice = self.deployment.allowance.retry_advice.map(|most| {
-                let wait = self.slow() as Tenths;
-                (wait / 2 + self.chance_up_to(wait.max(1))).min(most)
-            });
+            let wait = self.time_of_most(2.0) as Tenths;
+            let wait = wait / 2 + self.chance_up_to(wait.max(1));
+            let advice = self.deployment.allowance.retry_advice.map(|most| wait.min(most));
             writer.nack(l, advice);
         } else {
             writer.abort(l);
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -70,6 +70,8 @@
     /// Its connections fail or broke, or it hangs: since when, and when it is next probed. It gets no parts
     /// until a probe or a part is answered.
     pub down: Option<(Tenths, Tenths)>,
+    /// Its connection broke under a part of this index, and no probe has told more yet.
+    pub broke_under: Option<usize>,
     /// When it last answered, or was sent a part with none out.
     pub heard: Tenths,
     /// When it last told anything, by an answer or a probe, and the parts it then had waiting.
