--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -664,7 +664,7 @@
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
         let indexes = &self.deployment.indexes;
         // A client that leaves sooner is not worth the parts; those an answer may lack are not waited for.
-        let horizon = self.soft.min((lookup.hard - self.now) as f64);
+        let horizon = (lookup.soft.min(lookup.hard) - self.now) as f64;
         let parts = lookup.parts.len() as f64;
         let n = parts / (1.0 + (1.0 - indexes[lookup.index].floor) * parts);
         let (mean, deviation) = delays.shape().unwrap_or((0.0, 0.0));
