--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -259,11 +259,10 @@
         let replica = &mut self.replicas[r];
         let site = &mut self.sites[replica.listed.site];
         replica.out -= 1;
+        let delays = &mut self.fleet.delays;
         match back.ending {
-            Ending::TurnedAway => self.fleet.delays.add(now, RECENT, self.soft.ln()),
-            Ending::Answered | Ending::TimedOut | Ending::Withdrawn => {
-                self.fleet.delays.add(now, RECENT, took.ln());
-            }
+            Ending::TurnedAway => delays.add(now, RECENT, self.soft.ln()),
+            Ending::Answered | Ending::TimedOut | Ending::Withdrawn => delays.add(now, RECENT, took.ln()),
             _ => {}
         }
         let usual = replica.seen.times.shape().or(self.fleet.times.shape());
@@ -476,8 +475,8 @@
         }
         let up = |r: usize| self.replicas[r].down.is_none_or(|(since, _)| self.now > since + GIVEN_UP);
         let (score, waiting) = (|r: usize| self.replicas[r].score, |r: usize| self.replicas[r].waiting());
-        // A part also leaves for a good twin that has fewer of ours waiting, by a call's worth or by two.
-        let pile = (layout.parts_a_call as f64 - 1.0).max(1.0);
+        // A part also leaves for a good twin that has fewer of ours waiting, by half a call or by two.
+        let pile = (layout.parts_a_call as f64 / 2.0).max(1.0);
         (0..3).find_map(|level| {
             let allowed = |r: &usize| match level {
                 0 => up(*r) && !tried(*r) && waiting(*r) <= self.fleet.jam,
@@ -708,8 +707,9 @@
     fn asks(&mut self, l: usize, writer: &mut impl Writer) -> bool {
         let (now, most) = (self.now, (ASK_MOST * self.soft) as Tenths);
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
-        let held = !lookup.admitted && !lookup.over && now + 2 * most <= lookup.hard;
-        if !held || lookup.parts.is_empty() || !self.deployment.allowance.probes {
+        let seldom = self.fleet.span > 1.5 * RECENT && self.deployment.allowance.probes;
+        let settled = lookup.admitted || lookup.over || now + 2 * most > lookup.hard;
+        if !seldom || settled || lookup.parts.is_empty() {
             return false;
         }
         if let Some(since) = lookup.asked {
