--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Plays the scenarios beside this file. A scenario is a list of lines:
+//! Plays the scenarios beside this file. A scenario is a list of statements, one a line or parted by `;`:
 //!
 //! - `with soft 500 late 0.3 floor 0.8 step 2 runs once ...` sets things up, `index` adds a second index;
 //! - `list a:0 b:1`, `change a:0 draining`, `change a:0 ready 500` (started then), `remember a:0`, `unheard`;
@@ -377,11 +377,12 @@
     let mut play = Play::new();
     for (i, line) in text.lines().enumerate() {
         // A comment starts with "# ", so that the # of a call's number does not.
-        let words: Vec<&str> = line.split("# ").next().unwrap_or("").split_whitespace().collect();
-        if words.is_empty() {
-            continue;
+        for said in line.split("# ").next().unwrap_or("").split(';') {
+            let words: Vec<&str> = said.split_whitespace().collect();
+            if !words.is_empty() {
+                play.line(&words).map_err(|e| format!("{name}:{}: {said}: {e}", i + 1))?;
+            }
         }
-        play.line(&words).map_err(|e| format!("{name}:{}: {line}: {e}", i + 1))?;
     }
     Ok(())
 }
