--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -210,7 +210,7 @@
                 return;
             }
         };
-        self.ask_failures = 0;
+        (self.ask_failures, self.next_tick) = (0, self.now);
         if whole {
             self.replicas.iter_mut().for_each(|r| r.listed.phase = Phase::Gone);
         }
