--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -308,6 +308,7 @@
 
     fn hear_probe(&mut self, back: &ProbeReturn) {
         let now = self.now;
+        self.next_tick = now;
         let Some(replica) = self.replicas.get_mut(back.replica) else { return };
         let since = replica.asked.take().unwrap_or(now);
         // A replica that broke off and is gone may have been brought down; one that answers was not.
@@ -444,8 +445,7 @@
         call.ending.is_none() && (self.now - call.sent) as f64 > slow && silent
     }
 
-    /// What parts take of late over all replicas: the median, and so many deviations more; all but a few
-    /// take less than two.
+    /// What parts take of late over all replicas: the median and so many deviations; few take two more.
     fn time_of_most(&self, deviations: f64) -> f64 {
         self.fleet
             .times
