Tidy up: one decay, one count of moments, settings parsed once; no decision changes

Read over the whole change. The settings were parsed a second time at each start for the place of the queue: decode gives both. Taking parts pruned the further-call window once for each part: counts now carry how many. One function for what still counts serves sums, told queues and the first span; an answer to a part and to a probe share one record. The bound under which nothing counts as heard moved from the sums' file to the module, which holds all figures; the customers' span has a name. Comments that spoke of guards long removed are mended.

--- a/crates/linenthread-adapter/src/host.rs
+++ b/crates/linenthread-adapter/src/host.rs
@@ -243,9 +243,7 @@
         if code == 1 {
             let seed = f.u64("init-seed")?;
             let n = f.u32("config")? as usize;
-            let config = f.bytes(n, "config")?;
-            let deployment = terms::decode(config)?;
-            let queue_at = terms::queue_at(config);
+            let (deployment, queue_at) = terms::decode(f.bytes(n, "config")?)?;
             let indexes = deployment.indexes.len();
             let coordinator = Coordinator::new(deployment, seed);
             let (names, arrivals) = (Names::default(), Arrivals::default());
--- a/crates/linenthread-adapter/src/terms.rs
+++ b/crates/linenthread-adapter/src/terms.rs
@@ -61,13 +61,8 @@
     })
 }
 
-/// Where among the values of a load report the waiting parts stand, if they are told.
-pub fn queue_at(text: &[u8]) -> Option<usize> {
-    let root: Value = serde_json::from_slice(text).ok()?;
-    find(&root, "telemetry.names")?.as_array()?.iter().position(|name| name == "queue")
-}
-
-pub fn decode(text: &[u8]) -> Result<Deployment, String> {
+/// The deployment, and where among the values of a load report the waiting parts stand, if they are told.
+pub fn decode(text: &[u8]) -> Result<(Deployment, Option<usize>), String> {
     let root: Value = serde_json::from_slice(text).map_err(|e| format!("settings do not parse: {e}"))?;
     let root = &root;
     let classes = need(root, "classes", Value::as_array)?;
@@ -79,7 +74,10 @@
             window: time(root, "safety.budget-span-ms")?,
         }),
     };
-    Ok(Deployment {
+    let queue_at = find(root, "telemetry.names")
+        .and_then(Value::as_array)
+        .and_then(|names| names.iter().position(|name| name == "queue"));
+    let deployment = Deployment {
         own_number: count(root, "me")?,
         co_ordinators: count(root, "balancers")?.max(1),
         indexes: classes.iter().enumerate().map(|(i, c)| index(root, i, c)).collect::<Result<_, _>>()?,
@@ -113,5 +111,6 @@
         },
         further_calls,
         watch_roster: need(root, "membership-mode", Value::as_str)? == "on_request",
-    })
+    };
+    Ok((deployment, queue_at))
 }
--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -18,8 +18,11 @@
 const RESET: Tenths = 100_000;
 /// How much worse than the best a natural replica may score and keep its parts.
 const BADNESS: f64 = 1.0;
-/// Within so long an observation loses most of its weight.
+/// Within so long an observation loses most of its weight; with less left than this nothing was heard.
 const RECENT: f64 = 30_000.0;
+const HEARD: f64 = 0.1;
+/// Within so long, what came from each customer does.
+const SHARES: f64 = 3.0 * RECENT;
 /// Where little is seen of each replica both are longer, up to so many times, for about so many answers each.
 const LONGEST: f64 = 10.0;
 const ENOUGH: f64 = 6.0;
@@ -32,13 +35,13 @@
 /// What a replica that only fails adds to its score, against 1 for the slowest median.
 const SEVERITY: f64 = 8.0;
 /// What a replica told is old after so long: then it is probed before a lookup's parts go.
-const FRESH: Tenths = 10_000;
+const FRESH: f64 = 10_000.0;
 /// So long probes are waited for; up to this share of a soft deadline while all holders of a shard owe one.
 const ASK: Tenths = 250;
 const ASK_MOST: f64 = 0.05;
 /// What a probe that is not answered by then adds to a score.
 const UNSURE: f64 = 4.0;
-/// What is down is probed after so long, and as much again by chance, by every fourth co-ordinator.
+/// What is down is probed after so long, and as much again by chance, times a quarter of the co-ordinators.
 const PROBE: Tenths = 1_500;
 /// When no probe was answered for so long, parts may try a replica again: it may be bad to probes only.
 const GIVEN_UP: Tenths = 30_000;
@@ -111,8 +114,8 @@
     /// Replicas that broke off under parts of each index.
     breaks: Vec<Fading>,
     /// Lookups and parts taken, and further part calls made.
-    taken: Moments,
-    further: Moments,
+    taken: Counts,
+    further: Counts,
     began: Tenths,
     next_tick: Tenths,
     next_reset: Tenths,
@@ -146,8 +149,8 @@
             sites: Vec::new(),
             lookups: Vec::new(),
             open: Vec::new(),
-            taken: Moments::default(),
-            further: Moments::default(),
+            taken: Counts::default(),
+            further: Counts::default(),
             began: 0,
             next_tick: 0,
             next_reset: 0,
@@ -165,8 +168,7 @@
         }
         arrivals.roster.iter().for_each(|news| self.hear_roster(news));
         if let Some(budget) = &self.deployment.further_calls {
-            let taken = arrivals.lookups.len() + arrivals.parts.len();
-            (0..taken).for_each(|_| self.taken.add(arrivals.now, budget.window));
+            self.taken.add(self.now, budget.window, arrivals.lookups.len() + arrivals.parts.len());
         }
         arrivals.lookups.iter().for_each(|new| self.take(new));
         arrivals.parts.iter().for_each(|new| self.take_part(new));
@@ -238,8 +240,9 @@
             ..Lookup::default()
         });
         self.open.push(new.lookup);
-        let customer = self.customers.get_mut(new.customer);
-        customer.into_iter().for_each(|seen| seen.add(self.now, 3.0 * RECENT, 1.0));
+        if let Some(came) = self.customers.get_mut(new.customer) {
+            came.add(self.now, SHARES, 1.0);
+        }
     }
 
     fn take_part(&mut self, new: &NewPart) {
@@ -265,15 +268,16 @@
             Ending::Answered | Ending::TimedOut | Ending::Withdrawn => delays.add(now, RECENT, took.ln()),
             _ => {}
         }
-        let usual = replica.seen.times.shape().or(self.fleet.times.shape());
+        let usual = replica.seen.times.shape(HEARD).or(self.fleet.times.shape(HEARD));
         let late = usual.is_some_and(|(median, _)| took.ln() > median);
         match back.ending {
             Ending::Answered => {
                 part.answered |= !lookup.over;
-                self.breaks[lookup.index].sum *= if first { 0.7 } else { 1.0 };
+                if first {
+                    self.breaks[lookup.index].sum *= 0.7;
+                }
                 replica.heard = now;
-                replica.tell(now, back.queue.unwrap_or(0.0));
-                replica.down = None;
+                replica.answers(now, back.queue);
                 for seen in [&mut replica.seen, site] {
                     seen.failures.add(now, span, 0.0);
                     seen.times.add(now, span, took.ln());
@@ -318,10 +322,7 @@
             self.breaks[index].add(now, WARY, 1.0);
         }
         match back.ending {
-            Ending::Answered => {
-                replica.down = None;
-                replica.tell(now, back.queue.unwrap_or(0.0));
-            }
+            Ending::Answered => replica.answers(now, back.queue),
             _ if replica.told >= since => {}
             Ending::Unconnected | Ending::Broken => {
                 replica.down.get_or_insert((now, now + PROBE));
@@ -363,7 +364,7 @@
         let pace = if fleet.pace > 0.0 { fleet.pace } else { ENOUGH * ready_count };
         fleet.pace = pace + (fleet.times.weight - pace) * TICK as f64 / RESET as f64;
         fleet.span = (RECENT * ENOUGH * ready_count / fleet.pace).clamp(RECENT, RECENT * LONGEST);
-        let (span, mean) = (fleet.span, fleet.times.shape().map_or(0.0, |(mean, _)| mean));
+        let (span, mean) = (fleet.span, fleet.times.shape(HEARD).map_or(0.0, |(mean, _)| mean));
         for seen in self.replicas.iter_mut().map(|r| &mut r.seen).chain(&mut self.sites) {
             seen.times.fade(now, span);
             seen.failures.fade(now, span);
@@ -379,11 +380,9 @@
         let largest = ready().map(|r| median(&r.seen, &sites[r.listed.site])).fold(1.0, f64::max);
         for replica in self.replicas.iter_mut().filter(|r| r.ready()) {
             let site = &sites[replica.listed.site];
-            let load =
-                (f64::from(replica.out) - usual_out).max(0.0) + TOLD * replica.told_load(now, FRESH as f64);
+            let load = (f64::from(replica.out) - usual_out).max(0.0) + TOLD * replica.told_load(now, FRESH);
             let median = median(&replica.seen, site) * (1.0 + LOAD * load);
-            // Lost parts count as failures before their time-outs say so: that meets a replica which answers
-            // some and swallows others, as well as one that hangs.
+            // Lost parts count as failures before their time-outs say so: that meets a replica which hangs.
             let (lost, failures) = (f64::from(replica.lost), &replica.seen.failures);
             let severity =
                 (failures.sum + lost + lean(&site.failures, SITE_LEAN, 0.0)) / (failures.weight + lost + 1.0);
@@ -405,21 +404,20 @@
         let (now, window) = (self.now, self.deployment.cold.window as f64);
         let median = self.time_of_most(0.0);
         let warm = |&r: &usize| self.replicas[r].ready() && self.cold_share(r).is_none();
-        let calls = |r: usize| (self.replicas[r].seen.times.weight, 1.0);
-        let warm = (0..self.replicas.len()).filter(warm).map(calls);
-        let (calls, warm) = warm.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let answers = |r: usize| self.replicas[r].seen.times.weight;
+        let answers: Vec<f64> = (0..self.replicas.len()).filter(warm).map(answers).collect();
+        let mean = answers.iter().sum::<f64>() / answers.len().max(1) as f64;
         let fleet = &mut self.fleet;
         let slowly = TICK as f64 / RESET as f64;
         fleet.quick = median.min(fleet.quick * (1.0 + slowly));
         // Only answered parts tell what a replica can do; a core does at least one in the quickest time.
         let least = window / fleet.quick / self.deployment.co_ordinators as f64;
-        let seen = calls / f64::max(warm, 1.0) * window / fleet.span;
+        let seen = mean * window / fleet.span;
         fleet.usual = (fleet.usual * (1.0 - slowly)).max(least).max(seen);
         // In its first soft deadline's time a co-ordinator has seen too little to turn anything away.
-        let age = (now - self.began) as f64;
-        if age >= self.soft {
+        if (now - self.began) as f64 >= self.soft {
             // One that has just started has not yet seen a whole span of answers.
-            let seen = RECENT * (1.0 - (-age / RECENT).exp());
+            let seen = RECENT * (1.0 - kept(self.began, now, RECENT));
             // While answers still come fast a burst may fill what a jam may not.
             let ease = (QUICK * self.soft / median).clamp(1.0, 2.0);
             let back_in_time = fleet.times.weight / seen * self.soft * ease;
@@ -449,7 +447,7 @@
     fn time_of_most(&self, deviations: f64) -> f64 {
         self.fleet
             .times
-            .shape()
+            .shape(HEARD)
             .map_or(self.soft / 2.0, |(mean, deviation)| (mean + deviations * deviation).exp())
     }
 
@@ -556,9 +554,9 @@
 
     fn further_room(&self) -> bool {
         let Some(budget) = &self.deployment.further_calls else { return true };
-        let (taken, further) =
-            (self.taken.since(self.now - budget.window + 1), self.further.since(self.now - budget.window));
-        (further + 1) as f64 <= budget.free + budget.share * taken as f64
+        let start = self.now - budget.window;
+        let further = (self.further.since(start) + 1) as f64;
+        further <= budget.free + budget.share * self.taken.since(start + 1) as f64
     }
 
     /// Makes a part call, if a replica may take it.
@@ -578,10 +576,10 @@
         }
         replica.out += 1;
         if cold {
-            replica.cold_sends.add(now, self.deployment.cold.window);
+            replica.cold_sends.add(now, self.deployment.cold.window, 1);
         }
         if let (Some(budget), true) = (&self.deployment.further_calls, further) {
-            self.further.add(now, budget.window);
+            self.further.add(now, budget.window, 1);
         }
         writer.call(l, p, r, (end - now).max(1));
     }
@@ -666,7 +664,7 @@
         let horizon = (lookup.soft.min(lookup.hard) - self.now) as f64;
         let parts = lookup.parts.len() as f64;
         let n = parts / (1.0 + (1.0 - indexes[lookup.index].floor) * parts);
-        let (mean, deviation) = delays.shape().unwrap_or((0.0, 0.0));
+        let (mean, deviation) = delays.shape(HEARD).unwrap_or((0.0, 0.0));
         let known = delays.weight / (delays.weight + UNTOLD);
         let mean = known * mean + (1.0 - known) * (USUAL.0 * self.soft).ln();
         let deviation = known * deviation + (1.0 - known) * USUAL.1;
@@ -678,7 +676,7 @@
         }
         // Of what came here of late a customer is owed its share of the quotas, wherever traffic has moved.
         let quotas = &self.deployment.customer_quotas;
-        self.customers.iter_mut().for_each(|c| c.fade(self.now, 3.0 * RECENT));
+        self.customers.iter_mut().for_each(|c| c.fade(self.now, SHARES));
         let all: f64 = self.customers.iter().map(|c| c.weight).sum();
         let owed = all / quotas.iter().sum::<f64>().max(0.001);
         let over = |(q, came): (&f64, &Fading)| all > 8.0 && came.weight > 1.25 * owed * q;
@@ -694,7 +692,7 @@
             let (mut out, mut told) = (0.0, f64::INFINITY);
             for r in self.holders(p.shard) {
                 out += self.replicas[r].waiting() - favour * self.fleet.jam;
-                told = self.replicas[r].told_load(self.now, FRESH as f64).min(told);
+                told = self.replicas[r].told_load(self.now, FRESH).min(told);
             }
             out > 0.0 || told.is_finite() && told > favour * self.soft / self.fleet.quick
         };
@@ -722,7 +720,7 @@
         let mut old: Vec<usize> = lookup.parts.iter().flat_map(|p| self.holders(p.shard)).collect();
         old.retain(|&r| {
             let replica = &mut self.replicas[r];
-            let ask = replica.down.is_none() && now - replica.told > FRESH;
+            let ask = replica.down.is_none() && (now - replica.told) as f64 > FRESH;
             ask && replica.asked.replace(now).is_none()
         });
         old.iter().for_each(|&r| writer.probe(r));
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -4,6 +4,11 @@
 
 use crate::interface::*;
 
+/// The share of what was seen then that still counts now.
+pub fn kept(then: Tenths, now: Tenths, span: f64) -> f64 {
+    (-((now - then).max(0) as f64) / span).exp()
+}
+
 /// Sums over recent values, fading with age and brought up to date when they are read.
 #[derive(Clone, Copy, Default)]
 pub struct Fading {
@@ -15,7 +20,7 @@
 
 impl Fading {
     pub fn fade(&mut self, now: Tenths, span: f64) {
-        let keep = (-((now - self.at).max(0) as f64) / span).exp();
+        let keep = kept(self.at, now, span);
         (self.weight, self.sum, self.square) = (self.weight * keep, self.sum * keep, self.square * keep);
         self.at = self.at.max(now);
     }
@@ -27,9 +32,9 @@
         self.square += value * value;
     }
 
-    /// Mean and deviation, where anything was heard of late.
-    pub fn shape(&self) -> Option<(f64, f64)> {
-        (self.weight > 0.1).then(|| {
+    /// Mean and deviation, where more than so much was heard of late.
+    pub fn shape(&self, least: f64) -> Option<(f64, f64)> {
+        (self.weight > least).then(|| {
             let mean = self.sum / self.weight;
             (mean, (self.square / self.weight - mean * mean).max(0.0).sqrt())
         })
@@ -45,18 +50,20 @@
     pub failures: Fading,
 }
 
-/// Moments within a window that a rule speaks of.
+/// What was counted at which moment, within a window that a rule speaks of.
 #[derive(Default)]
-pub struct Moments(VecDeque<Tenths>);
+pub struct Counts(VecDeque<(Tenths, usize)>);
 
-impl Moments {
-    pub fn add(&mut self, now: Tenths, window: Tenths) {
-        self.0.retain(|&at| at >= now - window);
-        self.0.push_back(now);
+impl Counts {
+    pub fn add(&mut self, now: Tenths, window: Tenths, n: usize) {
+        if n > 0 {
+            self.0.retain(|(at, _)| *at >= now - window);
+            self.0.push_back((now, n));
+        }
     }
 
     pub fn since(&self, start: Tenths) -> usize {
-        self.0.iter().filter(|&&at| at >= start).count()
+        self.0.iter().filter(|(at, _)| *at >= start).map(|(_, n)| n).sum()
     }
 }
 
@@ -67,8 +74,8 @@
     pub out: u32,
     /// Of those out, the ones that are as good as lost.
     pub lost: u32,
-    /// Its connections fail or broke, or it hangs: since when, and when it is next probed. It gets no parts
-    /// until a probe or a part is answered.
+    /// Its connections fail or broke: since when, and when it is next probed. It gets no parts until a probe
+    /// or a part is answered.
     pub down: Option<(Tenths, Tenths)>,
     /// Its connection broke under a part of this index, and no probe has told more yet.
     pub broke_under: Option<usize>,
@@ -80,7 +87,7 @@
     /// A probe is out since then.
     pub asked: Option<Tenths>,
     pub score: f64,
-    pub cold_sends: Moments,
+    pub cold_sends: Counts,
 }
 
 impl Replica {
@@ -95,12 +102,18 @@
 
     /// Parts that it last said were waiting; old word fades.
     pub fn told_load(&self, now: Tenths, span: f64) -> f64 {
-        self.queue * (-((now - self.told) as f64) / span).exp()
+        self.queue * kept(self.told, now, span)
     }
 
     pub fn tell(&mut self, now: Tenths, queue: f64) {
         (self.told, self.queue) = (now, queue);
     }
+
+    /// It answered a part or a probe.
+    pub fn answers(&mut self, now: Tenths, queue: Option<f64>) {
+        self.down = None;
+        self.tell(now, queue.unwrap_or(0.0));
+    }
 }
 
 pub struct Call {
