--- a/crates/linenthread-adapter/src/host.rs
+++ b/crates/linenthread-adapter/src/host.rs
@@ -8,9 +8,9 @@
     Arrivals, Ending, Listed, NewLookup, NewPart, Phase, ProbeReturn, Return, RosterNews, Tenths,
 };
 use linenthread_core::{Coordinator, Writer};
+use linenthread_terms::{self as terms, tenths};
 
 use crate::frame::{Fields, Reply};
-use crate::terms::{self, tenths};
 
 /// A list entry as it came; it is matched to an instance's indices only when news refers to it.
 struct Entry {
@@ -243,7 +243,8 @@
         if code == 1 {
             let seed = f.u64("init-seed")?;
             let n = f.u32("config")? as usize;
-            let (deployment, queue_at) = terms::decode(f.bytes(n, "config")?)?;
+            let settings = terms::parse(f.bytes(n, "config")?)?;
+            let (deployment, queue_at) = (terms::deployment(&settings)?, terms::queue_at(&settings));
             let indexes = deployment.indexes.len();
             let coordinator = Coordinator::new(deployment, seed);
             let (names, arrivals) = (Names::default(), Arrivals::default());
--- a/crates/linenthread-adapter/src/main.rs
+++ b/crates/linenthread-adapter/src/main.rs
@@ -2,7 +2,6 @@
 
 mod frame;
 mod host;
-mod terms;
 
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/linenthread-protocol/src/frame.rs
@@ -0,0 +1,121 @@
+//! The frames to and from replicas: four bytes of length, most significant first, a letter, the rest.
+
+use bytes::{Buf, Bytes, BytesMut};
+use linenthread_core::interface::Ending;
+
+/// Longer frames from a replica are not read.
+pub const LONGEST: usize = 256 * 1024;
+
+fn put(out: &mut Vec<u8>, letter: u8, rest: &[u8]) {
+    out.extend_from_slice(&(rest.len() as u32 + 1).to_be_bytes());
+    out.push(letter);
+    out.extend_from_slice(rest);
+}
+
+pub fn part_id(lookup: &str, shard: usize) -> String {
+    format!("{lookup}.{shard}")
+}
+
+/// One part call of so many parts, each an id and a shard.
+pub fn call<'a>(parts: impl Iterator<Item = (&'a str, usize)>, wait_ms: u64, text: &str) -> Vec<u8> {
+    let mut rest = Vec::new();
+    for (id, shard) in parts {
+        rest.extend_from_slice(format!("{id} {shard} d={wait_ms} {}\n", text.len()).as_bytes());
+        rest.extend_from_slice(text.as_bytes());
+    }
+    let mut out = Vec::with_capacity(rest.len() + 5);
+    put(&mut out, b'A', &rest);
+    out
+}
+
+/// Word that a part is no longer waited for.
+pub fn give_up(id: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    put(&mut out, b'B', id.as_bytes());
+    out
+}
+
+/// A probe that asks for the load.
+pub fn probe() -> Vec<u8> {
+    let mut out = Vec::new();
+    put(&mut out, b'D', b"");
+    out
+}
+
+/// What a replica says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    Part {
+        id: String,
+        ending: Ending,
+        queue: Option<f64>,
+        value: String,
+    },
+    Probe {
+        ending: Ending,
+        queue: Option<f64>,
+    },
+    /// The frame before could not be used; the connection is closed.
+    Unusable(String),
+}
+
+/// Of a load report only the waiting parts are read.
+fn queue(report: &str) -> Option<f64> {
+    let value = report.split(',').find_map(|field| field.trim().strip_prefix("queue="))?;
+    value.parse().ok().filter(|v: &f64| v.is_finite()).map(|v| v.max(0.0))
+}
+
+fn ending(word: &str) -> Option<Ending> {
+    match word {
+        "hit" => Some(Ending::Answered),
+        "fault" => Some(Ending::Errored),
+        "overload" => Some(Ending::TurnedAway),
+        _ => None,
+    }
+}
+
+fn text(bytes: &[u8]) -> Result<&str, String> {
+    std::str::from_utf8(bytes).map_err(|_| "a frame's text is not UTF-8".into())
+}
+
+fn part(mut rest: Bytes) -> Result<Word, String> {
+    let end = rest.iter().position(|b| *b == b'\n').ok_or("an answer without its line")?;
+    let line = rest.split_to(end);
+    let mut fields = text(&line)?.split(' ');
+    let mut next = |field: &str| fields.next().ok_or_else(|| format!("an answer without its {field}"));
+    let (id, how, score, report) = (next("id")?, next("end")?, next("score")?, next("report")?);
+    let ending = ending(how).ok_or_else(|| format!("an answer cannot end with {how:?}"))?;
+    if score != "-" && !score.parse().is_ok_and(f64::is_finite) {
+        return Err(format!("an answer's score cannot be {score:?}"));
+    }
+    if fields.next().is_some() {
+        return Err("an answer's line is too long".into());
+    }
+    Ok(Word::Part { id: id.into(), ending, queue: queue(report), value: text(&rest[1..])?.into() })
+}
+
+/// Takes the next frame off what was read; `None` while it is not all there.
+pub fn decode(read: &mut BytesMut) -> Result<Option<Word>, String> {
+    let Some(length) = read.first_chunk::<4>().map(|l| u32::from_be_bytes(*l) as usize) else {
+        return Ok(None);
+    };
+    if length == 0 || length > LONGEST {
+        return Err(format!("a frame cannot be of {length} bytes"));
+    }
+    if read.len() < 4 + length {
+        return Ok(None);
+    }
+    read.advance(4);
+    let mut frame = read.split_to(length).freeze();
+    let letter = frame.get_u8();
+    match letter {
+        b'E' => part(frame).map(Some),
+        b'C' | b'D' => {
+            let said = text(&frame)?;
+            let ending = ending(said).unwrap_or(Ending::Answered);
+            Ok(Some(Word::Probe { ending, queue: queue(said) }))
+        }
+        b'F' => Ok(Some(Word::Unusable(text(&frame)?.chars().take(80).collect()))),
+        other => Err(format!("a frame cannot have the letter {:?}", char::from(other))),
+    }
+}
--- /dev/null
+++ b/crates/linenthread-protocol/src/roster.rs
@@ -0,0 +1,64 @@
+//! The roster's lists of replicas.
+
+use std::net::SocketAddr;
+
+use linenthread_core::interface::Phase;
+use serde::Deserialize;
+
+/// More replicas than these are no list to go by, and a longer body is not read.
+pub const MOST_REPLICAS: usize = 4096;
+pub const MOST_BYTES: usize = 2 * 1024 * 1024;
+
+/// The path of the whole list.
+pub const WHOLE: &str = "/v1/servers";
+
+/// The path of a watch for what is newer than a revision.
+pub fn watch(revision: u64, hold_ms: u64) -> String {
+    format!("{WHOLE}?from={revision}&hold_ms={hold_ms}")
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct List {
+    pub revision: u64,
+    /// What the list leaves out is gone.
+    #[serde(rename = "complete")]
+    pub whole: bool,
+    #[serde(rename = "members")]
+    pub replicas: Vec<Replica>,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Replica {
+    pub id: String,
+    #[serde(rename = "host_port")]
+    pub address: SocketAddr,
+    #[serde(rename = "locality")]
+    pub site: String,
+    pub cell: usize,
+    #[serde(deserialize_with = "phase")]
+    pub phase: Phase,
+    /// When it last started, by the system's clock; 0 for long ago.
+    #[serde(rename = "up_since_ms", default)]
+    pub started_ms: f64,
+}
+
+fn phase<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Phase, D::Error> {
+    match String::deserialize(from)?.as_str() {
+        "active" => Ok(Phase::Ready),
+        "leaving" => Ok(Phase::Draining),
+        "left" => Ok(Phase::Gone),
+        other => Err(serde::de::Error::custom(format!("phase cannot be {other:?}"))),
+    }
+}
+
+/// Reads a list, and holds it to the number of cells that the deployment has.
+pub fn decode(text: &[u8], cells: usize) -> Result<List, String> {
+    let list: List = serde_json::from_slice(text).map_err(|e| format!("the list does not parse: {e}"))?;
+    if list.replicas.len() > MOST_REPLICAS {
+        return Err(format!("the list has {} replicas, more than {MOST_REPLICAS}", list.replicas.len()));
+    }
+    match list.replicas.iter().find(|r| r.cell >= cells || r.id.len() > 128 || r.site.len() > 128) {
+        Some(bad) => Err(format!("the list places {:.40} in cell {} of {cells}", bad.id, bad.cell)),
+        None => Ok(list),
+    }
+}
--- /dev/null
+++ b/crates/linenthread-service/src/config.rs
@@ -0,0 +1,66 @@
+//! What a co-ordinator is told at its start, read from one file.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use linenthread_core::interface::Deployment;
+use linenthread_protocol::roster;
+use linenthread_terms::{self as terms, Surroundings};
+use serde_json::Value;
+
+/// Fewer descriptors than this leave no room for clients beside replicas and roster.
+const FEWEST_SOCKETS: usize = 64;
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub roster: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub remembered: roster::List,
+    pub deployment: Deployment,
+    pub surroundings: Surroundings,
+}
+
+impl Config {
+    /// Reads the file; what is wrong with it is said in one line that names the field.
+    pub fn read(file: &Path) -> Result<Config, String> {
+        let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        Config::parse(&text).map_err(|e| format!("{}: {e}", file.display()))
+    }
+
+    pub fn parse(text: &[u8]) -> Result<Config, String> {
+        let root: Value = serde_json::from_slice(text).map_err(|e| format!("does not parse: {e}"))?;
+        let field = |name: &str| root.get(name).ok_or_else(|| format!("{name} is missing"));
+        let words = |name: &str| {
+            field(name)?.as_str().map(str::to_owned).ok_or_else(|| format!("{name} is not a text"))
+        };
+        let address =
+            |name: &str| words(name)?.parse().map_err(|_| format!("{name} is not an address with its port"));
+        let seed = words("seed")?;
+        let sockets = root.pointer("/limits/sockets").ok_or("limits.sockets is missing")?;
+        let settings = field("settings")?;
+        let deployment = terms::deployment(settings)?;
+        if let Some(i) = deployment.indexes.iter().position(|i| i.second_step > 0) {
+            return Err(format!(
+                "settings: family-info.fetch-parts of index {i} asks for a second step, which has no protocol here"
+            ));
+        }
+        let known = serde_json::to_vec(field("known")?).map_err(|e| format!("known: {e}"))?;
+        Ok(Config {
+            name: words("name")?,
+            listen: address("listen")?,
+            roster: address("discovery")?,
+            seed: u64::from_str_radix(&seed, 16).map_err(|_| "seed is not of hex digits")?,
+            sockets: sockets
+                .as_u64()
+                .map(|n| n as usize)
+                .filter(|n| *n >= FEWEST_SOCKETS)
+                .ok_or_else(|| format!("limits.sockets is no number from {FEWEST_SOCKETS}"))?,
+            remembered: roster::decode(&known, deployment.layout.cells).map_err(|e| format!("known: {e}"))?,
+            surroundings: terms::surroundings(settings)?,
+            deployment,
+        })
+    }
+}
--- /dev/null
+++ b/crates/linenthread-service/src/desk.rs
@@ -0,0 +1,296 @@
+//! Where the module is asked: owns it, its clock and the indices that stand for outside ids. All that came
+//! in since the last round goes into the next, and each decision goes to its lookup's task.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use linenthread_core::interface::{
+    Arrivals, Listed, NewLookup, NewPart, Phase, ProbeReturn, Return, RosterNews, Tenths,
+};
+use linenthread_core::{Coordinator, Writer};
+use linenthread_protocol::roster;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, sleep_until};
+
+use crate::config::Config;
+use crate::replicas::Replicas;
+
+/// The clock starts this far from 0, which stands for long ago.
+const EPOCH: Tenths = 36_000_000;
+
+/// What was decided for one lookup.
+#[derive(Debug)]
+pub enum Decision {
+    Call { part: usize, replica: usize, time_out: Tenths },
+    Withdraw { part: usize, call: usize },
+    Satisfy { whole: bool },
+    Nack { retry_after: Option<Tenths> },
+    Abort,
+}
+
+/// Monotonic time as the module has it, and the system's time on the same scale.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix_ms: f64,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
+    }
+
+    pub fn now(&self) -> Tenths {
+        EPOCH + (self.start.elapsed().as_micros() / 100) as Tenths
+    }
+
+    pub fn at(&self, moment: Tenths) -> Instant {
+        self.start + Duration::from_micros((moment - EPOCH).max(0) as u64 * 100)
+    }
+
+    fn of_unix(&self, ms: f64) -> Tenths {
+        EPOCH + ((ms - self.unix_ms) * 10.0).round() as Tenths
+    }
+}
+
+/// A lookup to be handed in, already checked.
+pub struct HandedIn {
+    pub index: usize,
+    pub customer: usize,
+    pub key: Option<u64>,
+    pub number: u64,
+    pub expires_in: Tenths,
+    /// Shards and weights.
+    pub parts: Vec<(usize, f64)>,
+}
+
+struct State {
+    coordinator: Coordinator,
+    arrivals: Arrivals,
+    /// The way to each open lookup's task; the lookup is over when it is dropped.
+    lookups: Vec<Option<mpsc::UnboundedSender<Decision>>>,
+    free: Vec<usize>,
+    replicas: HashMap<String, usize>,
+    sites: Vec<String>,
+    wake_at: Option<Tenths>,
+}
+
+struct Inner {
+    clock: Clock,
+    state: RefCell<State>,
+    came: Notify,
+    roster_wanted: Notify,
+    replicas: Replicas,
+}
+
+#[derive(Clone)]
+pub struct Desk(Rc<Inner>);
+
+/// A number for an id that is the same at every co-ordinator.
+pub fn number(id: &str) -> u64 {
+    id.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3))
+}
+
+/// Routes decisions to the lookups' tasks.
+struct Routes<'a> {
+    desk: &'a Desk,
+    lookups: &'a mut Vec<Option<mpsc::UnboundedSender<Decision>>>,
+    free: &'a mut Vec<usize>,
+    wake_at: &'a mut Option<Tenths>,
+}
+
+impl Routes<'_> {
+    fn to(&mut self, lookup: usize, decision: Decision) {
+        if let Some(Some(task)) = self.lookups.get(lookup) {
+            task.send(decision).ok();
+        }
+    }
+}
+
+impl Writer for Routes<'_> {
+    fn call(&mut self, lookup: usize, part: usize, replica: usize, time_out: Tenths) {
+        self.to(lookup, Decision::Call { part, replica, time_out });
+    }
+
+    fn withdraw(&mut self, lookup: usize, part: usize, call: usize) {
+        self.to(lookup, Decision::Withdraw { part, call });
+    }
+
+    fn satisfy(&mut self, lookup: usize, whole: bool) {
+        self.to(lookup, Decision::Satisfy { whole });
+    }
+
+    fn nack(&mut self, lookup: usize, retry_after: Option<Tenths>) {
+        self.to(lookup, Decision::Nack { retry_after });
+    }
+
+    fn abort(&mut self, lookup: usize) {
+        self.to(lookup, Decision::Abort);
+    }
+
+    fn release(&mut self, lookup: usize) {
+        if self.lookups.get_mut(lookup).and_then(Option::take).is_some() {
+            self.free.push(lookup);
+        }
+    }
+
+    fn probe(&mut self, replica: usize) {
+        let desk = self.desk.clone();
+        actix_rt::spawn(async move {
+            let (ending, queue) = desk.0.replicas.probe(replica).await;
+            desk.0.state.borrow_mut().arrivals.probes.push(ProbeReturn { replica, ending, queue });
+            desk.0.came.notify_one();
+        });
+    }
+
+    fn watch_roster(&mut self) {
+        self.desk.0.roster_wanted.notify_one();
+    }
+
+    fn wake_at(&mut self, at: Tenths) {
+        *self.wake_at = Some(at);
+    }
+}
+
+impl Desk {
+    pub fn new(config: &Config, replicas: Replicas) -> Self {
+        let desk = Desk(Rc::new(Inner {
+            clock: Clock::new(),
+            state: RefCell::new(State {
+                coordinator: Coordinator::new(config.deployment.clone(), config.seed),
+                arrivals: Arrivals::default(),
+                lookups: Vec::new(),
+                free: Vec::new(),
+                replicas: HashMap::new(),
+                sites: config.surroundings.sites.clone(),
+                wake_at: None,
+            }),
+            came: Notify::new(),
+            roster_wanted: Notify::new(),
+            replicas,
+        }));
+        let listed = desk.listed(&config.remembered);
+        desk.hear_roster(RosterNews::Remembered(listed));
+        desk
+    }
+
+    pub fn clock(&self) -> Clock {
+        self.0.clock
+    }
+
+    /// Rounds for as long as the program runs.
+    pub async fn run(self) {
+        loop {
+            let wake_at = self.0.state.borrow().wake_at;
+            tokio::select! {
+                _ = self.0.came.notified() => {}
+                _ = sleep_until(self.0.clock.at(wake_at.unwrap_or(0))), if wake_at.is_some() => {
+                    self.0.state.borrow_mut().wake_at = None;
+                }
+            }
+            self.round();
+        }
+    }
+
+    fn round(&self) {
+        let mut state = self.0.state.borrow_mut();
+        let State { coordinator, arrivals, lookups, free, wake_at, .. } = &mut *state;
+        arrivals.now = self.0.clock.now();
+        coordinator.round(arrivals, &mut Routes { desk: self, lookups, free, wake_at });
+        let Arrivals { now: _, roster, lookups, parts, returns, probes, lapsed } = arrivals;
+        roster.clear();
+        lookups.clear();
+        parts.clear();
+        returns.clear();
+        probes.clear();
+        lapsed.clear();
+    }
+
+    /// Takes a lookup on: its index, and where decisions on it come. They end when it is over and nothing
+    /// of it is out.
+    pub fn hand_in(&self, new: HandedIn) -> (usize, mpsc::UnboundedReceiver<Decision>) {
+        let (task, decisions) = mpsc::unbounded_channel();
+        let mut state = self.0.state.borrow_mut();
+        let lookup = state.free.pop().unwrap_or_else(|| {
+            state.lookups.push(None);
+            state.lookups.len() - 1
+        });
+        state.lookups[lookup] = Some(task);
+        let HandedIn { index, customer, key, number, expires_in, parts } = new;
+        let hard_deadline = self.0.clock.now() + expires_in;
+        state.arrivals.lookups.push(NewLookup { lookup, index, customer, key, number, hard_deadline });
+        let parts = parts.into_iter().map(|(shard, weight)| NewPart { lookup, shard, weight });
+        state.arrivals.parts.extend(parts);
+        self.0.came.notify_one();
+        (lookup, decisions)
+    }
+
+    /// A part call ended.
+    pub fn give_back(&self, back: Return) {
+        self.0.state.borrow_mut().arrivals.returns.push(back);
+        self.0.came.notify_one();
+    }
+
+    /// A lookup's client has left.
+    pub fn lapse(&self, lookup: usize) {
+        self.0.state.borrow_mut().arrivals.lapsed.push(lookup);
+        self.0.came.notify_one();
+    }
+
+    /// News of the roster; `None` where it could not be had.
+    pub fn roster(&self, list: Option<&roster::List>) {
+        self.hear_roster(match list {
+            None => RosterNews::Failed,
+            Some(list) if list.whole => RosterNews::Whole(self.listed(list)),
+            Some(list) => RosterNews::Changes(self.listed(list)),
+        });
+    }
+
+    /// Waits until the module wants the roster asked.
+    pub async fn roster_wanted(&self) {
+        self.0.roster_wanted.notified().await;
+    }
+
+    fn hear_roster(&self, news: RosterNews) {
+        self.0.state.borrow_mut().arrivals.roster.push(news);
+        self.0.came.notify_one();
+    }
+
+    /// Turns a list's ids into indices, and tells where its replicas are found.
+    fn listed(&self, list: &roster::List) -> Vec<Listed> {
+        let mut state = self.0.state.borrow_mut();
+        let State { replicas, sites, .. } = &mut *state;
+        let listed: Vec<Listed> = list
+            .replicas
+            .iter()
+            .map(|r| {
+                let next = replicas.len();
+                let replica = *replicas.entry(r.id.clone()).or_insert(next);
+                let site = sites.iter().position(|s| *s == r.site).unwrap_or_else(|| {
+                    sites.push(r.site.clone());
+                    sites.len() - 1
+                });
+                self.0.replicas.place(replica, (r.phase != Phase::Gone).then_some(r.address));
+                Listed {
+                    replica,
+                    id: number(&r.id),
+                    cell: r.cell,
+                    site,
+                    phase: r.phase,
+                    started: (r.started_ms > 0.0).then(|| self.0.clock.of_unix(r.started_ms)),
+                }
+            })
+            .collect();
+        if list.whole {
+            let mut left_out = vec![true; replicas.len()];
+            listed.iter().for_each(|l| left_out[l.replica] = false);
+            for (replica, _) in left_out.iter().enumerate().filter(|(_, out)| **out) {
+                self.0.replicas.place(replica, None);
+            }
+        }
+        listed
+    }
+}
--- /dev/null
+++ b/crates/linenthread-service/src/front.rs
@@ -0,0 +1,369 @@
+//! The side towards clients: the listener, their connections, health, and stopping.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::HeaderValue;
+use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode, header};
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_core::Stream;
+use linenthread_protocol::lookup as protocol;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tracing::{info, warn};
+
+use crate::config::Config;
+use crate::desk::Desk;
+use crate::log::Sparing;
+use crate::lookup::{self, Answer, Work};
+use crate::replicas::{Limits, Replicas};
+use crate::roster;
+
+/// A request must be here whole within so long.
+const WHOLE_WITHIN: Duration = Duration::from_secs(5);
+/// A client that does not take its answer is let go after so long.
+const TAKEN_WITHIN: Duration = Duration::from_secs(2);
+/// After the word to stop, new connections and requests are taken for so long.
+const STILL_TAKES: Duration = Duration::from_millis(1_200);
+const BACKLOG: u32 = 1024;
+/// Descriptors that are neither a client's nor a replica's: standard streams, the listener, the roster's,
+/// the runtime's own.
+const OWN_DESCRIPTORS: usize = 24;
+
+/// What the front keeps of one client connection.
+struct Client {
+    state: Cell<State>,
+    since: Cell<Instant>,
+    /// It is to end as soon as it is idle.
+    closing: Cell<bool>,
+    reader: RefCell<Option<Waker>>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Idle,
+    /// Some of a request is here.
+    Reading,
+    /// A request is here and not yet answered.
+    Asking,
+}
+
+impl Client {
+    fn now_in(&self, state: State) {
+        self.state.set(state);
+        self.since.set(Instant::now());
+    }
+
+    fn close(&self) {
+        self.closing.set(true);
+        if let Some(reader) = self.reader.borrow_mut().take() {
+            reader.wake();
+        }
+    }
+}
+
+/// A client's stream. Asked to close, it ends between requests as if the client had closed it, and never
+/// with a request unread.
+struct ClientStream {
+    io: TcpStream,
+    client: Rc<Client>,
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        if buf.filled().len() > before && self.client.state.get() == State::Idle {
+            self.client.now_in(State::Reading);
+        }
+        if read.is_pending() {
+            if self.client.closing.get() && self.client.state.get() == State::Idle {
+                return Poll::Ready(Ok(()));
+            }
+            self.client.reader.replace(Some(cx.waker().clone()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for ClientStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.io, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.io, cx)
+    }
+}
+
+struct Inner {
+    work: Rc<Work>,
+    clients: RefCell<Vec<Rc<Client>>>,
+    /// Client connections at the most.
+    most: usize,
+    stopping: Cell<bool>,
+    left: Notify,
+    refused: Sparing,
+    full: Sparing,
+}
+
+#[derive(Clone)]
+struct Front(Rc<Inner>);
+
+/// Serves until told to stop, then answers all it has taken.
+pub async fn serve(config: Config) -> Result<(), String> {
+    let share = (config.sockets / 8).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
+    let tenths = |t: i64| Duration::from_micros(t.max(1) as u64 * 100);
+    let surroundings = &config.surroundings;
+    let connect = tenths(surroundings.connect_time_out);
+    let idle = tenths(surroundings.idle);
+    let replicas = Replicas::new(Limits {
+        streams: surroundings.streams,
+        connect,
+        probe: connect,
+        idle: idle - idle / 8,
+        connections: share,
+    });
+    let desk = Desk::new(&config, replicas.clone());
+    let layout = &config.deployment.layout;
+    let ask_first = !config.deployment.watch_roster;
+    actix_rt::spawn(desk.clone().run());
+    actix_rt::spawn(roster::watch(desk.clone(), config.roster, layout.cells, ask_first));
+    let work = Rc::new(Work {
+        desk,
+        replicas,
+        surroundings: surroundings.clone(),
+        withdraw: config.deployment.allowance.withdraw,
+        parts_a_call: layout.parts_a_call,
+    });
+    let front = Front(Rc::new(Inner {
+        work,
+        clients: RefCell::default(),
+        most: config.sockets - share - OWN_DESCRIPTORS,
+        stopping: Cell::new(false),
+        left: Notify::new(),
+        refused: Sparing::default(),
+        full: Sparing::default(),
+    }));
+    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else { return Err("cannot watch signals".into()) };
+    info!(name = config.name, listen = %config.listen, roster = %config.roster, "serving");
+    tokio::select! {
+        _ = front.accept(&listener) => {}
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    info!(clients = front.0.clients.borrow().len(), "stopping: takes what still comes for a moment");
+    front.0.stopping.set(true);
+    tokio::select! {
+        _ = front.accept(&listener) => {}
+        _ = sleep(STILL_TAKES) => {}
+    }
+    // What the machine has accepted for this program is still served.
+    while let Ok(accepted) = timeout(Duration::ZERO, listener.accept()).await {
+        accepted.into_iter().for_each(|(stream, _)| front.admit(stream));
+    }
+    drop(listener);
+    front.0.clients.borrow().iter().for_each(|client| client.close());
+    while !front.0.clients.borrow().is_empty() {
+        front.0.left.notified().await;
+    }
+    info!("stopped: all that was taken is answered");
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+impl Front {
+    /// Accepts connections for as long as it is polled; full, it lets idle ones go first.
+    async fn accept(&self, listener: &TcpListener) {
+        loop {
+            if self.0.clients.borrow().len() >= self.0.most {
+                self.make_room();
+                let retry = Instant::now() + Duration::from_millis(100);
+                tokio::select! {
+                    _ = self.0.left.notified() => {}
+                    _ = sleep_until(retry) => {}
+                }
+                continue;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream),
+                Err(e) => {
+                    if let Some(left_out) = self.0.full.line() {
+                        warn!(left_out, "cannot accept a connection: {e}");
+                    }
+                    self.make_room();
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+
+    /// Asks the connection that was idle for longest to end, or one whose request does not come on.
+    fn make_room(&self) {
+        if let Some(left_out) = self.0.full.line() {
+            warn!(
+                most = self.0.most,
+                left_out, "client connections are full; the one idle for longest is closed"
+            );
+        }
+        let clients = self.0.clients.borrow();
+        let idle = clients.iter().filter(|c| c.state.get() == State::Idle && !c.closing.get());
+        if let Some(client) = idle.min_by_key(|c| c.since.get()) {
+            client.close();
+        }
+    }
+
+    /// Serves one connection in a task of its own.
+    fn admit(&self, stream: TcpStream) {
+        let client = Rc::new(Client {
+            state: Cell::new(State::Idle),
+            since: Cell::new(Instant::now()),
+            closing: Cell::new(false),
+            reader: RefCell::new(None),
+        });
+        self.0.clients.borrow_mut().push(client.clone());
+        let front = self.clone();
+        actix_rt::spawn(async move {
+            front.connection(stream, client.clone()).await;
+            // The one place where a client's connection is given back.
+            front.0.clients.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
+            front.0.left.notify_one();
+        });
+    }
+
+    async fn connection(&self, stream: TcpStream, client: Rc<Client>) {
+        stream.set_nodelay(true).ok();
+        let Ok(address) = stream.peer_addr() else { return };
+        let (front, asking) = (self.clone(), client.clone());
+        let service = HttpService::build()
+            .keep_alive(KeepAlive::Os)
+            .client_request_timeout(WHOLE_WITHIN)
+            .client_disconnect_timeout(TAKEN_WITHIN)
+            .h1_allow_half_closed(false)
+            .h1(fn_service(move |request: Request| {
+                let (front, client) = (front.clone(), asking.clone());
+                async move {
+                    client.now_in(State::Asking);
+                    let response = front.respond(request).await;
+                    client.now_in(State::Idle);
+                    Ok::<_, Infallible>(response)
+                }
+            }));
+        let Ok(service) = service.new_service(()).await else { return };
+        let stream = ClientStream { io: stream, client };
+        if let Err(e) = service.call((stream, Some(address))).await {
+            tracing::debug!("client connection ended: {e}");
+        }
+    }
+
+    async fn respond(&self, request: Request) -> Response<BoxBody> {
+        let mut response = match (request.path(), request.method()) {
+            (protocol::HEALTH, &Method::GET) if self.0.stopping.get() => {
+                Response::new(StatusCode::SERVICE_UNAVAILABLE)
+            }
+            (protocol::HEALTH, &Method::GET) => Response::ok(),
+            (protocol::HEALTH, _) => Response::new(StatusCode::METHOD_NOT_ALLOWED),
+            (_, &Method::POST) => self.look_up(request).await,
+            _ => Response::new(StatusCode::METHOD_NOT_ALLOWED),
+        }
+        .map_into_boxed_body();
+        if self.0.stopping.get() {
+            response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+        }
+        response
+    }
+
+    async fn look_up(&self, mut request: Request) -> Response<BoxBody> {
+        let body = match timeout(WHOLE_WITHIN, whole(&mut request)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(status)) => return self.refuse(status, "the body cannot be read".into()),
+            Err(_) => return self.refuse(StatusCode::REQUEST_TIMEOUT, "the body does not come".into()),
+        };
+        let (path, headers) = (request.path().to_owned(), request.headers().clone());
+        drop(request);
+        let (client, answer) = oneshot::channel();
+        actix_rt::spawn(lookup::live(self.0.work.clone(), lookup::Request { path, headers, body }, client));
+        let with = |status, body: Vec<u8>| Response::with_body(status, BoxBody::new(body));
+        match answer.await.unwrap_or(Answer::Aborted) {
+            Answer::Satisfied(body) => {
+                let mut response = with(StatusCode::OK, body);
+                response
+                    .headers_mut()
+                    .insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+                response
+            }
+            Answer::Nacked(wait_ms) => {
+                let mut response = with(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+                let advice = wait_ms.and_then(|ms| HeaderValue::from_str(&protocol::retry_after(ms)).ok());
+                advice.map(|advice| response.headers_mut().insert(header::RETRY_AFTER, advice));
+                response
+            }
+            Answer::Aborted => with(StatusCode::BAD_GATEWAY, Vec::new()),
+            Answer::Unknown(why) => self.refuse(StatusCode::NOT_FOUND, why),
+            Answer::Bad(why) => self.refuse(StatusCode::BAD_REQUEST, why),
+        }
+    }
+
+    /// Input that is not taken: its reason goes to the client and, sparingly, to the log.
+    fn refuse(&self, status: StatusCode, why: String) -> Response<BoxBody> {
+        if let Some(left_out) = self.0.refused.line() {
+            info!(status = status.as_u16(), left_out, "request not taken: {why}");
+        }
+        Response::build(status).body(why).map_into_boxed_body()
+    }
+}
+
+/// The whole body, if it is not too long.
+async fn whole(request: &mut Request) -> Result<Bytes, StatusCode> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    loop {
+        let next = std::future::poll_fn(|cx| Pin::new(&mut payload).poll_next(cx)).await;
+        match next {
+            None => return Ok(body.freeze()),
+            Some(Ok(bytes)) if body.len() + bytes.len() <= protocol::MOST_BYTES => {
+                body.extend_from_slice(&bytes)
+            }
+            Some(Ok(_)) => return Err(StatusCode::PAYLOAD_TOO_LARGE),
+            Some(Err(_)) => return Err(StatusCode::BAD_REQUEST),
+        }
+    }
+}
--- /dev/null
+++ b/crates/linenthread-service/src/lookup.rs
@@ -0,0 +1,209 @@
+//! One lookup's life, from its request to the moment nothing of it is out any more.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use linenthread_core::interface::{Ending, Return, Tenths};
+use linenthread_protocol::lookup::{self as protocol, Lookup};
+use linenthread_terms::Surroundings;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+use crate::desk::{self, Decision, Desk, HandedIn};
+use crate::replicas::{Asked, Ended, PartOut, Replicas};
+
+/// What a client is answered.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Satisfied(Vec<u8>),
+    /// Asking again is harmless, after so many milliseconds where they are given.
+    Nacked(Option<f64>),
+    Aborted,
+    /// No such index.
+    Unknown(String),
+    /// The request can't be used.
+    Bad(String),
+}
+
+/// What every lookup works with.
+pub struct Work {
+    pub desk: Desk,
+    pub replicas: Replicas,
+    pub surroundings: Surroundings,
+    /// Part calls may be given up.
+    pub withdraw: bool,
+    pub parts_a_call: usize,
+}
+
+/// A request as it came, whole.
+pub struct Request {
+    pub path: String,
+    pub headers: actix_http::header::HeaderMap,
+    pub body: Bytes,
+}
+
+/// Reads a request and holds it to what the deployment has.
+fn decode(request: &Request, known: &Surroundings) -> Result<(Lookup, HandedIn), Answer> {
+    let header = |name: &str| request.headers.get(name).and_then(|v| v.to_str().ok());
+    let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
+    let Some(index) = position(&known.indexes, protocol::index(&request.path)) else {
+        return Err(Answer::Unknown("no such index".into()));
+    };
+    let asked = protocol::decode(header, &request.body).map_err(Answer::Bad)?;
+    let customer = match &asked.customer {
+        _ if known.customers.is_empty() => 0,
+        Some(name) => {
+            position(&known.customers, name).ok_or_else(|| Answer::Bad("no such customer".into()))?
+        }
+        None => return Err(Answer::Bad("the customer is missing".into())),
+    };
+    if let Some(part) = asked.parts.iter().find(|p| p.shard >= known.shards) {
+        return Err(Answer::Bad(format!("no such shard: {}", part.shard)));
+    }
+    let new = HandedIn {
+        index,
+        customer,
+        key: asked.key.as_deref().map(desk::number),
+        number: desk::number(&asked.id),
+        expires_in: asked.expires_in_ms as Tenths * 10,
+        parts: asked.parts.iter().map(|p| (p.shard, p.weight)).collect(),
+    };
+    Ok((asked, new))
+}
+
+/// A part call that is out.
+struct Out {
+    sent: Tenths,
+    due: Instant,
+    at: Option<PartOut>,
+}
+
+/// The part calls of one lookup that are out, by part and number; each is given back once.
+struct Calls<'a> {
+    work: &'a Work,
+    lookup: usize,
+    out: BTreeMap<(usize, usize), Out>,
+}
+
+impl Calls<'_> {
+    /// The one place where a part call ends. One that was still waited for is given up on its connection.
+    fn end(&mut self, part: usize, call: usize, ending: Ending, queue: Option<f64>) -> bool {
+        let Some(out) = self.out.remove(&(part, call)) else { return false };
+        if let (Ending::TimedOut, Some(at)) = (ending, &out.at) {
+            at.timed_out();
+        }
+        let took = self.work.desk.clock().now() - out.sent;
+        self.work.desk.give_back(Return { lookup: self.lookup, part, call, ending, took, queue });
+        true
+    }
+
+    fn due(&self) -> Option<Instant> {
+        self.out.values().map(|out| out.due).min()
+    }
+
+    fn end_due(&mut self) {
+        let now = Instant::now();
+        let due: Vec<_> = self.out.iter().filter(|(_, out)| out.due <= now).map(|(at, _)| *at).collect();
+        for (part, call) in due {
+            self.end(part, call, Ending::TimedOut, None);
+        }
+    }
+}
+
+/// A lookup from its request to its end. `client` takes the one answer; it closes where the client leaves.
+pub async fn live(work: Rc<Work>, request: Request, client: oneshot::Sender<Answer>) {
+    let (asked, new) = match decode(&request, &work.surroundings) {
+        Ok(decoded) => decoded,
+        Err(answer) => return drop(client.send(answer)),
+    };
+    let (lookup, mut decisions) = work.desk.hand_in(new);
+    let mut client = Some(client);
+    let mut values: Vec<Option<String>> = vec![None; asked.parts.len()];
+    let mut made = vec![0; asked.parts.len()];
+    let mut calls = Calls { work: &work, lookup, out: BTreeMap::new() };
+    let (to_here, mut ended) = mpsc::unbounded_channel::<Ended>();
+    loop {
+        let due = calls.due();
+        let first = tokio::select! {
+            biased;
+            decision = decisions.recv() => match decision {
+                Some(decision) => decision,
+                None => return, // released: over, and nothing is out
+            },
+            Some(Ended { part, call, ending, queue, value }) = ended.recv() => {
+                if calls.end(part, call, ending, queue) && ending == Ending::Answered {
+                    values[part].get_or_insert(value);
+                }
+                continue;
+            }
+            _ = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                calls.end_due();
+                continue;
+            }
+            _ = closed(&mut client) => {
+                client = None;
+                work.desk.lapse(lookup);
+                if work.withdraw {
+                    let out: Vec<_> = calls.out.keys().copied().collect();
+                    for (part, call) in out {
+                        calls.end(part, call, Ending::Withdrawn, None);
+                    }
+                }
+                continue;
+            }
+        };
+        // All that a round decided on this lookup is here at once; its parts for one replica share a call.
+        let mut sends: BTreeMap<(usize, Tenths), Vec<Asked>> = BTreeMap::new();
+        let mut next = Some(first);
+        while let Some(decision) = next {
+            match decision {
+                Decision::Call { part, replica, time_out } => {
+                    let asked = Asked { part, call: made[part], shard: asked.parts[part].shard };
+                    made[part] += 1;
+                    sends.entry((replica, time_out)).or_default().push(asked);
+                }
+                Decision::Withdraw { part, call } => {
+                    calls.end(part, call, Ending::Withdrawn, None);
+                }
+                Decision::Satisfy { whole } => {
+                    let shards = asked.parts.iter().map(|p| p.shard);
+                    let found = shards.zip(&values).filter_map(|(s, v)| Some((s, v.as_deref()?)));
+                    answer(&mut client, Answer::Satisfied(protocol::answer(whole, found)));
+                }
+                Decision::Nack { retry_after } => {
+                    answer(&mut client, Answer::Nacked(retry_after.map(|t| t as f64 / 10.0)));
+                }
+                Decision::Abort => answer(&mut client, Answer::Aborted),
+            }
+            next = decisions.try_recv().ok();
+        }
+        let now = Instant::now();
+        let sent = work.desk.clock().now();
+        for ((replica, time_out), parts) in sends {
+            let wait = Duration::from_micros(time_out.max(1) as u64 * 100);
+            for parts in parts.chunks(work.parts_a_call.max(1)) {
+                let wait_ms = wait.as_micros().div_ceil(1000) as u64;
+                let at = work.replicas.call(replica, &asked.id, parts, wait_ms, &asked.text, &to_here);
+                for (Asked { part, call, .. }, at) in parts.iter().zip(at) {
+                    calls.out.insert((*part, *call), Out { sent, due: now + wait, at });
+                }
+            }
+        }
+    }
+}
+
+/// Waits for the client to leave; for ever once it is answered.
+async fn closed(client: &mut Option<oneshot::Sender<Answer>>) {
+    match client {
+        Some(client) => client.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn answer(client: &mut Option<oneshot::Sender<Answer>>, answer: Answer) {
+    if let Some(client) = client.take() {
+        client.send(answer).ok();
+    }
+}
--- /dev/null
+++ b/crates/linenthread-service/src/replicas.rs
@@ -0,0 +1,392 @@
+//! Owns every connection to a replica: part calls and probes go out on them, and each ends exactly once.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use linenthread_core::interface::Ending;
+use linenthread_protocol::frame::{self, Word};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::{Instant, sleep_until, timeout};
+use tracing::{info, warn};
+
+use crate::log::Sparing;
+
+/// What is read at once from a connection at the most.
+const READ: usize = 16 * 1024;
+
+/// How a part call ended, told to its lookup.
+#[derive(Debug)]
+pub struct Ended {
+    pub part: usize,
+    pub call: usize,
+    pub ending: Ending,
+    pub queue: Option<f64>,
+    pub value: String,
+}
+
+/// One part of a part call.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    pub part: usize,
+    pub call: usize,
+    pub shard: usize,
+}
+
+/// What connections may do.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Part calls that one connection carries at once.
+    pub streams: usize,
+    pub connect: Duration,
+    pub probe: Duration,
+    /// An idle connection is closed after so long, before the replica does.
+    pub idle: Duration,
+    /// Connections in all.
+    pub connections: usize,
+}
+
+/// A part out on a connection.
+struct Waiter {
+    number: u64,
+    asked: Asked,
+    written: bool,
+    to: mpsc::UnboundedSender<Ended>,
+}
+
+struct ProbeWaiter {
+    written: bool,
+    to: oneshot::Sender<(Ending, Option<f64>)>,
+}
+
+/// A frame to be written, and the ids of the parts in it with their numbers.
+struct Frame {
+    bytes: Vec<u8>,
+    parts: Vec<(String, u64)>,
+    probe: bool,
+}
+
+struct Link {
+    replica: usize,
+    address: SocketAddr,
+    frames: RefCell<VecDeque<Frame>>,
+    parts: RefCell<BTreeMap<String, Waiter>>,
+    probes: RefCell<VecDeque<ProbeWaiter>>,
+    news: Notify,
+    last_read: Cell<Instant>,
+    /// Nothing came on it through a whole time-out: no new parts go on it until something does.
+    silent: Cell<bool>,
+    /// It ends once nothing is out on it.
+    retired: Cell<bool>,
+}
+
+#[derive(Default)]
+struct Place {
+    address: Option<SocketAddr>,
+    links: Vec<Rc<Link>>,
+}
+
+struct Inner {
+    limits: Limits,
+    places: RefCell<Vec<Place>>,
+    connections: Cell<usize>,
+    numbers: Cell<u64>,
+    lines: Sparing,
+}
+
+#[derive(Clone)]
+pub struct Replicas(Rc<Inner>);
+
+/// A part out at a replica. Dropping it gives the part up, unless it has ended.
+pub struct PartOut {
+    link: Rc<Link>,
+    id: String,
+    number: u64,
+    sent: Instant,
+}
+
+impl PartOut {
+    /// Its time is up: a connection on which nothing came meanwhile is not trusted with more.
+    pub fn timed_out(&self) {
+        self.link.unheard_since(self.sent);
+    }
+}
+
+impl Drop for PartOut {
+    fn drop(&mut self) {
+        let mut parts = self.link.parts.borrow_mut();
+        let Some(waiter) = parts.get(&self.id).filter(|w| w.number == self.number) else { return };
+        let written = waiter.written;
+        parts.remove(&self.id);
+        let mut frames = self.link.frames.borrow_mut();
+        let alone = |f: &Frame| matches!(&f.parts[..], [(_, number)] if *number == self.number);
+        match frames.iter().position(alone) {
+            Some(unwritten) if !written => drop(frames.remove(unwritten)),
+            _ => frames.push_back(Frame { bytes: frame::give_up(&self.id), parts: Vec::new(), probe: false }),
+        }
+        self.link.news.notify_one();
+    }
+}
+
+impl Replicas {
+    pub fn new(limits: Limits) -> Self {
+        Replicas(Rc::new(Inner {
+            limits,
+            places: RefCell::default(),
+            connections: Cell::new(0),
+            numbers: Cell::new(0),
+            lines: Sparing::default(),
+        }))
+    }
+
+    /// Where a replica is found from now on; connections to where it was before end when they are done.
+    pub fn place(&self, replica: usize, address: Option<SocketAddr>) {
+        let mut places = self.0.places.borrow_mut();
+        let len = places.len().max(replica + 1);
+        places.resize_with(len, Place::default);
+        let place = &mut places[replica];
+        if place.address != address {
+            place.address = address;
+            for link in &place.links {
+                link.retired.set(true);
+                link.news.notify_one();
+            }
+        }
+    }
+
+    /// Sends parts of one lookup to one replica as one part call.
+    pub fn call(
+        &self,
+        replica: usize,
+        lookup: &str,
+        asked: &[Asked],
+        wait_ms: u64,
+        text: &str,
+        to: &mpsc::UnboundedSender<Ended>,
+    ) -> Vec<Option<PartOut>> {
+        let ids: Vec<String> = asked.iter().map(|a| frame::part_id(lookup, a.shard)).collect();
+        let link = self.link(replica, asked.len(), |link| {
+            let parts = link.parts.borrow();
+            ids.iter().all(|id| !parts.contains_key(id))
+        });
+        let Some(link) = link else {
+            for &Asked { part, call, .. } in asked {
+                let unsent = Ended { part, call, ending: Ending::Unsent, queue: None, value: String::new() };
+                to.send(unsent).ok();
+            }
+            return asked.iter().map(|_| None).collect();
+        };
+        let bytes =
+            frame::call(ids.iter().map(String::as_str).zip(asked.iter().map(|a| a.shard)), wait_ms, text);
+        let mut frame = Frame { bytes, parts: Vec::new(), probe: false };
+        let mut out = Vec::new();
+        for (id, &asked) in ids.into_iter().zip(asked) {
+            let number = self.0.numbers.get();
+            self.0.numbers.set(number + 1);
+            let waiter = Waiter { number, asked, written: false, to: to.clone() };
+            link.parts.borrow_mut().insert(id.clone(), waiter);
+            frame.parts.push((id.clone(), number));
+            out.push(Some(PartOut { link: link.clone(), id, number, sent: Instant::now() }));
+        }
+        link.frames.borrow_mut().push_back(frame);
+        link.news.notify_one();
+        out
+    }
+
+    /// Asks a replica how it fares.
+    pub async fn probe(&self, replica: usize) -> (Ending, Option<f64>) {
+        let Some(link) = self.link(replica, 1, |_| true) else { return (Ending::Unsent, None) };
+        let (to, answer) = oneshot::channel();
+        link.probes.borrow_mut().push_back(ProbeWaiter { written: false, to });
+        link.frames.borrow_mut().push_back(Frame { bytes: frame::probe(), parts: Vec::new(), probe: true });
+        link.news.notify_one();
+        let sent = Instant::now();
+        match timeout(self.0.limits.probe, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => (Ending::Broken, None),
+            Err(_) => {
+                link.unheard_since(sent);
+                (Ending::TimedOut, None)
+            }
+        }
+    }
+
+    /// A connection with room for so many more, or a new one.
+    fn link(&self, replica: usize, more: usize, fit: impl Fn(&Link) -> bool) -> Option<Rc<Link>> {
+        let mut places = self.0.places.borrow_mut();
+        let place = places.get_mut(replica)?;
+        let address = place.address?;
+        let streams = self.0.limits.streams;
+        let room = |l: &Rc<Link>| {
+            let out = l.parts.borrow().len() + l.probes.borrow().len();
+            !l.silent.get() && !l.retired.get() && (out == 0 || out + more <= streams) && fit(l)
+        };
+        if let Some(link) = place.links.iter().find(|l| room(l)) {
+            return Some(link.clone());
+        }
+        if self.0.connections.get() >= self.0.limits.connections {
+            return None;
+        }
+        self.0.connections.set(self.0.connections.get() + 1);
+        let link = Rc::new(Link {
+            replica,
+            address,
+            frames: RefCell::default(),
+            parts: RefCell::default(),
+            probes: RefCell::default(),
+            news: Notify::new(),
+            last_read: Cell::new(Instant::now()),
+            silent: Cell::new(false),
+            retired: Cell::new(false),
+        });
+        place.links.push(link.clone());
+        actix_rt::spawn(self.clone().carry(link.clone()));
+        Some(link)
+    }
+
+    /// The life of one connection.
+    async fn carry(self, link: Rc<Link>) {
+        let limits = self.0.limits;
+        match timeout(limits.connect, TcpStream::connect(link.address)).await {
+            Ok(Ok(stream)) => {
+                stream.set_nodelay(true).ok();
+                if let Err(cause) = link.exchange(stream, limits.idle).await {
+                    self.tell(&link, &cause);
+                }
+            }
+            Ok(Err(e)) => self.tell(&link, &format!("cannot connect: {e}")),
+            Err(_) => self.tell(&link, "cannot connect in time"),
+        }
+        // The one place where a connection is given back, and with it all that is still out on it.
+        if let Some(place) = self.0.places.borrow_mut().get_mut(link.replica) {
+            place.links.retain(|l| !Rc::ptr_eq(l, &link));
+        }
+        self.0.connections.set(self.0.connections.get() - 1);
+        link.end_all();
+    }
+
+    fn tell(&self, link: &Link, cause: &str) {
+        if let Some(left_out) = self.0.lines.line() {
+            let (address, out) = (link.address, link.parts.borrow().len());
+            warn!(%address, out, left_out, "replica connection ended: {cause}");
+        }
+    }
+}
+
+impl Link {
+    fn unheard_since(&self, sent: Instant) {
+        if self.last_read.get() < sent && !self.silent.replace(true) {
+            info!(address = %self.address, "replica connection is silent; no more goes on it until it speaks");
+            self.news.notify_one();
+        }
+    }
+
+    /// Nothing is out on it and nothing is to be written.
+    fn empty(&self) -> bool {
+        self.parts.borrow().is_empty() && self.probes.borrow().is_empty() && self.frames.borrow().is_empty()
+    }
+
+    /// Writes and reads until one side ends; an ending that was not wanted is told.
+    async fn exchange(&self, mut stream: TcpStream, idle: Duration) -> Result<(), String> {
+        let (mut input, mut output) = stream.split();
+        let mut read = BytesMut::with_capacity(READ);
+        let mut writing: Option<(Frame, usize)> = None;
+        let mut active = Instant::now();
+        self.last_read.set(active);
+        loop {
+            if writing.is_none() {
+                writing = self.frames.borrow_mut().pop_front().map(|frame| (frame, 0));
+            }
+            let empty = writing.is_none() && self.empty();
+            if empty && (self.retired.get() || self.silent.get()) {
+                return Ok(());
+            }
+            let (unwritten, at) = writing.as_ref().map_or((&[][..], 0), |(f, at)| (&f.bytes[*at..], *at));
+            tokio::select! {
+                biased;
+                got = input.read_buf(&mut read) => {
+                    match got {
+                        Ok(0) if empty => return Ok(()),
+                        Ok(0) => return Err("closed by the replica".into()),
+                        Err(e) => return Err(e.to_string()),
+                        Ok(_) => active = Instant::now(),
+                    }
+                    self.last_read.set(active);
+                    self.silent.set(false);
+                    while let Some(word) = frame::decode(&mut read)? {
+                        self.hear(word)?;
+                    }
+                    read.reserve(READ);
+                }
+                wrote = output.write(unwritten), if !unwritten.is_empty() => {
+                    let at = at + wrote.map_err(|e| e.to_string())?;
+                    active = Instant::now();
+                    writing = writing.and_then(|(frame, _)| match at < frame.bytes.len() {
+                        true => Some((frame, at)),
+                        false => {
+                            self.written(&frame);
+                            None
+                        }
+                    });
+                }
+                _ = self.news.notified() => {}
+                _ = sleep_until(active + idle), if empty => return Ok(()),
+            }
+        }
+    }
+
+    /// The last byte of a frame is written: what it asks for may run from now on.
+    fn written(&self, frame: &Frame) {
+        let mut parts = self.parts.borrow_mut();
+        for (id, number) in &frame.parts {
+            if let Some(waiter) = parts.get_mut(id).filter(|w| w.number == *number) {
+                waiter.written = true;
+            }
+        }
+        if frame.probe
+            && let Some(probe) = self.probes.borrow_mut().iter_mut().find(|p| !p.written)
+        {
+            probe.written = true;
+        }
+    }
+
+    fn hear(&self, word: Word) -> Result<(), String> {
+        match word {
+            Word::Part { id, ending, queue, value } => {
+                // What is no longer out has been given up: its late answer is dropped.
+                if let Some(Waiter { asked: Asked { part, call, .. }, to, .. }) =
+                    self.parts.borrow_mut().remove(&id)
+                {
+                    to.send(Ended { part, call, ending, queue, value }).ok();
+                }
+                Ok(())
+            }
+            Word::Probe { ending, queue } => {
+                if let Some(probe) = self.probes.borrow_mut().pop_front() {
+                    probe.to.send((ending, queue)).ok();
+                }
+                Ok(())
+            }
+            Word::Unusable(words) => Err(format!("the replica could not use a frame: {words}")),
+        }
+    }
+
+    /// All that is out on a connection ends with it.
+    fn end_all(&self) {
+        let ending = |written: bool| if written { Ending::Broken } else { Ending::Unconnected };
+        for Waiter { asked: Asked { part, call, .. }, written, to, .. } in
+            std::mem::take(&mut *self.parts.borrow_mut()).into_values()
+        {
+            to.send(Ended { part, call, ending: ending(written), queue: None, value: String::new() }).ok();
+        }
+        for probe in self.probes.borrow_mut().drain(..) {
+            probe.to.send((ending(probe.written), None)).ok();
+        }
+        self.frames.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/crates/linenthread-service/src/roster.rs
@@ -0,0 +1,69 @@
+//! Watches the roster, and tells the desk what it says or that it says nothing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use linenthread_protocol::roster::{self, List};
+use tokio::time::timeout;
+use tracing::{info, warn};
+
+use crate::desk::Desk;
+
+/// How long the roster is asked to hold a watch.
+const HOLD: Duration = Duration::from_secs(20);
+/// How much longer an answer may take before it counts as failed.
+const SLACK: Duration = Duration::from_secs(2);
+
+/// Asks for the whole list, then watches for changes, for as long as the program runs. After a failure, and
+/// where the roster is only to be watched on request, the module says when to ask.
+pub async fn watch(desk: Desk, address: SocketAddr, cells: usize, ask_first: bool) {
+    let connector = awc::Connector::new().timeout(SLACK).limit(2);
+    let client = awc::Client::builder().connector(connector).disable_timeout().finish();
+    let mut revision = None;
+    let mut failing = false;
+    if !ask_first {
+        desk.roster_wanted().await;
+    }
+    loop {
+        let (path, wait) = match revision {
+            None => (roster::WHOLE.to_owned(), SLACK),
+            Some(revision) => (roster::watch(revision, HOLD.as_millis() as u64), HOLD + SLACK),
+        };
+        let url = format!("http://{address}{path}");
+        match timeout(wait, ask(&client, &url, cells))
+            .await
+            .unwrap_or_else(|_| Err("no answer in time".into()))
+        {
+            Ok(list) => {
+                if list.whole || !list.replicas.is_empty() || failing {
+                    info!(
+                        revision = list.revision,
+                        whole = list.whole,
+                        entries = list.replicas.len(),
+                        "roster told"
+                    );
+                }
+                failing = false;
+                revision = Some(list.revision);
+                desk.roster(Some(&list));
+            }
+            Err(cause) => {
+                if !failing {
+                    warn!("roster failed, the last list is kept: {cause}");
+                }
+                failing = true;
+                desk.roster(None);
+                desk.roster_wanted().await;
+            }
+        }
+    }
+}
+
+async fn ask(client: &awc::Client, url: &str, cells: usize) -> Result<List, String> {
+    let mut response = client.get(url).send().await.map_err(|e| e.to_string())?;
+    if !response.status().is_success() {
+        return Err(format!("status {}", response.status().as_u16()));
+    }
+    let body = response.body().limit(roster::MOST_BYTES).await.map_err(|e| e.to_string())?;
+    roster::decode(&body, cells)
+}
--- a/crates/linenthread-adapter/src/terms.rs
+++ b/crates/linenthread-terms/src/lib.rs
@@ -1,4 +1,5 @@
-//! Decodes the text handed over at an instance's start into a [`Deployment`].
+//! Decodes the settings a co-ordinator is handed at its start: what the decisions need into a [`Deployment`],
+//! what only its connections need into [`Surroundings`].
 
 use linenthread_core::interface::{
     Allowance, ColdStart, Deployment, Effect, FurtherCalls, Index, Layout, Tenths,
@@ -61,10 +62,50 @@
     })
 }
 
-/// The deployment, and where among the values of a load report the waiting parts stand, if they are told.
-pub fn decode(text: &[u8]) -> Result<(Deployment, Option<usize>), String> {
-    let root: Value = serde_json::from_slice(text).map_err(|e| format!("settings do not parse: {e}"))?;
-    let root = &root;
+/// What a deployment calls its own, and what connections to its replicas may do.
+#[derive(Clone, Debug)]
+pub struct Surroundings {
+    pub indexes: Vec<String>,
+    pub customers: Vec<String>,
+    pub sites: Vec<String>,
+    pub shards: usize,
+    /// Calls that one connection carries at once.
+    pub streams: usize,
+    pub connect_time_out: Tenths,
+    /// A connection idle for so long is closed by the replica.
+    pub idle: Tenths,
+}
+
+pub fn parse(text: &[u8]) -> Result<Value, String> {
+    serde_json::from_slice(text).map_err(|e| format!("settings do not parse: {e}"))
+}
+
+/// Where among the values of a load report the waiting parts stand, if they are told.
+pub fn queue_at(root: &Value) -> Option<usize> {
+    find(root, "telemetry.names")?.as_array()?.iter().position(|name| name == "queue")
+}
+
+/// The names of the things listed at a path; there may be no such list.
+fn names(root: &Value, path: &str, of: impl Fn(&Value) -> Option<&str>) -> Result<Vec<String>, String> {
+    let listed = find(root, path).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+    let name =
+        |v| of(v).map(str::to_owned).ok_or_else(|| format!("settings: {path} has an entry with no name"));
+    listed.iter().map(name).collect()
+}
+
+pub fn surroundings(root: &Value) -> Result<Surroundings, String> {
+    Ok(Surroundings {
+        indexes: names(root, "classes", |v| v.get("name")?.as_str())?,
+        customers: names(root, "accounts", |v| v.get("name")?.as_str())?,
+        sites: names(root, "dcs", Value::as_str)?,
+        shards: count(root, "family-info.ranges")?,
+        streams: count(root, "allowed.streams-per-conn")?.max(1),
+        connect_time_out: time(root, "allowed.connect-timeout-ms")?,
+        idle: time(root, "allowed.conn-idle-ms")?,
+    })
+}
+
+pub fn deployment(root: &Value) -> Result<Deployment, String> {
     let classes = need(root, "classes", Value::as_array)?;
     let further_calls = match find(root, "safety.repeat-ratio") {
         None => None,
@@ -74,10 +115,7 @@
             window: time(root, "safety.budget-span-ms")?,
         }),
     };
-    let queue_at = find(root, "telemetry.names")
-        .and_then(Value::as_array)
-        .and_then(|names| names.iter().position(|name| name == "queue"));
-    let deployment = Deployment {
+    Ok(Deployment {
         own_number: count(root, "me")?,
         co_ordinators: count(root, "balancers")?.max(1),
         indexes: classes.iter().enumerate().map(|(i, c)| index(root, i, c)).collect::<Result<_, _>>()?,
@@ -111,6 +149,5 @@
         },
         further_calls,
         watch_roster: need(root, "membership-mode", Value::as_str)? == "on_request",
-    };
-    Ok((deployment, queue_at))
+    })
 }
