Tests of the service against stand-ins; silence after a whole time-out; stopping in two steps

Found by the new tests: a part whose lookup ran out of time was withdrawn in the round in which it timed out, so its connection was never taken for silent (lookup.rs, Calls::end), and a connect counted as something heard (replicas.rs, exchange). Both are mended: a part given up when its time is up marks a connection on which nothing came since. After SIGTERM idle connections now end at 0.6 s, since what comes later than 0.7 s and is unanswered at SIGKILL is lost; the listener stays to 1.2 s. Requests whose head does not come on make room for others. If the rounds or the watch fail the program ends instead of hanging.

--- /dev/null
+++ b/crates/linenthread-protocol/tests/messages.rs
@@ -0,0 +1,173 @@
+//! Every message on good, cut and hostile bytes.
+
+use bytes::BytesMut;
+use linenthread_core::interface::{Ending, Phase};
+use linenthread_protocol::frame::{self, Word};
+use linenthread_protocol::{lookup, roster};
+
+fn framed(letter: u8, rest: &[u8]) -> Vec<u8> {
+    [&(rest.len() as u32 + 1).to_be_bytes()[..], &[letter], rest].concat()
+}
+
+fn part(id: &str, ending: Ending, queue: Option<f64>, value: &str) -> Word {
+    Word::Part { id: id.into(), ending, queue, value: value.into() }
+}
+
+#[test]
+fn frames_are_read_whole_however_they_come() {
+    let good = [
+        (
+            &b"E7f.3 hit 1840277719 inflight=7,queue=2.5,util=0.61\nv 1"[..],
+            part("7f.3", Ending::Answered, Some(2.5), "v 1"),
+        ),
+        (b"E7f.3 fault 0 -\n", part("7f.3", Ending::Errored, None, "")),
+        (b"E7f.3 overload - queue=-4\n", part("7f.3", Ending::TurnedAway, Some(0.0), "")),
+        (b"E7f.3 hit 1 queue=inf\na\nb", part("7f.3", Ending::Answered, None, "a\nb")),
+        (b"Chit", Word::Probe { ending: Ending::Answered, queue: None }),
+        (b"Dfault", Word::Probe { ending: Ending::Errored, queue: None }),
+        (b"D-", Word::Probe { ending: Ending::Answered, queue: None }),
+        (b"Dutil=0.1,queue=3", Word::Probe { ending: Ending::Answered, queue: Some(3.0) }),
+        (b"Fno such frame", Word::Unusable("no such frame".into())),
+    ];
+    let stream: Vec<u8> = good.iter().flat_map(|(text, _)| framed(text[0], &text[1..])).collect();
+    for step in [1, 3, 7, stream.len()] {
+        let (mut read, mut words) = (BytesMut::new(), Vec::new());
+        for piece in stream.chunks(step) {
+            read.extend_from_slice(piece);
+            while let Some(word) = frame::decode(&mut read).unwrap() {
+                words.push(word);
+            }
+        }
+        assert_eq!(
+            words,
+            good.iter().map(|(_, word)| word.clone()).collect::<Vec<_>>(),
+            "in steps of {step}"
+        );
+        assert!(read.is_empty());
+    }
+}
+
+#[test]
+fn hostile_frames_are_refused() {
+    let bad: [&[u8]; 10] = [
+        &[0, 0, 0, 0],
+        &[0xff, 0xff, 0xff, 0xff],
+        &framed(b'A', b"7f.3 3 d=1 0\n"),
+        &framed(b'E', b""),
+        &framed(b'E', b"7f.3 hit 1 -"),
+        &framed(b'E', b"7f.3 maybe 1 -\nv"),
+        &framed(b'E', b"7f.3 hit one -\nv"),
+        &framed(b'E', b"7f.3 hit 1 - more\nv"),
+        &framed(b'E', b"7f.3 hit\nv"),
+        &framed(b'E', b"7f.3 hit 1 -\n\xff\xfe"),
+    ];
+    for bytes in bad {
+        assert!(frame::decode(&mut BytesMut::from(bytes)).is_err(), "{bytes:?}");
+    }
+}
+
+#[test]
+fn frames_are_written_as_the_page_has_them() {
+    let id = frame::part_id("9b1f", 3);
+    assert_eq!(
+        frame::call([(&*id, 3)].into_iter(), 240, "c41e77d0"),
+        framed(b'A', b"9b1f.3 3 d=240 8\nc41e77d0")
+    );
+    let two = frame::call([("a.1", 1), ("a.2", 2)].into_iter(), 5, "x");
+    assert_eq!(two, framed(b'A', b"a.1 1 d=5 1\nxa.2 2 d=5 1\nx"));
+    assert_eq!(frame::give_up(&id), framed(b'B', b"9b1f.3"));
+    assert_eq!(frame::probe(), [0, 0, 0, 1, b'D']);
+}
+
+const BODY: &str =
+    r#"{"buckets":[{"bucket":3,"part":0.5,"effort":9000},{"bucket":9,"part":0.5}],"body":"c41e77d0"}"#;
+
+fn read(changed: &str, value: Option<&'static str>, body: &str) -> Result<lookup::Lookup, String> {
+    let header = |name: &str| match name {
+        _ if name == changed => value,
+        "x-trace-id" => Some("9b1f03aa5c7e2d41"),
+        "x-customer" => Some("acme"),
+        "x-object" => Some("7f3a9c21e0b4d655"),
+        "x-expires-in-ms" => Some("480"),
+        _ => None,
+    };
+    lookup::decode(header, body.as_bytes())
+}
+
+#[test]
+fn lookups_are_read_and_answered() {
+    let asked = read("", None, BODY).unwrap();
+    assert_eq!(
+        (asked.id.as_str(), asked.expires_in_ms, asked.text.as_str()),
+        ("9b1f03aa5c7e2d41", 480, "c41e77d0")
+    );
+    assert_eq!((asked.customer.as_deref(), asked.key.as_deref()), (Some("acme"), Some("7f3a9c21e0b4d655")));
+    assert_eq!(asked.parts.iter().map(|p| (p.shard, p.weight)).collect::<Vec<_>>(), [(3, 0.5), (9, 0.5)]);
+    assert_eq!(read("x-object", None, BODY).unwrap().key, None);
+    assert_eq!(lookup::index("/checkout/more"), "checkout");
+    let body = lookup::answer(false, [(3, "5be2a07c19f04d63"), (9, "a \"b\"")].into_iter());
+    let text = r#"{"finished":false,"found":[{"bucket":3,"item":"5be2a07c19f04d63"},{"bucket":9,"item":"a \"b\""}]}"#;
+    assert_eq!(String::from_utf8(body).unwrap(), text);
+    assert_eq!(lookup::retry_after(1250.0), "1.250");
+}
+
+#[test]
+fn bad_lookups_are_refused() {
+    let headers = [
+        ("x-trace-id", None),
+        ("x-trace-id", Some("")),
+        ("x-trace-id", Some("a b")),
+        ("x-trace-id", Some("a\nb")),
+        ("x-expires-in-ms", None),
+        ("x-expires-in-ms", Some("0")),
+        ("x-expires-in-ms", Some("-5")),
+        ("x-expires-in-ms", Some("1e3")),
+        ("x-expires-in-ms", Some("99999999999")),
+        ("x-customer", Some("")),
+    ];
+    for (name, value) in headers {
+        assert!(read(name, value, BODY).is_err(), "{name}: {value:?}");
+    }
+    let bodies = [
+        "",
+        "{",
+        r#"{"buckets":[],"body":"x"}"#,
+        r#"{"buckets":[{"bucket":3,"part":0.5}]}"#,
+        r#"{"buckets":[{"bucket":-1,"part":1}],"body":"x"}"#,
+        r#"{"buckets":[{"bucket":3,"part":0}],"body":"x"}"#,
+        r#"{"buckets":[{"bucket":3,"part":1.5}],"body":"x"}"#,
+        r#"{"buckets":[{"bucket":3,"part":0.5},{"bucket":3,"part":0.5}],"body":"x"}"#,
+    ];
+    for body in bodies {
+        assert!(read("", None, body).is_err(), "{body}");
+    }
+}
+
+#[test]
+fn lists_are_read_and_bad_ones_refused() {
+    let list = |cell: &str, phase: &str, address: &str| {
+        let of = format!(
+            r#""locality":"a","flavor":"m2","cell":{cell},"phase":"{phase}","size":1.0,"up_since_ms":5"#
+        );
+        format!(
+            r#"{{"revision":43,"complete":false,"members":[{{"id":"s-5be2a07c","host_port":"{address}",{of}}}]}}"#
+        )
+    };
+    let read = |text: &str| roster::decode(text.as_bytes(), 4);
+    for (word, phase) in [("active", Phase::Ready), ("leaving", Phase::Draining), ("left", Phase::Gone)] {
+        let told = read(&list("3", word, "127.0.0.1:5000")).unwrap();
+        assert_eq!((told.revision, told.whole, told.replicas.len()), (43, false, 1));
+        let replica = &told.replicas[0];
+        assert_eq!((replica.phase, replica.cell, replica.started_ms), (phase, 3, 5.0));
+        assert_eq!((replica.id.as_str(), replica.address), ("s-5be2a07c", "127.0.0.1:5000".parse().unwrap()));
+    }
+    let bad = [
+        list("4", "active", "127.0.0.1:5000"),
+        list("3", "asleep", "127.0.0.1:5000"),
+        list("3", "active", "here"),
+    ];
+    for text in bad.iter().map(String::as_str).chain(["", "{}", "[1]", r#"{"revision":1,"complete":true}"#]) {
+        assert!(read(text).is_err(), "{text}");
+    }
+    assert_eq!(roster::watch(41, 20_000), "/v1/servers?from=41&hold_ms=20000");
+}
--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -35,7 +35,9 @@
 const WHOLE_WITHIN: Duration = Duration::from_secs(5);
 /// A client that does not take its answer is let go after so long.
 const TAKEN_WITHIN: Duration = Duration::from_secs(2);
-/// After the word to stop, new connections and requests are taken for so long.
+/// After the word to stop, idle connections stay open for so long, as clients still use them ...
+const STILL_KEEPS: Duration = Duration::from_millis(600);
+/// ... and new ones are taken for so long in all; each serves one request.
 const STILL_TAKES: Duration = Duration::from_millis(1_200);
 const BACKLOG: u32 = 1024;
 /// Descriptors that are neither a client's nor a replica's: standard streams, the listener, the roster's,
@@ -66,6 +68,15 @@
         self.since.set(Instant::now());
     }
 
+    /// Nothing of a request is here, or one that does not come on.
+    fn is_idle(&self) -> bool {
+        match self.state.get() {
+            State::Idle => true,
+            State::Reading => self.since.get().elapsed() > WHOLE_WITHIN,
+            State::Asking => false,
+        }
+    }
+
     fn close(&self) {
         self.closing.set(true);
         if let Some(reader) = self.reader.borrow_mut().take() {
@@ -93,7 +104,7 @@
             self.client.now_in(State::Reading);
         }
         if read.is_pending() {
-            if self.client.closing.get() && self.client.state.get() == State::Idle {
+            if self.client.closing.get() && self.client.is_idle() {
                 return Poll::Ready(Ok(()));
             }
             self.client.reader.replace(Some(cx.waker().clone()));
@@ -157,8 +168,8 @@
     let desk = Desk::new(&config, replicas.clone());
     let layout = &config.deployment.layout;
     let ask_first = !config.deployment.watch_roster;
-    actix_rt::spawn(desk.clone().run());
-    actix_rt::spawn(roster::watch(desk.clone(), config.roster, layout.cells, ask_first));
+    let mut rounds = actix_rt::spawn(desk.clone().run());
+    let mut watch = actix_rt::spawn(roster::watch(desk.clone(), config.roster, layout.cells, ask_first));
     let work = Rc::new(Work {
         desk,
         replicas,
@@ -178,24 +189,30 @@
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
     let (Ok(mut terminate), Ok(mut interrupt)) = signals else { return Err("cannot watch signals".into()) };
-    info!(name = config.name, listen = %config.listen, roster = %config.roster, "serving");
+    let listen = listener.local_addr().unwrap_or(config.listen);
+    info!(name = config.name, %listen, roster = %config.roster, "serving");
     tokio::select! {
         _ = front.accept(&listener) => {}
+        _ = &mut rounds => return Err("the decision module failed".into()),
+        _ = &mut watch => return Err("the roster's watch failed".into()),
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
     info!(clients = front.0.clients.borrow().len(), "stopping: takes what still comes for a moment");
     front.0.stopping.set(true);
-    tokio::select! {
-        _ = front.accept(&listener) => {}
-        _ = sleep(STILL_TAKES) => {}
-    }
-    // What the machine has accepted for this program is still served.
-    while let Ok(accepted) = timeout(Duration::ZERO, listener.accept()).await {
-        accepted.into_iter().for_each(|(stream, _)| front.admit(stream));
+    let began = Instant::now();
+    for (until, last) in [(STILL_KEEPS, false), (STILL_TAKES, true)] {
+        tokio::select! {
+            _ = front.accept(&listener) => {}
+            _ = sleep_until(began + until) => {}
+        }
+        // What the machine has accepted for this program is still served.
+        while let (true, Ok(Ok((stream, _)))) = (last, timeout(Duration::ZERO, listener.accept()).await) {
+            front.admit(stream);
+        }
+        front.0.clients.borrow().iter().for_each(|client| client.close());
     }
     drop(listener);
-    front.0.clients.borrow().iter().for_each(|client| client.close());
     while !front.0.clients.borrow().is_empty() {
         front.0.left.notified().await;
     }
@@ -236,7 +253,7 @@
         }
     }
 
-    /// Asks the connection that was idle for longest to end, or one whose request does not come on.
+    /// Asks the connection that was idle for longest to end.
     fn make_room(&self) {
         if let Some(left_out) = self.0.full.line() {
             warn!(
@@ -245,7 +262,7 @@
             );
         }
         let clients = self.0.clients.borrow();
-        let idle = clients.iter().filter(|c| c.state.get() == State::Idle && !c.closing.get());
+        let idle = clients.iter().filter(|c| c.is_idle() && !c.closing.get());
         if let Some(client) = idle.min_by_key(|c| c.since.get()) {
             client.close();
         }
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -14,6 +14,9 @@
 use crate::desk::{self, Decision, Desk, HandedIn};
 use crate::replicas::{Asked, Ended, PartOut, Replicas};
 
+/// A lookup that runs out of time withdraws its parts about when they time out: either way their time is up.
+const NEAR: Duration = Duration::from_millis(20);
+
 /// What a client is answered.
 #[derive(Debug, PartialEq)]
 pub enum Answer {
@@ -91,7 +94,8 @@
     /// The one place where a part call ends. One that was still waited for is given up on its connection.
     fn end(&mut self, part: usize, call: usize, ending: Ending, queue: Option<f64>) -> bool {
         let Some(out) = self.out.remove(&(part, call)) else { return false };
-        if let (Ending::TimedOut, Some(at)) = (ending, &out.at) {
+        let given_up = matches!(ending, Ending::TimedOut | Ending::Withdrawn);
+        if let (true, Some(at)) = (given_up && Instant::now() + NEAR >= out.due, &out.at) {
             at.timed_out();
         }
         let took = self.work.desk.clock().now() - out.sent;
--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -297,7 +297,6 @@
         let mut read = BytesMut::with_capacity(READ);
         let mut writing: Option<(Frame, usize)> = None;
         let mut active = Instant::now();
-        self.last_read.set(active);
         loop {
             if writing.is_none() {
                 writing = self.frames.borrow_mut().pop_front().map(|frame| (frame, 0));
--- /dev/null
+++ b/crates/linenthread-service/tests/service.rs
@@ -0,0 +1,229 @@
+//! The program on loopback sockets, against stand-ins of replicas and roster.
+
+mod stand_ins;
+
+use std::net::TcpListener;
+
+use serde_json::Value;
+use stand_ins::{Fleet, Roster, Service, config, entry, list, program, request};
+
+/// A program with replicas of its own, all ready.
+fn start(replicas: usize) -> (Fleet, Roster, Service) {
+    let fleet = Fleet::start(replicas);
+    let known =
+        list(1, true, fleet.addresses.iter().enumerate().map(|(i, a)| entry(i, *a, "active")).collect());
+    let roster = Roster::start(known.clone());
+    let service = Service::start(&config(roster.address, &known, 1024));
+    (fleet, roster, service)
+}
+
+#[test]
+fn a_lookup_is_served_with_the_values_that_replicas_gave() {
+    let (fleet, _roster, service) = start(2);
+    let mut client = service.ask("find", "7f", &[0, 3]);
+    for _ in 0..2 {
+        let part = fleet.part();
+        assert_eq!((part.id.as_str(), part.text.as_str()), (&*format!("7f.{}", part.shard), "what is asked"));
+        let wait: u64 = part.list.strip_prefix("d=").unwrap().parse().unwrap();
+        assert!((10_000..=15_000).contains(&wait), "waits {wait} ms");
+        part.say(b'E', "unknown.9 hit 1 -\nfor nobody");
+        part.answer(&format!("value of {}", part.shard));
+    }
+    let (status, _, body) = client.answer().unwrap();
+    let text =
+        r#"{"finished":true,"found":[{"bucket":0,"item":"value of 0"},{"bucket":3,"item":"value of 3"}]}"#;
+    assert_eq!((status, body.as_str()), (200, text));
+    // The connection stays, and a body may come in chunks.
+    let chunked =
+        request("find", "80", &[1]).replace("Content-Length: ", "Transfer-Encoding: chunked\r\nX-Was: ");
+    let (head, body) = chunked.split_once("\r\n\r\n").unwrap();
+    client.send(&format!("{head}\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len()));
+    fleet.part().answer("once more");
+    assert_eq!(client.status(), 200);
+}
+
+#[test]
+fn a_broken_part_is_sent_again_only_where_it_may_run_twice() {
+    let (fleet, _roster, service) = start(2);
+    let mut client = service.ask("find", "a1", &[2]);
+    let first = fleet.part();
+    first.cut();
+    let second = fleet.part();
+    assert_ne!(first.replica, second.replica);
+    second.answer("v");
+    assert_eq!(client.status(), 200);
+    let mut client = service.ask("order", "a2", &[2]);
+    fleet.part().cut();
+    assert_eq!(client.status(), 502, "given up with no promise");
+    assert!(fleet.has_no_part(), "nothing of it is sent again");
+}
+
+#[test]
+fn a_frame_that_cannot_be_used_ends_its_connection() {
+    let (fleet, _roster, service) = start(2);
+    let bad: [(u8, &str); 4] =
+        [(b'F', "what was that"), (b'Z', "?"), (b'E', "no end"), (b'E', "b1.2 hit x -\n")];
+    for (i, (letter, rest)) in bad.into_iter().enumerate() {
+        let mut client = service.ask("find", &format!("b{i}"), &[2]);
+        fleet.part().say(letter, rest);
+        fleet.part().answer("v");
+        assert_eq!(client.status(), 200, "after {rest:?}");
+        service.logged("replica connection ended");
+    }
+}
+
+#[test]
+fn a_once_only_part_that_never_left_goes_to_the_twin() {
+    let fleet = Fleet::start(1);
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let known = list(1, true, vec![entry(0, nobody, "active"), entry(1, fleet.addresses[0], "active")]);
+    let roster = Roster::start(known.clone());
+    let service = Service::start(&config(roster.address, &known, 1024));
+    for id in 0..8 {
+        let mut client = service.ask("order", &format!("c{id}"), &[0, 1, 2, 3]);
+        (0..4).for_each(|_| fleet.part().answer("v"));
+        assert_eq!(client.status(), 200);
+    }
+    service.logged("cannot connect");
+}
+
+#[test]
+fn a_time_out_ends_a_lookup_and_its_parts_are_given_up() {
+    let (fleet, _roster, service) = start(2);
+    let mut client = service.ask("swift", "d1", &[1]);
+    let part = fleet.part();
+    let (status, headers, _) = client.answer().unwrap();
+    assert_eq!(status, 503);
+    assert!(headers.iter().any(|h| h.starts_with("retry-after: ")), "{headers:?}");
+    assert_eq!(fleet.given_up(), part.id);
+    service.logged("silent");
+}
+
+#[test]
+fn the_parts_of_a_client_that_leaves_are_given_up() {
+    let (fleet, _roster, service) = start(2);
+    let client = service.ask("order", "e1", &[1]);
+    let part = fleet.part();
+    drop(client);
+    assert_eq!(fleet.given_up(), part.id);
+}
+
+#[test]
+fn a_drain_told_by_the_watch_and_a_roster_that_talks_nonsense() {
+    let (fleet, roster, service) = start(2);
+    roster.tell(&list(2, false, vec![entry(0, fleet.addresses[0], "leaving")]));
+    service.logged("revision=2");
+    roster.tell("no list at all");
+    service.logged("roster failed");
+    roster.tell(&list(3, false, vec![]));
+    service.logged("revision=3");
+    for id in 0..4 {
+        let mut client = service.ask("find", &format!("f{id}"), &[0, 1, 2, 3]);
+        for _ in 0..4 {
+            let part = fleet.part();
+            assert_eq!(part.replica, 1, "none goes to the one that drains");
+            part.answer("v");
+        }
+        assert_eq!(client.status(), 200);
+    }
+}
+
+#[test]
+fn the_word_to_stop_loses_nothing() {
+    let (fleet, _roster, mut service) = start(2);
+    let (mut held, mut kept) = (service.ask("find", "g1", &[0]), service.connect());
+    let part = fleet.part();
+    kept.send("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n");
+    assert_eq!(kept.status(), 200);
+    service.signal("-TERM");
+    service.logged("stopping");
+    service.signal("-TERM");
+    let mut late = service.connect();
+    late.send("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n");
+    assert_eq!(late.status(), 503);
+    kept.ask("find", "g2", &[0]);
+    fleet.part().answer("v");
+    let (status, headers, _) = kept.answer().unwrap();
+    assert_eq!(status, 200);
+    assert!(headers.contains(&"connection: close".to_owned()), "{headers:?}");
+    assert!(kept.answer().is_none() && late.answer().is_none(), "idle connections end");
+    part.answer("v");
+    assert_eq!(held.status(), 200);
+    service.logged("stopped");
+    assert_eq!(service.child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn bad_requests_reach_no_replica() {
+    let (fleet, _roster, service) = start(2);
+    let good = request("find", "h1", &[0, 1]);
+    let long =
+        format!("POST /find HTTP/1.1\r\nHost: s\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70_000));
+    let bad = [
+        (404, good.replace("/find", "/nothing")),
+        (400, good.replace("acme", "nobody")),
+        (400, good.replace("X-Customer: acme\r\n", "")),
+        (400, good.replace(r#""bucket":1"#, r#""bucket":4"#)),
+        (400, good.replace(r#""bucket":1"#, r#""bucket":0"#)),
+        (400, good.replace("20000", "soon")),
+        (400, good.replace("X-Trace-Id: h1\r\n", "")),
+        (400, good.replace(r#""buckets""#, r#""buckles""#)),
+        (405, good.replace("POST", "PUT")),
+        (405, "GET /find HTTP/1.1\r\nHost: s\r\n\r\n".into()),
+        (400, "nonsense\r\n\r\n".into()),
+        (413, long),
+    ];
+    for (status, text) in bad {
+        let mut client = service.connect();
+        client.send(&text);
+        assert_eq!(client.status(), status, "{:.60}", text);
+    }
+    assert!(fleet.has_no_part());
+    let mut client = service.ask("find", "h2", &[0]);
+    fleet.part().answer("v");
+    assert_eq!(client.status(), 200);
+}
+
+#[test]
+fn others_are_served_beside_more_connections_than_there_is_room_for() {
+    let fleet = Fleet::start(2);
+    let known =
+        list(1, true, fleet.addresses.iter().enumerate().map(|(i, a)| entry(i, *a, "active")).collect());
+    let roster = Roster::start(known.clone());
+    let service = Service::start(&config(roster.address, &known, 64));
+    let mut idle: Vec<_> = (0..80).map(|_| service.connect()).collect();
+    let mut client = service.ask("find", "i1", &[0]);
+    fleet.part().answer("v");
+    assert_eq!(client.status(), 200);
+    assert!(idle[0].answer().is_none(), "the one idle for longest was closed");
+}
+
+#[test]
+fn a_bad_configuration_is_named_in_one_line() {
+    let good = config("127.0.0.1:1".parse().unwrap(), &list(1, true, vec![]), 1024);
+    let without = |pointer: &str, value: Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(pointer).unwrap() = value;
+        config.to_string()
+    };
+    let bad = [
+        ("listen", without("/listen", "here".into())),
+        ("discovery", without("/discovery", Value::Null)),
+        ("limits.sockets", without("/limits/sockets", 3.into())),
+        ("seed", without("/seed", "xyz".into())),
+        ("known", without("/known/revision", Value::Null)),
+        ("allowed.max-attempts", without("/settings/allowed/max-attempts", "many".into())),
+        ("fetch-parts", without("/settings/family-info/fetch-parts/0", 3.into())),
+        ("parse", "{".into()),
+    ];
+    for (field, text) in bad {
+        for command in ["check", "serve"] {
+            let output = program(&[command], &text).wait_with_output().unwrap();
+            let said = String::from_utf8(output.stderr).unwrap();
+            assert_eq!(output.status.code(), Some(2), "{command} {field}: {said}");
+            assert!(said.contains(field) && said.lines().count() == 1, "{command} {field}: {said}");
+        }
+    }
+    let output = program(&["check"], &good.to_string()).wait_with_output().unwrap();
+    assert!(output.status.success());
+}
