--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -389,3 +389,38 @@
         self.frames.borrow_mut().clear();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What was written whole when a connection broke may have run; what was not, never did.
+    #[test]
+    fn parts_end_by_whether_their_last_byte_was_written() {
+        actix_rt::System::new().block_on(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let second = Duration::from_secs(20);
+            let limits =
+                Limits { streams: 500, connect: second, probe: second, idle: second, connections: 1 };
+            let replicas = Replicas::new(limits);
+            replicas.place(0, listener.local_addr().ok());
+            let (to, mut ended) = mpsc::unbounded_channel();
+            // More than any socket's buffers hold.
+            let text = "x".repeat(60_000);
+            let call = |part| replicas.call(0, "l", &[Asked { part, call: 0, shard: part }], 9, &text, &to);
+            let out: Vec<_> = (0..500).map(call).collect();
+            let (mut replica, _) = listener.accept().await.unwrap();
+            replica.read_exact(&mut vec![0; 61_000]).await.unwrap();
+            drop(replica);
+            let mut endings = vec![None; 500];
+            for _ in 0..500 {
+                let Ended { part, ending, .. } = ended.recv().await.unwrap();
+                assert_eq!(endings[part].replace(ending), None, "each ends once");
+            }
+            assert_eq!(endings[0], Some(Ending::Broken));
+            assert_eq!(endings[499], Some(Ending::Unconnected));
+            assert!(endings.is_sorted_by_key(|e| *e == Some(Ending::Unconnected)), "{endings:?}");
+            drop(out);
+        });
+    }
+}
--- a/crates/linenthread-service/src/roster.rs
+++ b/crates/linenthread-service/src/roster.rs
@@ -9,8 +9,9 @@
 
 use crate::desk::Desk;
 
-/// How long the roster is asked to hold a watch.
-const HOLD: Duration = Duration::from_secs(20);
+/// How long the roster is asked to hold a watch: the longest that it allows, since a watch that it holds is
+/// answered as soon as there is news, and one that ends has to be asked for anew.
+const HOLD: Duration = Duration::from_secs(60);
 /// How much longer an answer may take before it counts as failed.
 const SLACK: Duration = Duration::from_secs(2);
 
--- a/crates/linenthread-service/tests/service.rs
+++ b/crates/linenthread-service/tests/service.rs
@@ -128,6 +128,18 @@
     }
 }
 
+#[test]
+fn a_silent_roster_leaves_the_list_as_remembered() {
+    let fleet = Fleet::start(1);
+    let known = list(1, true, vec![entry(0, fleet.addresses[0], "active")]);
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let service = Service::start(&config(silent.local_addr().unwrap(), &known, 1024));
+    service.logged("roster failed");
+    let mut client = service.ask("find", "j1", &[0]);
+    fleet.part().answer("v");
+    assert_eq!(client.status(), 200);
+}
+
 #[test]
 fn the_word_to_stop_loses_nothing() {
     let (fleet, _roster, mut service) = start(2);
