A replica that cannot be reached is logged once; half a request holds up no stop

Tried as a new user would, by README alone: two dead replicas under probes filled the log at their probes' rate (replicas.rs, carry): the first failed connect is logged, and the connect that succeeds after it. serve without a configuration said nothing of EDGE_CONFIG and exited with 1: now one line and 2. A client with half a request on a kept connection held up the end after SIGTERM until the kill (front.rs, the loop at the end): what does not come on is closed again and again. The listener is bound before anything is asked of the roster.

--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -11,7 +11,7 @@
 
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderValue;
-use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode, header};
+use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode, header};
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
@@ -153,6 +153,9 @@
 
 /// Serves until told to stop, then answers all it has taken.
 pub async fn serve(config: Config) -> Result<(), String> {
+    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else { return Err("cannot watch signals".into()) };
     let share = (config.sockets / 8).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
     let tenths = |t: i64| Duration::from_micros(t.max(1) as u64 * 100);
     let surroundings = &config.surroundings;
@@ -186,9 +189,6 @@
         refused: Sparing::default(),
         full: Sparing::default(),
     }));
-    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
-    let (Ok(mut terminate), Ok(mut interrupt)) = signals else { return Err("cannot watch signals".into()) };
     let listen = listener.local_addr().unwrap_or(config.listen);
     info!(name = config.name, %listen, roster = %config.roster, "serving");
     tokio::select! {
@@ -198,25 +198,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    info!(clients = front.0.clients.borrow().len(), "stopping: takes what still comes for a moment");
-    front.0.stopping.set(true);
-    let began = Instant::now();
-    for (until, last) in [(STILL_KEEPS, false), (STILL_TAKES, true)] {
-        tokio::select! {
-            _ = front.accept(&listener) => {}
-            _ = sleep_until(began + until) => {}
-        }
-        // What the machine has accepted for this program is still served.
-        while let (true, Ok(Ok((stream, _)))) = (last, timeout(Duration::ZERO, listener.accept()).await) {
-            front.admit(stream);
-        }
-        front.0.clients.borrow().iter().for_each(|client| client.close());
-    }
-    drop(listener);
-    while !front.0.clients.borrow().is_empty() {
-        front.0.left.notified().await;
-    }
-    info!("stopped: all that was taken is answered");
+    front.stop(listener).await;
     Ok(())
 }
 
@@ -253,6 +235,37 @@
         }
     }
 
+    /// Takes what still comes for a moment, then answers all that was taken.
+    async fn stop(&self, listener: TcpListener) {
+        info!(clients = self.0.clients.borrow().len(), "stopping: takes what still comes for a moment");
+        self.0.stopping.set(true);
+        let began = Instant::now();
+        for after in [STILL_KEEPS, STILL_TAKES] {
+            tokio::select! {
+                _ = self.accept(&listener) => {}
+                _ = sleep_until(began + after) => {}
+            }
+            self.close_idle();
+        }
+        // What the machine has accepted for this program by now is still served.
+        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+            self.admit(stream);
+        }
+        drop(listener);
+        while !self.0.clients.borrow().is_empty() {
+            // Again and again: a request may stop coming on only now.
+            tokio::select! {
+                _ = self.0.left.notified() => {}
+                _ = sleep(STILL_TAKES) => self.close_idle(),
+            }
+        }
+        info!("stopped: all that was taken is answered");
+    }
+
+    fn close_idle(&self) {
+        self.0.clients.borrow().iter().for_each(|client| client.close());
+    }
+
     /// Asks the connection that was idle for longest to end.
     fn make_room(&self) {
         if let Some(left_out) = self.0.full.line() {
@@ -334,10 +347,8 @@
             Ok(Err(status)) => return self.refuse(status, "the body cannot be read".into()),
             Err(_) => return self.refuse(StatusCode::REQUEST_TIMEOUT, "the body does not come".into()),
         };
-        let (path, headers) = (request.path().to_owned(), request.headers().clone());
-        drop(request);
         let (client, answer) = oneshot::channel();
-        actix_rt::spawn(lookup::live(self.0.work.clone(), lookup::Request { path, headers, body }, client));
+        actix_rt::spawn(lookup::live(self.0.work.clone(), request, body, client));
         let with = |status, body: Vec<u8>| Response::with_body(status, BoxBody::new(body));
         match answer.await.unwrap_or(Answer::Aborted) {
             Answer::Satisfied(body) => {
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::{HttpMessage, Request};
 use bytes::Bytes;
 use linenthread_core::interface::{Ending, Return, Tenths};
 use linenthread_protocol::lookup::{self as protocol, Lookup};
@@ -40,21 +41,14 @@
     pub parts_a_call: usize,
 }
 
-/// A request as it came, whole.
-pub struct Request {
-    pub path: String,
-    pub headers: actix_http::header::HeaderMap,
-    pub body: Bytes,
-}
-
 /// Reads a request and holds it to what the deployment has.
-fn decode(request: &Request, known: &Surroundings) -> Result<(Lookup, HandedIn), Answer> {
-    let header = |name: &str| request.headers.get(name).and_then(|v| v.to_str().ok());
+fn decode(request: &Request, body: &[u8], known: &Surroundings) -> Result<(Lookup, HandedIn), Answer> {
+    let header = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok());
     let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
-    let Some(index) = position(&known.indexes, protocol::index(&request.path)) else {
+    let Some(index) = position(&known.indexes, protocol::index(request.path())) else {
         return Err(Answer::Unknown("no such index".into()));
     };
-    let asked = protocol::decode(header, &request.body).map_err(Answer::Bad)?;
+    let asked = protocol::decode(header, body).map_err(Answer::Bad)?;
     let customer = match &asked.customer {
         _ if known.customers.is_empty() => 0,
         Some(name) => {
@@ -117,11 +111,12 @@
 }
 
 /// A lookup from its request to its end. `client` takes the one answer; it closes where the client leaves.
-pub async fn live(work: Rc<Work>, request: Request, client: oneshot::Sender<Answer>) {
-    let (asked, new) = match decode(&request, &work.surroundings) {
+pub async fn live(work: Rc<Work>, request: Request, body: Bytes, client: oneshot::Sender<Answer>) {
+    let (asked, new) = match decode(&request, &body, &work.surroundings) {
         Ok(decoded) => decoded,
         Err(answer) => return drop(client.send(answer)),
     };
+    drop((request, body));
     let (lookup, mut decisions) = work.desk.hand_in(new);
     let mut client = Some(client);
     let mut values: Vec<Option<String>> = vec![None; asked.parts.len()];
--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -17,14 +17,17 @@
 
 #[derive(Clone)]
 enum Command {
-    Serve(PathBuf),
+    Serve(Option<PathBuf>),
     Check(PathBuf),
     Version,
 }
 
 fn command() -> bpaf::OptionParser<Command> {
-    let file =
-        long("config").env("EDGE_CONFIG").help("The configuration, as JSON").argument::<PathBuf>("FILE");
+    let file = long("config")
+        .env("EDGE_CONFIG")
+        .help("The configuration, as JSON")
+        .argument::<PathBuf>("FILE")
+        .optional();
     let serve = construct!(Command::Serve(file))
         .to_options()
         .descr("Serves lookups until SIGTERM or SIGINT, then answers what it has taken and ends")
@@ -49,8 +52,9 @@
         .footer("Start with: EDGE_CONFIG=/run/balancer/config.json linenthread serve")
 }
 
-fn with_config(file: PathBuf, use_it: impl FnOnce(Config) -> ExitCode) -> ExitCode {
-    match Config::read(&file) {
+fn with_config(file: Option<PathBuf>, use_it: impl FnOnce(Config) -> ExitCode) -> ExitCode {
+    let read = file.ok_or_else(|| "EDGE_CONFIG is not set and there is no --config".to_owned());
+    match read.and_then(|file| Config::read(&file)) {
         Ok(config) => use_it(config),
         Err(message) => {
             eprintln!("linenthread: {message}");
@@ -65,7 +69,7 @@
             println!("linenthread {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        Command::Check(file) => with_config(file, |config| {
+        Command::Check(file) => with_config(Some(file), |config| {
             let (indexes, replicas) = (config.deployment.indexes.len(), config.remembered.replicas.len());
             println!("{}: {indexes} indexes, {replicas} replicas remembered", config.name);
             ExitCode::SUCCESS
--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -89,6 +89,8 @@
 struct Place {
     address: Option<SocketAddr>,
     links: Vec<Rc<Link>>,
+    /// The last connect failed: the next that fails is no news.
+    unreached: bool,
 }
 
 struct Inner {
@@ -252,15 +254,25 @@
     /// The life of one connection.
     async fn carry(self, link: Rc<Link>) {
         let limits = self.0.limits;
-        match timeout(limits.connect, TcpStream::connect(link.address)).await {
-            Ok(Ok(stream)) => {
-                stream.set_nodelay(true).ok();
-                if let Err(cause) = link.exchange(stream, limits.idle).await {
-                    self.tell(&link, &cause);
+        let connected = match timeout(limits.connect, TcpStream::connect(link.address)).await {
+            Ok(connected) => connected.map_err(|e| format!("cannot connect: {e}")),
+            Err(_) => Err("cannot connect in time".into()),
+        };
+        let known_unreached = self.unreached(link.replica, connected.is_err());
+        let ended = match connected {
+            Ok(stream) => {
+                if known_unreached {
+                    info!(address = %link.address, "replica connects again");
                 }
+                stream.set_nodelay(true).ok();
+                link.exchange(stream, limits.idle).await
             }
-            Ok(Err(e)) => self.tell(&link, &format!("cannot connect: {e}")),
-            Err(_) => self.tell(&link, "cannot connect in time"),
+            Err(_) if known_unreached => Ok(()),
+            Err(cause) => Err(cause),
+        };
+        if let (Err(cause), Some(left_out)) = (ended, self.0.lines.line()) {
+            let (address, out) = (link.address, link.parts.borrow().len());
+            warn!(%address, out, left_out, "replica connection ended: {cause}");
         }
         // The one place where a connection is given back, and with it all that is still out on it.
         if let Some(place) = self.0.places.borrow_mut().get_mut(link.replica) {
@@ -270,11 +282,10 @@
         link.end_all();
     }
 
-    fn tell(&self, link: &Link, cause: &str) {
-        if let Some(left_out) = self.0.lines.line() {
-            let (address, out) = (link.address, link.parts.borrow().len());
-            warn!(%address, out, left_out, "replica connection ended: {cause}");
-        }
+    /// Keeps whether the last connect to a replica failed, and says whether the one before it did.
+    fn unreached(&self, replica: usize, failed: bool) -> bool {
+        let mut places = self.0.places.borrow_mut();
+        places.get_mut(replica).is_some_and(|place| std::mem::replace(&mut place.unreached, failed))
     }
 }
 
--- a/crates/linenthread-service/tests/service.rs
+++ b/crates/linenthread-service/tests/service.rs
@@ -3,6 +3,7 @@
 mod stand_ins;
 
 use std::net::TcpListener;
+use std::process::Command;
 
 use serde_json::Value;
 use stand_ins::{Fleet, Roster, Service, config, entry, list, program, request};
@@ -145,6 +146,8 @@
     let (fleet, _roster, mut service) = start(2);
     let (mut held, mut kept) = (service.ask("find", "g1", &[0]), service.connect());
     let part = fleet.part();
+    let mut half = service.connect();
+    half.send("POST /find HTTP/1.1\r\nHost: s\r\n");
     kept.send("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n");
     assert_eq!(kept.status(), 200);
     service.signal("-TERM");
@@ -161,6 +164,7 @@
     assert!(kept.answer().is_none() && late.answer().is_none(), "idle connections end");
     part.answer("v");
     assert_eq!(held.status(), 200);
+    assert_ne!(half.answer().map(|(status, ..)| status), Some(200));
     service.logged("stopped");
     assert_eq!(service.child.wait().unwrap().code(), Some(0));
 }
@@ -236,6 +240,11 @@
             assert!(said.contains(field) && said.lines().count() == 1, "{command} {field}: {said}");
         }
     }
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_linenthread")).arg("serve").env_remove("EDGE_CONFIG").output();
+    let output = output.unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("EDGE_CONFIG"));
     let output = program(&["check"], &good.to_string()).wait_with_output().unwrap();
     assert!(output.status.success());
 }
