A log that nobody reads no longer ends the program

The log's writer reports its own errors on standard error, and panics where that is closed (log.rs, start).

--- a/crates/linenthread-service/src/log.rs
+++ b/crates/linenthread-service/src/log.rs
@@ -6,8 +6,10 @@
 /// Lines of one kind in any second; the rest are counted.
 const MOST: u32 = 5;
 
+/// A log that nobody reads any more must not bring the program down.
 pub fn start() {
-    tracing_subscriber::fmt().with_ansi(false).with_target(false).with_writer(std::io::stderr).init();
+    let log = tracing_subscriber::fmt().with_ansi(false).with_target(false).with_writer(std::io::stderr);
+    log.log_internal_errors(false).init();
 }
 
 /// Keeps one kind of line to a bounded rate.
