No part goes out after its lookup's answer, however rounds and tasks fall; steady tests

By reading: two rounds before a lookup's task runs would have sent the first round's parts after the second's answer (lookup.rs, the loop over decisions): calls now go out before whatever was decided after them. An answer to a part whose frame is still being written ends the connection (replicas.rs, hear; in the unit test). A replica beyond the descriptors kept for replicas is logged. The libraries' log lines, one for each bad request, are left out.

Tests under load failed about once in thirty runs. Seen: a second request unanswered, no line in the log. Ruled out: a lost waking and a broken connection (no warning). Found by naming the part: after one answer of a millisecond the module sends a copy of the other part, which the test took for the next lookup's. That test has one replica now, and the refused address is one that no test listens on (its port had been taken by another test's program). 40 runs of all, 20 at a time on four cores: none failed.

--- a/crates/linenthread-service/src/log.rs
+++ b/crates/linenthread-service/src/log.rs
@@ -3,13 +3,20 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
+use tracing::level_filters::LevelFilter;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::prelude::*;
+
 /// Lines of one kind in any second; the rest are counted.
 const MOST: u32 = 5;
 
-/// A log that nobody reads any more must not bring the program down.
+/// Starts the log. One that nobody reads any more must not bring the program down, and of the libraries' own
+/// lines, which bad input could bring about without bound, there are none.
 pub fn start() {
-    let log = tracing_subscriber::fmt().with_ansi(false).with_target(false).with_writer(std::io::stderr);
-    log.log_internal_errors(false).init();
+    let lines =
+        tracing_subscriber::fmt::layer().with_ansi(false).with_target(false).with_writer(std::io::stderr);
+    let own = Targets::new().with_target(env!("CARGO_CRATE_NAME"), LevelFilter::INFO);
+    tracing_subscriber::registry().with(lines.log_internal_errors(false).with_filter(own)).init();
 }
 
 /// Keeps one kind of line to a bounded rate.
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -97,6 +97,26 @@
         true
     }
 
+    /// Makes part calls, by replica and time-out.
+    fn send(
+        &mut self,
+        sends: &mut BTreeMap<(usize, Tenths), Vec<Asked>>,
+        lookup: &Lookup,
+        to: &mpsc::UnboundedSender<Ended>,
+    ) {
+        let (now, sent) = (Instant::now(), self.work.desk.clock().now());
+        for ((replica, time_out), parts) in std::mem::take(sends) {
+            let wait = Duration::from_micros(time_out.max(1) as u64 * 100);
+            let wait_ms = wait.as_micros().div_ceil(1000) as u64;
+            for parts in parts.chunks(self.work.parts_a_call.max(1)) {
+                let at = self.work.replicas.call(replica, &lookup.id, parts, wait_ms, &lookup.text, to);
+                for (Asked { part, call, .. }, at) in parts.iter().zip(at) {
+                    self.out.insert((*part, *call), Out { sent, due: now + wait, at });
+                }
+            }
+        }
+    }
+
     fn due(&self) -> Option<Instant> {
         self.out.values().map(|out| out.due).min()
     }
@@ -153,15 +173,19 @@
                 continue;
             }
         };
-        // All that a round decided on this lookup is here at once; its parts for one replica share a call.
-        let mut sends: BTreeMap<(usize, Tenths), Vec<Asked>> = BTreeMap::new();
+        // What was decided on this lookup by now is all here. Calls in a row that go to one replica share a
+        // frame; whatever else is decided takes effect after the calls before it.
+        let mut sends = BTreeMap::new();
         let mut next = Some(first);
         while let Some(decision) = next {
+            if !matches!(decision, Decision::Call { .. }) {
+                calls.send(&mut sends, &asked, &to_here);
+            }
             match decision {
                 Decision::Call { part, replica, time_out } => {
                     let asked = Asked { part, call: made[part], shard: asked.parts[part].shard };
                     made[part] += 1;
-                    sends.entry((replica, time_out)).or_default().push(asked);
+                    sends.entry((replica, time_out)).or_insert_with(Vec::new).push(asked);
                 }
                 Decision::Withdraw { part, call } => {
                     calls.end(part, call, Ending::Withdrawn, None);
@@ -178,18 +202,7 @@
             }
             next = decisions.try_recv().ok();
         }
-        let now = Instant::now();
-        let sent = work.desk.clock().now();
-        for ((replica, time_out), parts) in sends {
-            let wait = Duration::from_micros(time_out.max(1) as u64 * 100);
-            for parts in parts.chunks(work.parts_a_call.max(1)) {
-                let wait_ms = wait.as_micros().div_ceil(1000) as u64;
-                let at = work.replicas.call(replica, &asked.id, parts, wait_ms, &asked.text, &to_here);
-                for (Asked { part, call, .. }, at) in parts.iter().zip(at) {
-                    calls.out.insert((*part, *call), Out { sent, due: now + wait, at });
-                }
-            }
-        }
+        calls.send(&mut sends, &asked, &to_here);
     }
 }
 
--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -76,6 +76,7 @@
 struct Link {
     replica: usize,
     address: SocketAddr,
+    withdraw: bool,
     frames: RefCell<VecDeque<Frame>>,
     parts: RefCell<BTreeMap<String, Waiter>>,
     probes: RefCell<VecDeque<ProbeWaiter>>,
@@ -112,7 +113,6 @@
     id: String,
     number: u64,
     sent: Instant,
-    withdraw: bool,
 }
 
 impl PartOut {
@@ -132,7 +132,7 @@
         let alone = |f: &Frame| matches!(&f.parts[..], [(_, number)] if *number == self.number);
         match frames.iter().position(alone) {
             Some(unwritten) if !written => drop(frames.remove(unwritten)),
-            _ if !self.withdraw => {}
+            _ if !self.link.withdraw => {}
             _ => frames.push_back(Frame { bytes: frame::give_up(&self.id), parts: Vec::new(), probe: false }),
         }
         self.link.news.notify_one();
@@ -197,8 +197,7 @@
             let waiter = Waiter { number, asked, written: false, to: to.clone() };
             link.parts.borrow_mut().insert(id.clone(), waiter);
             frame.parts.push((id.clone(), number));
-            let (link, withdraw) = (link.clone(), self.0.limits.withdraw);
-            out.push(Some(PartOut { link, id, number, sent: Instant::now(), withdraw }));
+            out.push(Some(PartOut { link: link.clone(), id, number, sent: Instant::now() }));
         }
         link.frames.borrow_mut().push_back(frame);
         link.news.notify_one();
@@ -237,12 +236,16 @@
             return Some(link.clone());
         }
         if self.0.connections.get() >= self.0.limits.connections {
+            if let Some(left_out) = self.0.lines.line() {
+                warn!(%address, left_out, "no connection left for a replica: all descriptors for them are in use");
+            }
             return None;
         }
         self.0.connections.set(self.0.connections.get() + 1);
         let link = Rc::new(Link {
             replica,
             address,
+            withdraw: self.0.limits.withdraw,
             frames: RefCell::default(),
             parts: RefCell::default(),
             probes: RefCell::default(),
@@ -373,6 +376,9 @@
     fn hear(&self, word: Word) -> Result<(), String> {
         match word {
             Word::Part { id, ending, queue, value } => {
+                if self.parts.borrow().get(&id).is_some_and(|w| !w.written) {
+                    return Err("an answer to a part not yet sent".into());
+                }
                 // What is no longer out has been given up: its late answer is dropped.
                 if let Some(Waiter { asked: Asked { part, call, .. }, to, .. }) =
                     self.parts.borrow_mut().remove(&id)
@@ -433,7 +439,8 @@
             let out: Vec<_> = (0..500).map(call).collect();
             let (mut replica, _) = listener.accept().await.unwrap();
             replica.read_exact(&mut vec![0; 61_000]).await.unwrap();
-            drop(replica);
+            // An answer to what was never sent whole is no answer.
+            replica.write_all(b"\0\0\0\x10El.499 hit 1 -\nv").await.unwrap();
             let mut endings = vec![None; 500];
             for _ in 0..500 {
                 let Ended { part, ending, .. } = ended.recv().await.unwrap();
--- a/crates/linenthread-service/tests/service.rs
+++ b/crates/linenthread-service/tests/service.rs
@@ -20,7 +20,7 @@
 
 #[test]
 fn a_lookup_is_served_with_the_values_that_replicas_gave() {
-    let (fleet, _roster, service) = start(2);
+    let (fleet, _roster, service) = start(1);
     let mut client = service.ask("find", "7f", &[0, 3]);
     for _ in 0..2 {
         let part = fleet.part();
@@ -39,7 +39,9 @@
         request("find", "80", &[1]).replace("Content-Length: ", "Transfer-Encoding: chunked\r\nX-Was: ");
     let (head, body) = chunked.split_once("\r\n\r\n").unwrap();
     client.send(&format!("{head}\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len()));
-    fleet.part().answer("once more");
+    let part = fleet.part();
+    assert_eq!(part.id, "80.1");
+    part.answer("once more");
     assert_eq!(client.status(), 200);
 }
 
@@ -61,11 +63,11 @@
 
 #[test]
 fn a_frame_that_cannot_be_used_ends_its_connection() {
-    let (fleet, _roster, service) = start(2);
     let bad: [(u8, &str); 4] =
         [(b'F', "what was that"), (b'Z', "?"), (b'E', "no end"), (b'E', "b1.2 hit x -\n")];
-    for (i, (letter, rest)) in bad.into_iter().enumerate() {
-        let mut client = service.ask("find", &format!("b{i}"), &[2]);
+    for (letter, rest) in bad {
+        let (fleet, _roster, service) = start(2);
+        let mut client = service.ask("find", "b1", &[2]);
         fleet.part().say(letter, rest);
         fleet.part().answer("v");
         assert_eq!(client.status(), 200, "after {rest:?}");
@@ -76,7 +78,7 @@
 #[test]
 fn a_once_only_part_that_never_left_goes_to_the_twin() {
     let fleet = Fleet::start(1);
-    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let nobody = "127.0.0.9:1".parse().unwrap();
     let known = list(1, true, vec![entry(0, nobody, "active"), entry(1, fleet.addresses[0], "active")]);
     let roster = Roster::start(known.clone());
     let service = Service::start(&config(roster.address, &known, 1024));
--- a/crates/linenthread-service/tests/stand_ins/mod.rs
+++ b/crates/linenthread-service/tests/stand_ins/mod.rs
@@ -230,7 +230,8 @@
 pub fn program(command: &[&str], config: &str) -> Child {
     static STARTS: AtomicUsize = AtomicUsize::new(0);
     let number = STARTS.fetch_add(1, Ordering::Relaxed);
-    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("config-{number}.json"));
+    let file =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("config-{}-{number}.json", std::process::id()));
     std::fs::write(&file, config).unwrap();
     let mut program = Command::new(env!("CARGO_BIN_EXE_linenthread"));
     match command {
@@ -292,6 +293,7 @@
 impl Drop for Service {
     fn drop(&mut self) {
         self.child.kill().ok();
+        self.lines.iter().for_each(|line| println!("{line}"));
         self.child.wait().ok();
     }
 }
