--- a/crates/linenthread-service/tests/service.rs
+++ b/crates/linenthread-service/tests/service.rs
@@ -8,16 +8,22 @@
 use serde_json::Value;
 use stand_ins::{Fleet, Roster, Service, config, entry, list, program, request};
 
-/// A program with replicas of its own, all ready.
-fn start(replicas: usize) -> (Fleet, Roster, Service) {
+/// A program with replicas of its own, all ready, on a configuration changed at one place.
+fn start_with(replicas: usize, place: &str, value: Value) -> (Fleet, Roster, Service) {
     let fleet = Fleet::start(replicas);
-    let known =
-        list(1, true, fleet.addresses.iter().enumerate().map(|(i, a)| entry(i, *a, "active")).collect());
+    let entries = fleet.addresses.iter().enumerate().map(|(i, a)| entry(i, *a, "active"));
+    let known = list(1, true, entries.collect());
     let roster = Roster::start(known.clone());
-    let service = Service::start(&config(roster.address, &known, 1024));
+    let mut config = config(roster.address, &known);
+    *config.pointer_mut(place).unwrap() = value;
+    let service = Service::start(&config);
     (fleet, roster, service)
 }
 
+fn start(replicas: usize) -> (Fleet, Roster, Service) {
+    start_with(replicas, "/name", "n0".into())
+}
+
 #[test]
 fn a_lookup_is_served_with_the_values_that_replicas_gave() {
     let (fleet, _roster, service) = start(1);
@@ -81,7 +87,7 @@
     let nobody = "127.0.0.9:1".parse().unwrap();
     let known = list(1, true, vec![entry(0, nobody, "active"), entry(1, fleet.addresses[0], "active")]);
     let roster = Roster::start(known.clone());
-    let service = Service::start(&config(roster.address, &known, 1024));
+    let service = Service::start(&config(roster.address, &known));
     for id in 0..8 {
         let mut client = service.ask("order", &format!("c{id}"), &[0, 1, 2, 3]);
         (0..4).for_each(|_| fleet.part().answer("v"));
@@ -104,12 +110,7 @@
 
 #[test]
 fn where_parts_may_not_be_given_up_they_time_out() {
-    let fleet = Fleet::start(1);
-    let known = list(1, true, vec![entry(0, fleet.addresses[0], "active")]);
-    let roster = Roster::start(known.clone());
-    let mut config = config(roster.address, &known, 1024);
-    config["settings"]["allowed"]["cancel"] = false.into();
-    let service = Service::start(&config);
+    let (fleet, _roster, service) = start_with(1, "/settings/allowed/cancel", false.into());
     let mut client = service.ask("swift", "k1", &[1]);
     let late = fleet.part();
     assert_eq!(client.status(), 503);
@@ -121,6 +122,37 @@
     assert_eq!(fleet.rest(), [""; 0]);
 }
 
+#[test]
+fn connections_are_shared_filled_and_left_in_time() {
+    let (fleet, _roster, service) = start_with(1, "/settings/allowed/streams-per-conn", 2.into());
+    let mut client = service.ask("find", "l1", &[0, 1, 2]);
+    let parts = [fleet.part(), fleet.part(), fleet.part()];
+    let mut from: Vec<_> = parts.iter().map(|p| p.from()).collect();
+    from.dedup();
+    assert_eq!(from.len(), 2, "a second one for what the first has no room for");
+    parts.iter().for_each(|part| part.answer("v"));
+    assert_eq!(client.status(), 200);
+
+    let (fleet, _roster, service) = start_with(1, "/settings/allowed/conn-idle-ms", 400.into());
+    for id in ["l2", "l3"] {
+        let mut client = service.ask("order", id, &[0]);
+        let part = fleet.part();
+        part.answer("v");
+        assert_eq!(client.status(), 200);
+        assert!(part.ended(), "an idle one is closed before the replica closes it");
+    }
+}
+
+#[test]
+fn parts_for_one_replica_share_a_part_call() {
+    let (fleet, _roster, service) = start_with(1, "/settings/family-info/parts-a-call", 2.into());
+    let mut client = service.ask("find", "m1", &[0, 1, 2]);
+    let parts = [fleet.part(), fleet.part(), fleet.part()];
+    assert_eq!(parts.iter().map(|p| p.frame).collect::<Vec<_>>(), [1, 1, 2]);
+    parts.iter().for_each(|part| part.answer("v"));
+    assert_eq!(client.status(), 200);
+}
+
 #[test]
 fn the_parts_of_a_client_that_leaves_are_given_up() {
     let (fleet, _roster, service) = start(2);
@@ -160,7 +192,7 @@
     let fleet = Fleet::start(1);
     let known = list(1, true, vec![entry(0, fleet.addresses[0], "active")]);
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
-    let service = Service::start(&config(silent.local_addr().unwrap(), &known, 1024));
+    let service = Service::start(&config(silent.local_addr().unwrap(), &known));
     service.logged("roster failed");
     let mut client = service.ask("find", "j1", &[0]);
     fleet.part().answer("v");
@@ -230,11 +262,7 @@
 
 #[test]
 fn others_are_served_beside_more_connections_than_there_is_room_for() {
-    let fleet = Fleet::start(2);
-    let known =
-        list(1, true, fleet.addresses.iter().enumerate().map(|(i, a)| entry(i, *a, "active")).collect());
-    let roster = Roster::start(known.clone());
-    let service = Service::start(&config(roster.address, &known, 64));
+    let (fleet, _roster, service) = start_with(2, "/limits/sockets", 64.into());
     let mut idle: Vec<_> = (0..80).map(|_| service.connect()).collect();
     let mut client = service.ask("find", "i1", &[0]);
     fleet.part().answer("v");
@@ -244,7 +272,7 @@
 
 #[test]
 fn a_bad_configuration_is_named_in_one_line() {
-    let good = config("127.0.0.1:1".parse().unwrap(), &list(1, true, vec![]), 1024);
+    let good = config("127.0.0.1:1".parse().unwrap(), &list(1, true, vec![]));
     let without = |pointer: &str, value: Value| {
         let mut config = good.clone();
         *config.pointer_mut(pointer).unwrap() = value;
--- a/crates/linenthread-service/tests/stand_ins/mod.rs
+++ b/crates/linenthread-service/tests/stand_ins/mod.rs
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub struct Part {
     pub replica: usize,
+    /// Which part call of its connection brought it.
+    pub frame: usize,
     pub id: String,
     pub shard: usize,
     pub list: String,
@@ -39,6 +41,17 @@
         self.say(b'E', &format!("{} hit 17 queue=0\n{value}", self.id));
     }
 
+    /// The other end of the connection that the part came on.
+    pub fn from(&self) -> SocketAddr {
+        self.line.peer_addr().unwrap()
+    }
+
+    /// Waits until the other side has ended that connection.
+    pub fn ended(&self) -> bool {
+        self.line.set_read_timeout(Some(PATIENCE)).unwrap();
+        self.line.peek(&mut [0]).is_ok_and(|n| n == 0)
+    }
+
     /// Ends the connection that the part came on.
     pub fn cut(&self) {
         self.line.shutdown(Shutdown::Both).unwrap();
@@ -97,7 +110,20 @@
     }
 }
 
+/// The parts of one part call: id, shard, list and text of each.
+fn parts(mut rest: &str) -> Vec<[&str; 4]> {
+    let mut parts = Vec::new();
+    while let Some((head, tail)) = rest.split_once('\n') {
+        let [id, shard, list, length] = head.split(' ').collect::<Vec<_>>()[..] else { panic!("{head}") };
+        let (text, next) = tail.split_at(length.parse().unwrap());
+        parts.push([id, shard, list, text]);
+        rest = next;
+    }
+    parts
+}
+
 fn hear(replica: usize, mut line: TcpStream, to: Sender<Heard>) {
+    let mut frames = 0;
     loop {
         let mut head = [0; 5];
         if line.read_exact(&mut head).is_err() {
@@ -110,14 +136,16 @@
         let rest = String::from_utf8(rest).unwrap();
         let heard = match head[4] {
             b'A' => {
-                let (head, text) = rest.split_once('\n').unwrap();
-                let [id, shard, list, length] = head.split(' ').collect::<Vec<_>>()[..] else {
-                    panic!("{head}")
-                };
-                assert_eq!(length.parse(), Ok(text.len()));
-                let (id, list, text) = (id.into(), list.into(), text.into());
-                let line = line.try_clone().unwrap();
-                Heard::Part(Part { replica, id, shard: shard.parse().unwrap(), list, text, line })
+                frames += 1;
+                for part in parts(&rest) {
+                    let [id, shard, list, text] = part.map(str::to_owned);
+                    let (shard, line) = (shard.parse().unwrap(), line.try_clone().unwrap());
+                    let part = Part { replica, frame: frames, id, shard, list, text, line };
+                    if to.send(Heard::Part(part)).is_err() {
+                        return;
+                    }
+                }
+                continue;
             }
             b'B' => Heard::GivenUp(rest),
             b'D' => {
@@ -220,9 +248,9 @@
     })
 }
 
-pub fn config(roster: SocketAddr, known: &str, sockets: usize) -> Value {
+pub fn config(roster: SocketAddr, known: &str) -> Value {
     json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": roster.to_string(), "seed": "8c1f30d27a5be964",
-           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
            "known": serde_json::from_str::<Value>(known).unwrap(), "settings": settings()})
 }
 
