--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -16,6 +16,7 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_core::Stream;
+use linenthread_core::interface::Tenths;
 use linenthread_protocol::lookup as protocol;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket};
@@ -156,21 +157,21 @@
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
     let (Ok(mut terminate), Ok(mut interrupt)) = signals else { return Err("cannot watch signals".into()) };
-    let share = (config.sockets / 8).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
-    let tenths = |t: i64| Duration::from_micros(t.max(1) as u64 * 100);
-    let surroundings = &config.surroundings;
-    let connect = tenths(surroundings.connect_time_out);
-    let idle = tenths(surroundings.idle);
+    // Descriptors for replicas come before those for clients: two a replica, an eighth of all at the least.
+    let for_replicas = (config.sockets / 8).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
+    let (surroundings, layout) = (&config.surroundings, &config.deployment.layout);
+    let withdraw = config.deployment.allowance.withdraw;
+    let time = |t: Tenths| Duration::from_micros(t.max(1) as u64 * 100);
+    let (connect, idle) = (time(surroundings.connect_time_out), time(surroundings.idle));
     let replicas = Replicas::new(Limits {
         streams: surroundings.streams,
-        withdraw: config.deployment.allowance.withdraw,
+        withdraw,
         connect,
         probe: connect,
         idle: idle - idle / 8,
-        connections: share,
+        connections: for_replicas,
     });
     let desk = Desk::new(&config, replicas.clone());
-    let layout = &config.deployment.layout;
     let ask_first = !config.deployment.watch_roster;
     let mut rounds = actix_rt::spawn(desk.clone().run());
     let mut watch = actix_rt::spawn(roster::watch(desk.clone(), config.roster, layout.cells, ask_first));
@@ -178,13 +179,13 @@
         desk,
         replicas,
         surroundings: surroundings.clone(),
-        withdraw: config.deployment.allowance.withdraw,
+        withdraw,
         parts_a_call: layout.parts_a_call,
     });
     let front = Front(Rc::new(Inner {
         work,
         clients: RefCell::default(),
-        most: config.sockets - share - OWN_DESCRIPTORS,
+        most: config.sockets - for_replicas - OWN_DESCRIPTORS,
         stopping: Cell::new(false),
         left: Notify::new(),
         refused: Sparing::default(),
