--- a/crates/linenthread-protocol/tests/messages.rs
+++ b/crates/linenthread-protocol/tests/messages.rs
@@ -106,7 +106,8 @@
     assert_eq!(read("x-object", None, BODY).unwrap().key, None);
     assert_eq!(lookup::index("/checkout/more"), "checkout");
     let body = lookup::answer(false, [(3, "5be2a07c19f04d63"), (9, "a \"b\"")].into_iter());
-    let text = r#"{"finished":false,"found":[{"bucket":3,"item":"5be2a07c19f04d63"},{"bucket":9,"item":"a \"b\""}]}"#;
+    let found = r#"[{"bucket":3,"item":"5be2a07c19f04d63"},{"bucket":9,"item":"a \"b\""}]"#;
+    let text = format!(r#"{{"finished":false,"found":{found}}}"#);
     assert_eq!(String::from_utf8(body).unwrap(), text);
     assert_eq!(lookup::retry_after(1250.0), "1.250");
 }
@@ -146,12 +147,9 @@
 #[test]
 fn lists_are_read_and_bad_ones_refused() {
     let list = |cell: &str, phase: &str, address: &str| {
-        let of = format!(
-            r#""locality":"a","flavor":"m2","cell":{cell},"phase":"{phase}","size":1.0,"up_since_ms":5"#
-        );
-        format!(
-            r#"{{"revision":43,"complete":false,"members":[{{"id":"s-5be2a07c","host_port":"{address}",{of}}}]}}"#
-        )
+        let place = format!(r#""host_port":"{address}","locality":"a","flavor":"m2","cell":{cell}"#);
+        let member = format!(r#"{{"id":"s-5be2a07c",{place},"phase":"{phase}","size":1.0,"up_since_ms":5}}"#);
+        format!(r#"{{"revision":43,"complete":false,"members":[{member}]}}"#)
     };
     let read = |text: &str| roster::decode(text.as_bytes(), 4);
     for (word, phase) in [("active", Phase::Ready), ("leaving", Phase::Draining), ("left", Phase::Gone)] {
--- a/crates/linenthread-service/src/config.rs
+++ b/crates/linenthread-service/src/config.rs
@@ -44,7 +44,7 @@
         let deployment = terms::deployment(settings)?;
         if let Some(i) = deployment.indexes.iter().position(|i| i.second_step > 0) {
             return Err(format!(
-                "settings: family-info.fetch-parts of index {i} asks for a second step, which has no protocol here"
+                "settings: family-info.fetch-parts: a second step, as index {i} has, has no protocol"
             ));
         }
         let known = serde_json::to_vec(field("known")?).map_err(|e| format!("known: {e}"))?;
--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -237,7 +237,7 @@
         }
         if self.0.connections.get() >= self.0.limits.connections {
             if let Some(left_out) = self.0.lines.line() {
-                warn!(%address, left_out, "no connection left for a replica: all descriptors for them are in use");
+                warn!(%address, left_out, "no connection left for a replica");
             }
             return None;
         }
@@ -300,7 +300,7 @@
 impl Link {
     fn unheard_since(&self, sent: Instant) {
         if self.last_read.get() < sent && !self.silent.replace(true) {
-            info!(address = %self.address, "replica connection is silent; no more goes on it until it speaks");
+            info!(address = %self.address, "replica connection is silent; no more goes on it");
             self.news.notify_one();
         }
     }
--- a/crates/linenthread-service/tests/stand_ins/mod.rs
+++ b/crates/linenthread-service/tests/stand_ins/mod.rs
@@ -220,15 +220,15 @@
 }
 
 pub fn entry(id: usize, address: SocketAddr, phase: &str) -> Value {
-    json!({"id": format!("s-{id}"), "host_port": address.to_string(), "locality": "a", "flavor": "m", "cell": id,
-           "phase": phase, "size": 1.0, "up_since_ms": 0})
+    json!({"id": format!("s-{id}"), "host_port": address.to_string(), "locality": "a", "flavor": "m",
+           "cell": id, "phase": phase, "size": 1.0, "up_since_ms": 0})
 }
 
 pub fn list(revision: u64, whole: bool, members: Vec<Value>) -> String {
     json!({"revision": revision, "complete": whole, "members": members}).to_string()
 }
 
-/// Settings of two cells, each with all four shards, and three indexes: `find`, `order` (once-only) and `swift`.
+/// Settings of two cells, each with all four shards; indexes `find`, `order` (once-only), `swift` (700 ms).
 fn settings() -> Value {
     let class = |name: &str, runs: &str, soft: u64| {
         json!({"name": name, "idempotency": runs, "promise-ms": soft, "worth": 1.0, "late-share": 0.0,
@@ -236,13 +236,14 @@
     };
     json!({
         "me": 0, "balancers": 1, "membership-mode": "pushed", "dcs": ["a"], "tick-ms": 5,
-        "classes": [class("find", "safe", 15000), class("order", "unsafe", 15000), class("swift", "safe", 700)],
+        "classes": [class("find", "safe", 15000), class("order", "unsafe", 15000),
+                    class("swift", "safe", 700)],
         "accounts": [{"name": "acme", "quota-rps": 100.0, "share": 1.0}],
         "family-info": {"cells": 2, "in-a-row": 2, "ranges": 4, "parts-a-call": 1, "need-by-class": [1, 1, 1],
                         "floor-by-class": [1, 1, 1], "incomplete-worth": [0, 0, 0], "fetch-parts": [0, 0, 0]},
-        "allowed": {"max-attempts": 3, "second-copies": true, "cancel": true, "probes": true, "retry-after": true,
-                    "max-retry-after-ms": 2000, "streams-per-conn": 100, "connect-timeout-ms": 250,
-                    "conn-idle-ms": 15000},
+        "allowed": {"max-attempts": 3, "second-copies": true, "cancel": true, "probes": true,
+                    "retry-after": true, "max-retry-after-ms": 2000, "streams-per-conn": 100,
+                    "connect-timeout-ms": 250, "conn-idle-ms": 15000},
         "safety": {"cold-share": 0.2, "warm-up-ms": 1000, "fall-multiple": 2, "tip-after-ms": 1000},
         "telemetry": {"names": ["queue"], "source": "answers"}
     })
@@ -334,10 +335,8 @@
     let parts: Vec<Value> = shards.iter().map(part).collect();
     let body = json!({"buckets": parts, "body": "what is asked"}).to_string();
     let headers = "X-Customer: acme\r\nX-Object: 7f3a9c21e0b4d655\r\nX-Expires-In-Ms: 20000";
-    let length = body.len();
-    format!(
-        "POST /{index} HTTP/1.1\r\nHost: s\r\nX-Trace-Id: {id}\r\n{headers}\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
+    let length = format!("Content-Length: {}", body.len());
+    format!("POST /{index} HTTP/1.1\r\nHost: s\r\nX-Trace-Id: {id}\r\n{headers}\r\n{length}\r\n\r\n{body}")
 }
 
 impl Client {
