Tidy up the service: one conversion of time, one way into a round, one frame builder

Read over once more; no behaviour, bound or test changes. The remembered list is read from the value that it already is, and no longer written out and parsed again. Gone: a log line that the filter never let through, a conversion that converted nothing, and a second word on whether a queued frame was written, which it never is.

--- a/crates/linenthread-protocol/src/frame.rs
+++ b/crates/linenthread-protocol/src/frame.rs
@@ -4,12 +4,10 @@
 use linenthread_core::interface::Ending;
 
 /// Longer frames from a replica are not read.
-pub const LONGEST: usize = 256 * 1024;
+const LONGEST: usize = 256 * 1024;
 
-fn put(out: &mut Vec<u8>, letter: u8, rest: &[u8]) {
-    out.extend_from_slice(&(rest.len() as u32 + 1).to_be_bytes());
-    out.push(letter);
-    out.extend_from_slice(rest);
+fn framed(letter: u8, rest: &[u8]) -> Vec<u8> {
+    [&(rest.len() as u32 + 1).to_be_bytes()[..], &[letter], rest].concat()
 }
 
 pub fn part_id(lookup: &str, shard: usize) -> String {
@@ -23,23 +21,17 @@
         rest.extend_from_slice(format!("{id} {shard} d={wait_ms} {}\n", text.len()).as_bytes());
         rest.extend_from_slice(text.as_bytes());
     }
-    let mut out = Vec::with_capacity(rest.len() + 5);
-    put(&mut out, b'A', &rest);
-    out
+    framed(b'A', &rest)
 }
 
 /// Word that a part is no longer waited for.
 pub fn give_up(id: &str) -> Vec<u8> {
-    let mut out = Vec::new();
-    put(&mut out, b'B', id.as_bytes());
-    out
+    framed(b'B', id.as_bytes())
 }
 
 /// A probe that asks for the load.
 pub fn probe() -> Vec<u8> {
-    let mut out = Vec::new();
-    put(&mut out, b'D', b"");
-    out
+    framed(b'D', b"")
 }
 
 /// What a replica says.
--- a/crates/linenthread-protocol/src/roster.rs
+++ b/crates/linenthread-protocol/src/roster.rs
@@ -53,7 +53,16 @@
 
 /// Reads a list, and holds it to the number of cells that the deployment has.
 pub fn decode(text: &[u8], cells: usize) -> Result<List, String> {
-    let list: List = serde_json::from_slice(text).map_err(|e| format!("the list does not parse: {e}"))?;
+    held_to(cells, serde_json::from_slice(text))
+}
+
+/// The same for a list that stands in a larger text, already read.
+pub fn from_value(value: &serde_json::Value, cells: usize) -> Result<List, String> {
+    held_to(cells, List::deserialize(value))
+}
+
+fn held_to(cells: usize, read: serde_json::Result<List>) -> Result<List, String> {
+    let list = read.map_err(|e| format!("the list does not parse: {e}"))?;
     if list.replicas.len() > MOST_REPLICAS {
         return Err(format!("the list has {} replicas, more than {MOST_REPLICAS}", list.replicas.len()));
     }
--- a/crates/linenthread-service/src/config.rs
+++ b/crates/linenthread-service/src/config.rs
@@ -47,7 +47,6 @@
                 "settings: family-info.fetch-parts: a second step, as index {i} has, has no protocol"
             ));
         }
-        let known = serde_json::to_vec(field("known")?).map_err(|e| format!("known: {e}"))?;
         Ok(Config {
             name: words("name")?,
             listen: address("listen")?,
@@ -58,7 +57,8 @@
                 .map(|n| n as usize)
                 .filter(|n| *n >= FEWEST_SOCKETS)
                 .ok_or_else(|| format!("limits.sockets is no number from {FEWEST_SOCKETS}"))?,
-            remembered: roster::decode(&known, deployment.layout.cells).map_err(|e| format!("known: {e}"))?,
+            remembered: roster::from_value(field("known")?, deployment.layout.cells)
+                .map_err(|e| format!("known: {e}"))?,
             surroundings: terms::surroundings(settings)?,
             deployment,
         })
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -30,6 +30,11 @@
     Abort,
 }
 
+/// A length of the module's time.
+pub fn span(tenths: Tenths) -> Duration {
+    Duration::from_micros(tenths.max(0) as u64 * 100)
+}
+
 /// Monotonic time as the module has it, and the system's time on the same scale.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -48,7 +53,7 @@
     }
 
     pub fn at(&self, moment: Tenths) -> Instant {
-        self.start + Duration::from_micros((moment - EPOCH).max(0) as u64 * 100)
+        self.start + span(moment - EPOCH)
     }
 
     fn of_unix(&self, ms: f64) -> Tenths {
@@ -141,8 +146,7 @@
         let desk = self.desk.clone();
         actix_rt::spawn(async move {
             let (ending, queue) = desk.0.replicas.probe(replica).await;
-            desk.0.state.borrow_mut().arrivals.probes.push(ProbeReturn { replica, ending, queue });
-            desk.0.came.notify_one();
+            desk.arrive(|arrivals| arrivals.probes.push(ProbeReturn { replica, ending, queue }));
         });
     }
 
@@ -209,6 +213,12 @@
         lapsed.clear();
     }
 
+    /// Puts what came in into the next round.
+    fn arrive(&self, put: impl FnOnce(&mut Arrivals)) {
+        put(&mut self.0.state.borrow_mut().arrivals);
+        self.0.came.notify_one();
+    }
+
     /// Takes a lookup on: its index, and where decisions on it come. They end when it is over and nothing
     /// of it is out.
     pub fn hand_in(&self, new: HandedIn) -> (usize, mpsc::UnboundedReceiver<Decision>) {
@@ -230,14 +240,12 @@
 
     /// A part call ended.
     pub fn give_back(&self, back: Return) {
-        self.0.state.borrow_mut().arrivals.returns.push(back);
-        self.0.came.notify_one();
+        self.arrive(|arrivals| arrivals.returns.push(back));
     }
 
     /// A lookup's client has left.
     pub fn lapse(&self, lookup: usize) {
-        self.0.state.borrow_mut().arrivals.lapsed.push(lookup);
-        self.0.came.notify_one();
+        self.arrive(|arrivals| arrivals.lapsed.push(lookup));
     }
 
     /// News of the roster; `None` where it could not be had.
@@ -255,8 +263,7 @@
     }
 
     fn hear_roster(&self, news: RosterNews) {
-        self.0.state.borrow_mut().arrivals.roster.push(news);
-        self.0.came.notify_one();
+        self.arrive(|arrivals| arrivals.roster.push(news));
     }
 
     /// Turns a list's ids into indices, and tells where its replicas are found.
--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -16,7 +16,6 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_core::Stream;
-use linenthread_core::interface::Tenths;
 use linenthread_protocol::lookup as protocol;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket};
@@ -26,7 +25,7 @@
 use tracing::{info, warn};
 
 use crate::config::Config;
-use crate::desk::Desk;
+use crate::desk::{self, Desk};
 use crate::log::Sparing;
 use crate::lookup::{self, Answer, Work};
 use crate::replicas::{Limits, Replicas};
@@ -161,8 +160,8 @@
     let for_replicas = (config.sockets / 8).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
     let (surroundings, layout) = (&config.surroundings, &config.deployment.layout);
     let withdraw = config.deployment.allowance.withdraw;
-    let time = |t: Tenths| Duration::from_micros(t.max(1) as u64 * 100);
-    let (connect, idle) = (time(surroundings.connect_time_out), time(surroundings.idle));
+    let connect = desk::span(surroundings.connect_time_out.max(1));
+    let idle = desk::span(surroundings.idle.max(1));
     let replicas = Replicas::new(Limits {
         streams: surroundings.streams,
         withdraw,
@@ -217,10 +216,9 @@
         loop {
             if self.0.clients.borrow().len() >= self.0.most {
                 self.make_room();
-                let retry = Instant::now() + Duration::from_millis(100);
                 tokio::select! {
                     _ = self.0.left.notified() => {}
-                    _ = sleep_until(retry) => {}
+                    _ = sleep(Duration::from_millis(100)) => {}
                 }
                 continue;
             }
@@ -321,9 +319,8 @@
             }));
         let Ok(service) = service.new_service(()).await else { return };
         let stream = ClientStream { io: stream, client };
-        if let Err(e) = service.call((stream, Some(address))).await {
-            tracing::debug!("client connection ended: {e}");
-        }
+        // However a client's connection ends, what it asked has had its answer or is told as lapsed.
+        service.call((stream, Some(address))).await.ok();
     }
 
     async fn respond(&self, request: Request) -> Response<BoxBody> {
@@ -335,8 +332,7 @@
             (protocol::HEALTH, _) => Response::new(StatusCode::METHOD_NOT_ALLOWED),
             (_, &Method::POST) => self.look_up(request).await,
             _ => Response::new(StatusCode::METHOD_NOT_ALLOWED),
-        }
-        .map_into_boxed_body();
+        };
         if self.0.stopping.get() {
             response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -106,7 +106,7 @@
     ) {
         let (now, sent) = (Instant::now(), self.work.desk.clock().now());
         for ((replica, time_out), parts) in std::mem::take(sends) {
-            let wait = Duration::from_micros(time_out.max(1) as u64 * 100);
+            let wait = desk::span(time_out.max(1));
             let wait_ms = wait.as_micros().div_ceil(1000) as u64;
             for parts in parts.chunks(self.work.parts_a_call.max(1)) {
                 let at = self.work.replicas.call(replica, &lookup.id, parts, wait_ms, &lookup.text, to);
--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -125,13 +125,14 @@
 impl Drop for PartOut {
     fn drop(&mut self) {
         let mut parts = self.link.parts.borrow_mut();
-        let Some(waiter) = parts.get(&self.id).filter(|w| w.number == self.number) else { return };
-        let written = waiter.written;
+        if parts.get(&self.id).is_none_or(|waiter| waiter.number != self.number) {
+            return;
+        }
         parts.remove(&self.id);
         let mut frames = self.link.frames.borrow_mut();
         let alone = |f: &Frame| matches!(&f.parts[..], [(_, number)] if *number == self.number);
         match frames.iter().position(alone) {
-            Some(unwritten) if !written => drop(frames.remove(unwritten)),
+            Some(unwritten) => drop(frames.remove(unwritten)),
             _ if !self.link.withdraw => {}
             _ => frames.push_back(Frame { bytes: frame::give_up(&self.id), parts: Vec::new(), probe: false }),
         }
--- a/crates/linenthread-terms/src/lib.rs
+++ b/crates/linenthread-terms/src/lib.rs
@@ -85,12 +85,16 @@
     find(root, "telemetry.names")?.as_array()?.iter().position(|name| name == "queue")
 }
 
-/// The names of the things listed at a path; there may be no such list.
+/// The things listed at a path; there may be no such list.
+fn listed<'a>(root: &'a Value, path: &str) -> &'a [Value] {
+    find(root, path).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+}
+
+/// The names of the things listed at a path.
 fn names(root: &Value, path: &str, of: impl Fn(&Value) -> Option<&str>) -> Result<Vec<String>, String> {
-    let listed = find(root, path).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
     let name =
         |v| of(v).map(str::to_owned).ok_or_else(|| format!("settings: {path} has an entry with no name"));
-    listed.iter().map(name).collect()
+    listed(root, path).iter().map(name).collect()
 }
 
 pub fn surroundings(root: &Value) -> Result<Surroundings, String> {
@@ -119,9 +123,7 @@
         own_number: count(root, "me")?,
         co_ordinators: count(root, "balancers")?.max(1),
         indexes: classes.iter().enumerate().map(|(i, c)| index(root, i, c)).collect::<Result<_, _>>()?,
-        customer_quotas: find(root, "accounts")
-            .and_then(Value::as_array)
-            .map_or(&[][..], Vec::as_slice)
+        customer_quotas: listed(root, "accounts")
             .iter()
             .map(|account| number(account, "quota-rps"))
             .collect::<Result<_, _>>()?,
