SIGHUP reads the configuration again and moves the roster's watch to its new address

Ruled out: a panic (no lines in the logs). Now the watch follows one address at a time and starts anew with the whole list at a new one, since revisions of two rosters can't be compared; lookups, listener, connections and the last list stay. A file that can't be used is one WARN line. What takes effect at the next start only is named. The test fails without the handler.

--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -17,7 +17,7 @@
 }
 
 /// One index: a sort of lookup.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Index {
     pub effect: Effect,
     pub soft_deadline: Tenths,
@@ -35,7 +35,7 @@
 }
 
 /// Where the shards lie and what one call carries.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Layout {
     pub cells: usize,
     /// Shard s lies in cells s, s + 1, ... (so many, round the ring).
@@ -44,7 +44,7 @@
 }
 
 /// What the deployment permits.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Allowance {
     pub calls_a_part: usize,
     pub second_copies: bool,
@@ -55,7 +55,7 @@
 }
 
 /// How a replica that has just started is to be treated.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ColdStart {
     pub share: f64,
     pub warm_up: Tenths,
@@ -64,7 +64,7 @@
 }
 
 /// The further part calls permitted in any window.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct FurtherCalls {
     pub free: f64,
     pub share: f64,
@@ -72,7 +72,7 @@
 }
 
 /// All that a co-ordinator is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
     /// This co-ordinator's number among them, from 0.
     pub own_number: usize,
--- a/crates/linenthread-service/src/config.rs
+++ b/crates/linenthread-service/src/config.rs
@@ -7,6 +7,7 @@
 use linenthread_protocol::roster;
 use linenthread_terms::{self as terms, Surroundings};
 use serde_json::Value;
+use tracing::{info, warn};
 
 /// Fewer descriptors than this leave no room for clients beside replicas and roster.
 const FEWEST_SOCKETS: usize = 64;
@@ -63,4 +64,25 @@
             deployment,
         })
     }
+
+    /// Reads the file once more, for a program that runs: where the roster is found now. All else is as it
+    /// was until the next start, which is said where it matters; and all of it where the file can't be used.
+    pub fn again(&self, file: &Path) -> Option<SocketAddr> {
+        let new = match Config::read(file) {
+            Ok(new) => new,
+            Err(message) => {
+                warn!("configuration not taken, all goes on as it was: {message}");
+                return None;
+            }
+        };
+        let later = [
+            ("name", new.name != self.name),
+            ("listen", new.listen != self.listen),
+            ("limits.sockets", new.sockets != self.sockets),
+            ("settings", new.deployment != self.deployment || new.surroundings != self.surroundings),
+        ];
+        let later: Vec<_> = later.iter().filter(|(_, differs)| *differs).map(|(name, _)| *name).collect();
+        info!(roster = %new.roster, at_next_start = later.join(","), "configuration read again");
+        Some(new.roster)
+    }
 }
--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -20,7 +21,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::{info, warn};
 
@@ -151,11 +152,14 @@
 #[derive(Clone)]
 struct Front(Rc<Inner>);
 
-/// Serves until told to stop, then answers all it has taken.
-pub async fn serve(config: Config) -> Result<(), String> {
+/// Serves until told to stop, then answers all it has taken. Told to, it reads its file again.
+pub async fn serve(config: Config, file: &Path) -> Result<(), String> {
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
-    let (Ok(mut terminate), Ok(mut interrupt)) = signals else { return Err("cannot watch signals".into()) };
+    let [terminate, interrupt, hangup] =
+        [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()].map(signal);
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (terminate, interrupt, hangup) else {
+        return Err("cannot watch signals".into());
+    };
     // Descriptors for replicas come before those for clients: two a replica, an eighth of all at the least.
     let for_replicas = (config.sockets / 8).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
     let (surroundings, layout) = (&config.surroundings, &config.deployment.layout);
@@ -173,7 +177,8 @@
     let desk = Desk::new(&config, replicas.clone());
     let ask_first = !config.deployment.watch_roster;
     let mut rounds = actix_rt::spawn(desk.clone().run());
-    let mut watch = actix_rt::spawn(roster::watch(desk.clone(), config.roster, layout.cells, ask_first));
+    let (moved, address) = watch::channel(config.roster);
+    let mut watch = actix_rt::spawn(roster::watch(desk.clone(), address, layout.cells, ask_first));
     let work = Rc::new(Work {
         desk,
         replicas,
@@ -198,6 +203,14 @@
         _ = &mut watch => return Err("the roster's watch failed".into()),
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        _ = async {
+            loop {
+                hangup.recv().await;
+                if let Some(roster) = config.again(file) {
+                    moved.send_if_modified(|at| std::mem::replace(at, roster) != roster);
+                }
+            }
+        } => {}
     }
     front.stop(listener).await;
     Ok(())
--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -8,7 +8,7 @@
 mod replicas;
 mod roster;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use bpaf::{Parser, construct, long, positional, pure};
@@ -30,7 +30,7 @@
         .optional();
     let serve = construct!(Command::Serve(file))
         .to_options()
-        .descr("Serves lookups until SIGTERM or SIGINT, then answers what it has taken and ends")
+        .descr("Serves lookups until SIGTERM or SIGINT, then answers what it has taken and ends; reads its configuration again on SIGHUP")
         .command("serve")
         .help("Serve lookups");
     let file = positional::<PathBuf>("FILE").help("The configuration to read");
@@ -52,10 +52,10 @@
         .footer("Start with: EDGE_CONFIG=/run/balancer/config.json linenthread serve")
 }
 
-fn with_config(file: Option<PathBuf>, use_it: impl FnOnce(Config) -> ExitCode) -> ExitCode {
+fn with_config(file: Option<PathBuf>, use_it: impl FnOnce(Config, &Path) -> ExitCode) -> ExitCode {
     let read = file.ok_or_else(|| "EDGE_CONFIG is not set and there is no --config".to_owned());
-    match read.and_then(|file| Config::read(&file)) {
-        Ok(config) => use_it(config),
+    match read.and_then(|file| Config::read(&file).map(|config| (config, file))) {
+        Ok((config, file)) => use_it(config, &file),
         Err(message) => {
             eprintln!("linenthread: {message}");
             ExitCode::from(2)
@@ -69,14 +69,14 @@
             println!("linenthread {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        Command::Check(file) => with_config(Some(file), |config| {
+        Command::Check(file) => with_config(Some(file), |config, _| {
             let (indexes, replicas) = (config.deployment.indexes.len(), config.remembered.replicas.len());
             println!("{}: {indexes} indexes, {replicas} replicas remembered", config.name);
             ExitCode::SUCCESS
         }),
-        Command::Serve(file) => with_config(file, |config| {
+        Command::Serve(file) => with_config(file, |config, file| {
             log::start();
-            match actix_rt::System::new().block_on(front::serve(config)) {
+            match actix_rt::System::new().block_on(front::serve(config, file)) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(message) => {
                     tracing::error!("{message}");
--- a/crates/linenthread-service/src/roster.rs
+++ b/crates/linenthread-service/src/roster.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use linenthread_protocol::roster::{self, List};
+use tokio::sync::watch::Receiver;
 use tokio::time::timeout;
 use tracing::{info, warn};
 
@@ -15,16 +16,29 @@
 /// How much longer an answer may take before it counts as failed.
 const SLACK: Duration = Duration::from_secs(2);
 
-/// Asks for the whole list, then watches for changes, for as long as the program runs. After a failure, and
-/// where the roster is only to be watched on request, the module says when to ask.
-pub async fn watch(desk: Desk, address: SocketAddr, cells: usize, ask_first: bool) {
+/// Follows the roster for as long as the program runs, wherever it is said to be found. A new address gives
+/// up at once what is asked at the old one, and starts there with the whole list: revisions of two rosters
+/// can't be compared. The last list is kept meanwhile.
+pub async fn watch(desk: Desk, mut address: Receiver<SocketAddr>, cells: usize, ask_first: bool) {
+    if !ask_first {
+        desk.roster_wanted().await;
+    }
+    loop {
+        let at = *address.borrow_and_update();
+        tokio::select! {
+            _ = follow(&desk, at, cells) => {}
+            Ok(()) = address.changed() => info!(roster = %*address.borrow(), "the roster has moved"),
+        }
+    }
+}
+
+/// Asks for the whole list, then watches for changes. After a failure, and where the roster is only to be
+/// watched on request, the module says when to ask.
+async fn follow(desk: &Desk, address: SocketAddr, cells: usize) {
     let connector = awc::Connector::new().timeout(SLACK).limit(2);
     let client = awc::Client::builder().connector(connector).disable_timeout().finish();
     let mut revision = None;
     let mut failing = false;
-    if !ask_first {
-        desk.roster_wanted().await;
-    }
     loop {
         let (path, wait) = match revision {
             None => (roster::WHOLE.to_owned(), SLACK),
--- a/crates/linenthread-service/tests/service.rs
+++ b/crates/linenthread-service/tests/service.rs
@@ -199,6 +199,52 @@
     assert_eq!(client.status(), 200);
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_and_nothing_else() {
+    let fleet = Fleet::start(2);
+    let known = |revision, phase| {
+        list(
+            revision,
+            true,
+            vec![entry(0, fleet.addresses[0], phase), entry(1, fleet.addresses[1], "active")],
+        )
+    };
+    // The new roster counts from a lower revision.
+    let (old, new) = (Roster::start(known(9, "active")), Roster::start(known(2, "leaving")));
+    let good = config(old.address, &known(9, "active"));
+    let mut service = Service::start(&good);
+    let mut held = service.ask("order", "n1", &[0]);
+    let part = fleet.part();
+    service.logged("revision=9");
+    for bad in ["{", &good.to_string().replace("limits", "limit")] {
+        service.reload(bad);
+        service.logged("WARN configuration not taken");
+    }
+    let mut moved = good.clone();
+    moved["discovery"] = new.address.to_string().into();
+    moved["limits"]["sockets"] = 512.into();
+    service.reload(&moved.to_string());
+    assert!(service.logged("read again").contains(r#"at_next_start="limits.sockets""#));
+    service.logged("revision=2");
+    assert!(old.left(), "the watch at the old one is ended");
+    for id in 0..4 {
+        let mut client = service.ask("find", &format!("n2{id}"), &[0, 1]);
+        for _ in 0..2 {
+            let part = fleet.part();
+            assert_eq!(part.replica, 1, "what the new one says counts");
+            part.answer("v");
+        }
+        assert_eq!(client.status(), 200);
+    }
+    part.answer("v");
+    assert_eq!(held.status(), 200);
+    service.signal("-TERM");
+    service.logged("stopping");
+    service.signal("-HUP");
+    service.logged("stopped");
+    assert_eq!(service.child.wait().unwrap().code(), Some(0));
+}
+
 #[test]
 fn the_word_to_stop_loses_nothing() {
     let (fleet, _roster, mut service) = start(2);
--- a/crates/linenthread-service/tests/stand_ins/mod.rs
+++ b/crates/linenthread-service/tests/stand_ins/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -188,6 +188,13 @@
         Roster { address, watches }
     }
 
+    /// Waits until a watch is held, and then until the other side has ended it.
+    pub fn left(&self) -> bool {
+        let line = wait(&self.watches, "a watch");
+        line.set_read_timeout(Some(PATIENCE)).unwrap();
+        line.peek(&mut [0]).is_ok_and(|n| n == 0)
+    }
+
     /// Answers the watch that is held, or the next.
     pub fn tell(&self, body: &str) {
         respond(&wait(&self.watches, "a watch"), body);
@@ -257,6 +264,10 @@
 
 /// Runs the program on a configuration, with the command before its file.
 pub fn program(command: &[&str], config: &str) -> Child {
+    program_and_file(command, config).0
+}
+
+fn program_and_file(command: &[&str], config: &str) -> (Child, PathBuf) {
     static STARTS: AtomicUsize = AtomicUsize::new(0);
     let number = STARTS.fetch_add(1, Ordering::Relaxed);
     let file =
@@ -267,23 +278,24 @@
         ["serve"] => program.arg("serve").env("EDGE_CONFIG", &file),
         _ => program.args(command).arg(&file),
     };
-    program.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap()
+    (program.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap(), file)
 }
 
 /// The program under test, ended with the test.
 pub struct Service {
     pub child: Child,
     pub address: SocketAddr,
+    file: PathBuf,
     lines: Receiver<String>,
 }
 
 impl Service {
     pub fn start(config: &Value) -> Service {
-        let mut child = program(&["serve"], &config.to_string());
+        let (mut child, file) = program_and_file(&["serve"], &config.to_string());
         let (to, lines) = channel();
         let log = BufReader::new(child.stderr.take().unwrap());
         spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| to.send(line)));
-        let mut service = Service { child, address: ([127, 0, 0, 1], 0).into(), lines };
+        let mut service = Service { child, address: ([127, 0, 0, 1], 0).into(), file, lines };
         let line = service.logged("serving");
         let listen = line.split("listen=").nth(1).unwrap().split(' ').next().unwrap();
         service.address = listen.parse().unwrap();
@@ -305,6 +317,12 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    /// Has the program read a new configuration.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.file, config).unwrap();
+        self.signal("-HUP");
+    }
+
     pub fn connect(&self) -> Client {
         let line = TcpStream::connect(self.address).unwrap();
         line.set_read_timeout(Some(PATIENCE)).unwrap();
--- a/crates/linenthread-terms/src/lib.rs
+++ b/crates/linenthread-terms/src/lib.rs
@@ -63,7 +63,7 @@
 }
 
 /// What a deployment calls its own, and what connections to its replicas may do.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Surroundings {
     pub indexes: Vec<String>,
     pub customers: Vec<String>,
