Replicas' indices come back into use once nothing of a gone replica is open

Now an index is free again once its replica is gone, no lookup taken before that is open, no probe of it is out and no connection open; listed with another id, the module forgets what it knew (hear_roster). Sites that the settings don't name count as one.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -96,7 +96,6 @@
     room: f64,
 }
 
-/// One co-ordinator; see the head of this file.
 pub struct Coordinator {
     deployment: Deployment,
     /// The shortest soft deadline of all indexes.
@@ -220,6 +219,9 @@
             self.replicas.resize_with(self.replicas.len().max(entry.replica + 1), Replica::default);
             self.sites.resize(self.sites.len().max(entry.site + 1), Seen::default());
             let replica = &mut self.replicas[entry.replica];
+            if replica.listed.id != entry.id {
+                *replica = Replica::default(); // Another replica has the index now.
+            }
             if replica.listed.started != entry.started {
                 // A new process: nothing seen of the old one counts against it.
                 (replica.seen, replica.down) = (Seen::default(), None);
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -2,6 +2,7 @@
 //!
 //! - `with soft 500 late 0.3 floor 0.8 step 2 runs once ...` sets things up, `index` adds a second index;
 //! - `list a:0 b:1`, `change a:0 draining`, `change a:0 ready 500` (started then), `remember a:0`, `unheard`;
+//!   `change c=a:0 ready` lists c under the index that a had;
 //! - `lookup L key 7 hard 4000 shards 0 1`, `more L 0 1` (a second step), `lapsed L`;
 //! - `L.0 errored` ends the oldest call out of a part, `L.0#1 answered` a certain one;
 //! - `serve 100 a b` answers all calls to these after 100 ms, `serve errored a` fails them, `serve never a`
@@ -182,6 +183,10 @@
 
     fn listed(&mut self, word: &str, phase: &str, started: Option<Tenths>) -> Res<Listed> {
         let (name, cell) = word.split_once(':').ok_or_else(|| format!("{word} is not name:cell"))?;
+        let (name, former) = name.split_once('=').unwrap_or((name, ""));
+        if let Some(replica) = self.log.replicas.iter().position(|r| r == former) {
+            self.log.replicas[replica] = name.to_string();
+        }
         let replica = self.log.replicas.iter().position(|r| r == name).unwrap_or_else(|| {
             self.log.replicas.push(name.to_string());
             self.log.replicas.len() - 1
@@ -193,7 +198,8 @@
             _ => return Err(format!("{phase} is no phase")),
         };
         let site = replica % 3;
-        Ok(Listed { replica, id: replica as u64 + 77, site, cell: number(Some(&cell))?, phase, started })
+        let id = replica as u64 + 77 + 1_000 * former.len() as u64;
+        Ok(Listed { replica, id, site, cell: number(Some(&cell))?, phase, started })
     }
 
     fn replica(&self, name: &str) -> Res<usize> {
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -72,13 +72,67 @@
     pub parts: Vec<(usize, f64)>,
 }
 
+/// The way to an open lookup's task.
+struct Task {
+    to: mpsc::UnboundedSender<Decision>,
+    /// How many lookups were handed in before it.
+    before: u64,
+}
+
+/// A replica that has an index.
+struct Held {
+    id: String,
+    /// Probes of it that are out, or answered and not yet gone into a round.
+    probes: usize,
+    /// It was told as gone when so many lookups had been handed in. Once these are over, nothing is open to
+    /// it and no probe of it is out, its index stands for nothing any more.
+    gone: Option<u64>,
+}
+
+/// The replicas' indices.
+#[derive(Default)]
+struct Indices {
+    of: HashMap<String, usize>,
+    held: Vec<Option<Held>>,
+}
+
+impl Indices {
+    /// The index of an id; one that has none gets one that stands for nothing.
+    fn take(&mut self, id: &str) -> usize {
+        if let Some(known) = self.of.get(id) {
+            return *known;
+        }
+        let spare = self.held.iter().position(Option::is_none).unwrap_or(self.held.len());
+        self.held.resize_with(self.held.len().max(spare + 1), || None);
+        self.held[spare] = Some(Held { id: id.to_owned(), probes: 0, gone: None });
+        self.of.insert(id.to_owned(), spare);
+        spare
+    }
+
+    fn get(&mut self, replica: usize) -> Option<&mut Held> {
+        self.held.get_mut(replica)?.as_mut()
+    }
+
+    /// The one place where an index is given back: all lookups are over that were among the first so many.
+    fn give_back(&mut self, over: u64, is_vacant: impl Fn(usize) -> bool) {
+        for (replica, entry) in self.held.iter_mut().enumerate() {
+            let done =
+                |h: &mut Held| h.gone.is_some_and(|gone| gone <= over) && h.probes == 0 && is_vacant(replica);
+            if let Some(held) = entry.take_if(done) {
+                self.of.remove(&held.id);
+            }
+        }
+    }
+}
+
 struct State {
     coordinator: Coordinator,
     arrivals: Arrivals,
     /// The way to each open lookup's task; the lookup is over when it is dropped.
-    lookups: Vec<Option<mpsc::UnboundedSender<Decision>>>,
+    lookups: Vec<Option<Task>>,
     free: Vec<usize>,
-    replicas: HashMap<String, usize>,
+    handed_in: u64,
+    indices: Indices,
     sites: Vec<String>,
     wake_at: Option<Tenths>,
 }
@@ -102,15 +156,16 @@
 /// Routes decisions to the lookups' tasks.
 struct Routes<'a> {
     desk: &'a Desk,
-    lookups: &'a mut Vec<Option<mpsc::UnboundedSender<Decision>>>,
+    lookups: &'a mut Vec<Option<Task>>,
     free: &'a mut Vec<usize>,
+    indices: &'a mut Indices,
     wake_at: &'a mut Option<Tenths>,
 }
 
 impl Routes<'_> {
     fn to(&mut self, lookup: usize, decision: Decision) {
         if let Some(Some(task)) = self.lookups.get(lookup) {
-            task.send(decision).ok();
+            task.to.send(decision).ok();
         }
     }
 }
@@ -144,6 +199,9 @@
 
     fn probe(&mut self, replica: usize) {
         let desk = self.desk.clone();
+        if let Some(held) = self.indices.get(replica) {
+            held.probes += 1;
+        }
         actix_rt::spawn(async move {
             let (ending, queue) = desk.0.replicas.probe(replica).await;
             desk.arrive(|arrivals| arrivals.probes.push(ProbeReturn { replica, ending, queue }));
@@ -168,7 +226,8 @@
                 arrivals: Arrivals::default(),
                 lookups: Vec::new(),
                 free: Vec::new(),
-                replicas: HashMap::new(),
+                handed_in: 0,
+                indices: Indices::default(),
                 sites: config.surroundings.sites.clone(),
                 wake_at: None,
             }),
@@ -201,15 +260,19 @@
 
     fn round(&self) {
         let mut state = self.0.state.borrow_mut();
-        let State { coordinator, arrivals, lookups, free, wake_at, .. } = &mut *state;
+        let State { coordinator, arrivals, lookups, free, indices, wake_at, .. } = &mut *state;
         arrivals.now = self.0.clock.now();
-        coordinator.round(arrivals, &mut Routes { desk: self, lookups, free, wake_at });
+        coordinator.round(arrivals, &mut Routes { desk: self, lookups, free, indices, wake_at });
         let Arrivals { now: _, roster, lookups, parts, returns, probes, lapsed } = arrivals;
         roster.clear();
         lookups.clear();
         parts.clear();
         returns.clear();
-        probes.clear();
+        for ProbeReturn { replica, .. } in probes.drain(..) {
+            if let Some(held) = indices.get(replica) {
+                held.probes -= 1;
+            }
+        }
         lapsed.clear();
     }
 
@@ -222,13 +285,15 @@
     /// Takes a lookup on: its index, and where decisions on it come. They end when it is over and nothing
     /// of it is out.
     pub fn hand_in(&self, new: HandedIn) -> (usize, mpsc::UnboundedReceiver<Decision>) {
-        let (task, decisions) = mpsc::unbounded_channel();
+        let (to, decisions) = mpsc::unbounded_channel();
         let mut state = self.0.state.borrow_mut();
+        let before = state.handed_in;
+        state.handed_in += 1;
         let lookup = state.free.pop().unwrap_or_else(|| {
             state.lookups.push(None);
             state.lookups.len() - 1
         });
-        state.lookups[lookup] = Some(task);
+        state.lookups[lookup] = Some(Task { to, before });
         let HandedIn { index, customer, key, number, expires_in, parts } = new;
         let hard_deadline = self.0.clock.now() + expires_in;
         state.arrivals.lookups.push(NewLookup { lookup, index, customer, key, number, hard_deadline });
@@ -269,35 +334,66 @@
     /// Turns a list's ids into indices, and tells where its replicas are found.
     fn listed(&self, list: &roster::List) -> Vec<Listed> {
         let mut state = self.0.state.borrow_mut();
-        let State { replicas, sites, .. } = &mut *state;
-        let listed: Vec<Listed> = list
-            .replicas
-            .iter()
-            .map(|r| {
-                let next = replicas.len();
-                let replica = *replicas.entry(r.id.clone()).or_insert(next);
-                let site = sites.iter().position(|s| *s == r.site).unwrap_or_else(|| {
-                    sites.push(r.site.clone());
-                    sites.len() - 1
-                });
-                self.0.replicas.place(replica, (r.phase != Phase::Gone).then_some(r.address));
-                Listed {
-                    replica,
-                    id: number(&r.id),
-                    cell: r.cell,
-                    site,
-                    phase: r.phase,
-                    started: (r.started_ms > 0.0).then(|| self.0.clock.of_unix(r.started_ms)),
-                }
-            })
-            .collect();
-        if list.whole {
-            let mut left_out = vec![true; replicas.len()];
-            listed.iter().for_each(|l| left_out[l.replica] = false);
-            for (replica, _) in left_out.iter().enumerate().filter(|(_, out)| **out) {
-                self.0.replicas.place(replica, None);
+        let State { lookups, indices, sites, handed_in, .. } = &mut *state;
+        let over = lookups.iter().flatten().map(|task| task.before).min().unwrap_or(*handed_in);
+        indices.give_back(over, |replica| self.0.replicas.is_vacant(replica));
+        let mut named = vec![false; indices.held.len()];
+        let mut listed = Vec::with_capacity(list.replicas.len());
+        for r in &list.replicas {
+            let gone = r.phase == Phase::Gone;
+            if gone && !indices.of.contains_key(&r.id) {
+                continue;
+            }
+            let replica = indices.take(&r.id);
+            named.resize(named.len().max(replica + 1), false);
+            named[replica] = true;
+            if let Some(held) = indices.get(replica) {
+                held.gone = gone.then_some(*handed_in);
             }
+            self.0.replicas.place(replica, (!gone).then_some(r.address));
+            listed.push(Listed {
+                replica,
+                id: number(&r.id),
+                cell: r.cell,
+                // Sites that the settings don't name are one.
+                site: sites.iter().position(|s| *s == r.site).unwrap_or(sites.len()),
+                phase: r.phase,
+                started: (r.started_ms > 0.0).then(|| self.0.clock.of_unix(r.started_ms)),
+            });
+        }
+        for replica in (0..named.len()).filter(|r| list.whole && !named[*r]) {
+            if let Some(held) = indices.get(replica) {
+                held.gone = held.gone.or(Some(*handed_in));
+            }
+            self.0.replicas.place(replica, None);
         }
         listed
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_index_comes_back_once_nothing_of_its_replica_is_open() {
+        let mut indices = Indices::default();
+        assert_eq!((indices.take("a"), indices.take("b"), indices.take("a")), (0, 1, 0));
+        *indices.get(0).unwrap() = Held { id: "a".into(), probes: 1, gone: Some(7) };
+        indices.give_back(7, |_| true);
+        assert_eq!(indices.take("c"), 2, "a probe of it is out");
+        indices.get(0).unwrap().probes = 0;
+        indices.give_back(6, |_| true);
+        indices.give_back(7, |replica| replica != 0);
+        assert_eq!(indices.take("d"), 3, "a lookup taken before is open, or a connection");
+        indices.give_back(7, |_| true);
+        assert_eq!((indices.take("e"), indices.take("a"), indices.take("b")), (0, 4, 1));
+        // However many come and go, no more indices are used than are needed at once.
+        for n in 0..1_000 {
+            let replica = indices.take(&format!("n{n}"));
+            indices.get(replica).unwrap().gone = Some(n);
+            indices.give_back(n, |_| true);
+        }
+        assert_eq!((indices.held.len(), indices.of.len()), (6, 5));
+    }
+}
