Parts go apart on a replica's connections, and their last byte shows a dead one first

Ruled out: the replicas themselves (one connection of theirs at a time) and admission (12% refused follows from the stuck parts). Now a part goes on an empty connection, up to four a replica, else on the one with the least out; one with half a frame comes last. Now the last byte of a part call follows 2 ms after the rest: a dead connection breaks before it, the part never ran, and a sound replica is not taken for down.

--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -219,8 +219,9 @@
     let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (terminate, interrupt, hangup) else {
         return Err("cannot watch signals".into());
     };
-    // Descriptors for replicas come before those for clients: two a replica, an eighth of all at the least.
-    let for_replicas = (config.sockets / 8).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
+    // Descriptors for replicas come before those for clients: a quarter of all, or two a replica. The fleet may
+    // change, but not beyond what the rest can do without.
+    let for_replicas = (config.sockets / 4).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
     let (surroundings, layout) = (&config.surroundings, &config.deployment.layout);
     let withdraw = config.deployment.allowance.withdraw;
     let connect = desk::span(surroundings.connect_time_out.max(1));
--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -1,6 +1,7 @@
 //! Owns every connection to a replica: part calls and probes go out on them, and each ends exactly once.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -18,6 +19,12 @@
 
 use crate::log::Sparing;
 
+/// Parts go one a connection while a replica has fewer than this: what one spoils, breaks or silences fails
+/// few beside it.
+const APART: usize = 4;
+/// The last byte of a part call follows the rest after so long, or its connection has broken by then: one that
+/// the other side has left, or resets as it is written to, shows it, and the part call never ran.
+const LAST_BYTE: Duration = Duration::from_millis(2);
 /// So many ids of parts that ended are remembered on a connection, to know their late or second answers by.
 const ENDED: usize = 512;
 /// What is read at once from a connection at the most.
@@ -76,6 +83,36 @@
     probe: bool,
 }
 
+/// A frame under way.
+struct Writing {
+    frame: Frame,
+    at: usize,
+    /// When its last byte may follow.
+    last: Option<Instant>,
+}
+
+impl Writing {
+    /// What may be written now, or when there will be more.
+    fn next(&self) -> (&[u8], Option<Instant>) {
+        let rest = &self.frame.bytes[self.at..];
+        match self.last {
+            _ if self.frame.parts.is_empty() => (rest, None),
+            None => (&rest[..rest.len() - 1], None),
+            Some(last) if last > Instant::now() => (&[], Some(last)),
+            Some(_) => (rest, None),
+        }
+    }
+
+    /// So many bytes more are written; whether that was all.
+    fn wrote(&mut self, n: usize) -> bool {
+        self.at += n;
+        if self.at + 1 == self.frame.bytes.len() {
+            self.last = Some(Instant::now() + LAST_BYTE);
+        }
+        self.at == self.frame.bytes.len()
+    }
+}
+
 struct Link {
     replica: usize,
     address: SocketAddr,
@@ -87,6 +124,10 @@
     ended: RefCell<VecDeque<u64>>,
     news: Notify,
     last_read: Cell<Instant>,
+    /// It has brought a whole frame.
+    sound: Cell<bool>,
+    /// Some of a frame is here, and the rest has yet to come.
+    midway: Cell<bool>,
     /// Nothing came on it through a whole time-out: no new parts go on it until something does.
     silent: Cell<bool>,
     /// It ends once nothing is out on it.
@@ -257,14 +298,20 @@
         let place = places.get_mut(replica)?;
         let address = place.address?;
         let streams = self.0.limits.streams;
-        let room = |l: &Rc<Link>| {
-            let out = l.parts.borrow().len() + l.probes.borrow().len();
-            !l.silent.get() && !l.retired.get() && (out == 0 || out + more <= streams) && fit(l)
+        let out = |l: &Link| l.parts.borrow().len() + l.probes.borrow().len();
+        let room = |l: &&Rc<Link>| {
+            let free = out(l) == 0 || out(l) + more <= streams;
+            free && !l.silent.get() && !l.retired.get() && fit(l)
         };
-        if let Some(link) = place.links.iter().find(|l| room(l)) {
+        // Those with the least out, as parts pile up on one that is stuck, and of them the one heard last: the
+        // others may idle out.
+        let order = |l: &&Rc<Link>| (l.midway.get(), out(l), Reverse(l.last_read.get()));
+        let best = place.links.iter().filter(room).min_by_key(order);
+        let full = self.0.connections.get() >= self.0.limits.connections;
+        if let Some(link) = best.filter(|l| out(l) == 0 || full || place.links.len() >= APART) {
             return Some(link.clone());
         }
-        if self.0.connections.get() >= self.0.limits.connections {
+        if full {
             if let Some(left_out) = self.0.lines.line() {
                 warn!(%address, left_out, "no connection left for a replica");
             }
@@ -281,6 +328,8 @@
             ended: RefCell::default(),
             news: Notify::new(),
             last_read: Cell::new(Instant::now()),
+            sound: Cell::new(false),
+            midway: Cell::new(false),
             silent: Cell::new(false),
             retired: Cell::new(false),
         });
@@ -355,20 +404,21 @@
     async fn exchange(&self, mut stream: TcpStream, limits: &Limits) -> Result<(), Fault> {
         let (mut input, mut output) = stream.split();
         let mut read = BytesMut::with_capacity(READ);
-        let mut writing: Option<(Frame, usize)> = None;
+        let mut writing: Option<Writing> = None;
         let mut active = Instant::now();
         // When what was read of a frame that is not yet whole began to come.
         let mut begun = active;
         let fault = |e: std::io::Error| Fault::Ended(e.to_string());
         loop {
             if writing.is_none() {
-                writing = self.frames.borrow_mut().pop_front().map(|frame| (frame, 0));
+                writing =
+                    self.frames.borrow_mut().pop_front().map(|frame| Writing { frame, at: 0, last: None });
             }
             let empty = writing.is_none() && self.empty();
             if empty && (self.retired.get() || self.silent.get()) {
                 return Ok(());
             }
-            let (unwritten, at) = writing.as_ref().map_or((&[][..], 0), |(f, at)| (&f.bytes[*at..], *at));
+            let (unwritten, last) = writing.as_ref().map_or((&[][..], None), Writing::next);
             tokio::select! {
                 biased;
                 got = input.read_buf(&mut read) => {
@@ -384,25 +434,24 @@
                         begun = active;
                         // Only whole frames show that it is sound.
                         self.last_read.set(active);
+                        self.sound.set(true);
                         self.silent.set(false);
                         self.hear(word)?;
                     }
                     if !read.is_empty() && self.parts.borrow().is_empty() && self.probes.borrow().is_empty() {
                         return Err(Fault::Spoilt("it says more than was asked".into()));
                     }
+                    self.midway.set(!read.is_empty());
                     read.reserve(READ);
                 }
                 wrote = output.write(unwritten), if !unwritten.is_empty() => {
-                    let at = at + wrote.map_err(fault)?;
+                    let wrote = wrote.map_err(fault)?;
                     active = Instant::now();
-                    writing = writing.and_then(|(frame, _)| match at < frame.bytes.len() {
-                        true => Some((frame, at)),
-                        false => {
-                            self.written(&frame);
-                            None
-                        }
-                    });
+                    if let Some(done) = writing.take_if(|writing| writing.wrote(wrote)) {
+                        self.written(&done.frame);
+                    }
                 }
+                _ = sleep_until(last.unwrap_or(active)), if last.is_some() => {}
                 _ = self.news.notified() => {}
                 // A frame takes no longer than a connect: one that does will never be whole.
                 _ = sleep_until(begun + limits.connect), if !read.is_empty() => {
@@ -459,11 +508,12 @@
 
     /// All that is out on a connection ends with it.
     fn end_all(&self, spoilt: bool) {
-        let ending = |written: bool| match (written, spoilt) {
-            (true, true) => Ending::Errored,
-            (true, false) => Ending::Broken,
-            (false, true) => Ending::Unsent,
-            (false, false) => Ending::Unconnected,
+        // A connection that was sound and is gone says nothing against its replica.
+        let ending = |written: bool| match written {
+            true if spoilt => Ending::Errored,
+            true => Ending::Broken,
+            false if spoilt || self.sound.get() => Ending::Unsent,
+            false => Ending::Unconnected,
         };
         for Waiter { asked: Asked { part, call, .. }, written, to, .. } in
             std::mem::take(&mut *self.parts.borrow_mut()).into_values()
