A report told again is no newer, and told queues are worked off

By a trace of refusals all were jammed by word, not by parts out: the only two holders of a shard had none of ours out, yet both "told" 21 waiting, the same figure again and again for up to 1.4 s, while what refused them kept new parts and so new reports away (coordinator.rs, admits; state.rs, tell and told_load: every answer renewed the report's age). Ruled out: room in all, and the chance by delays. Now a figure counts from when it was first told, and loses one part in each quickest median time. An answer without a report, or with one that can't be read, no longer tells of an idle replica.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -325,7 +325,7 @@
         }
         match back.ending {
             Ending::Answered => replica.answers(now, back.queue),
-            _ if replica.told >= since => {}
+            _ if replica.told_at >= since => {}
             Ending::Unconnected | Ending::Broken => {
                 replica.down.get_or_insert((now, now + PROBE));
             }
@@ -366,7 +366,7 @@
         let pace = if fleet.pace > 0.0 { fleet.pace } else { ENOUGH * ready_count };
         fleet.pace = pace + (fleet.times.weight - pace) * TICK as f64 / RESET as f64;
         fleet.span = (RECENT * ENOUGH * ready_count / fleet.pace).clamp(RECENT, RECENT * LONGEST);
-        let (span, mean) = (fleet.span, fleet.times.shape(HEARD).map_or(0.0, |(mean, _)| mean));
+        let (span, quick, mean) = (fleet.span, fleet.quick, fleet.times.shape(HEARD).map_or(0.0, |s| s.0));
         for seen in self.replicas.iter_mut().map(|r| &mut r.seen).chain(&mut self.sites) {
             seen.times.fade(now, span);
             seen.failures.fade(now, span);
@@ -382,7 +382,7 @@
         let largest = ready().map(|r| median(&r.seen, &sites[r.listed.site])).fold(1.0, f64::max);
         for replica in self.replicas.iter_mut().filter(|r| r.ready()) {
             let site = &sites[replica.listed.site];
-            let load = (f64::from(replica.out) - usual_out).max(0.0) + TOLD * replica.told_load(now, FRESH);
+            let load = (f64::from(replica.out) - usual_out).max(0.0) + TOLD * replica.told(now, FRESH, quick);
             let median = median(&replica.seen, site) * (1.0 + LOAD * load);
             // Lost parts count as failures before their time-outs say so: that meets a replica which hangs.
             let (lost, failures) = (f64::from(replica.lost), &replica.seen.failures);
@@ -391,7 +391,7 @@
             let quiet = if replica.out > 0 { now - replica.heard } else { 0 };
             let silence = (quiet as f64 - slow).max(0.0) / largest;
             let unsure =
-                replica.asked.filter(|&at| now - at >= ASK && replica.told < at).map_or(0.0, |_| UNSURE);
+                replica.asked.filter(|&at| now - at >= ASK && replica.told_at < at).map_or(0.0, |_| UNSURE);
             replica.score = median / largest + SEVERITY * severity + silence + unsure;
         }
         if now >= self.next_reset {
@@ -694,7 +694,7 @@
             let (mut out, mut told) = (0.0, f64::INFINITY);
             for r in self.holders(p.shard) {
                 out += self.replicas[r].waiting() - favour * self.fleet.jam;
-                told = self.replicas[r].told_load(self.now, FRESH).min(told);
+                told = self.replicas[r].told(self.now, FRESH, self.fleet.quick).min(told);
             }
             out > 0.0 || told.is_finite() && told > favour * self.soft / self.fleet.quick
         };
@@ -722,7 +722,7 @@
         let mut old: Vec<usize> = lookup.parts.iter().flat_map(|p| self.holders(p.shard)).collect();
         old.retain(|&r| {
             let replica = &mut self.replicas[r];
-            let ask = replica.down.is_none() && (now - replica.told) as f64 > FRESH;
+            let ask = replica.down.is_none() && (now - replica.told_at) as f64 > FRESH;
             ask && replica.asked.replace(now).is_none()
         });
         old.iter().for_each(|&r| writer.probe(r));
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -81,9 +81,12 @@
     pub broke_under: Option<usize>,
     /// When it last answered, or was sent a part with none out.
     pub heard: Tenths,
-    /// When it last told anything, by an answer or a probe, and the parts it then had waiting.
-    pub told: Tenths,
+    /// When it last told anything, by an answer or a probe.
+    pub told_at: Tenths,
+    /// The parts it said were waiting, and when it first said just that: a report that is told again is no
+    /// newer for it.
     pub queue: f64,
+    pub since: Tenths,
     /// A probe is out since then.
     pub asked: Option<Tenths>,
     pub score: f64,
@@ -100,19 +103,23 @@
         f64::from(self.out.saturating_sub(self.lost))
     }
 
-    /// Parts that it last said were waiting; old word fades.
-    pub fn told_load(&self, now: Tenths, span: f64) -> f64 {
-        self.queue * kept(self.told, now, span)
+    /// Parts that it last said were waiting; old word fades, and one part is worked off in so long.
+    pub fn told(&self, now: Tenths, span: f64, each: f64) -> f64 {
+        let worked_off = (now - self.since) as f64 / each;
+        (self.queue - worked_off).max(0.0) * kept(self.since, now, span)
     }
 
     pub fn tell(&mut self, now: Tenths, queue: f64) {
-        (self.told, self.queue) = (now, queue);
+        if queue != self.queue {
+            (self.queue, self.since) = (queue, now);
+        }
+        self.told_at = now;
     }
 
-    /// It answered a part or a probe.
+    /// It answered a part or a probe; one without a report tells nothing of what waits there.
     pub fn answers(&mut self, now: Tenths, queue: Option<f64>) {
         self.down = None;
-        self.tell(now, queue.unwrap_or(0.0));
+        self.tell(now, queue.unwrap_or(self.queue));
     }
 }
 
