--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -22,8 +22,9 @@
 /// Parts go one a connection while a replica has fewer than this: what one spoils, breaks or silences fails
 /// few beside it.
 const APART: usize = 4;
-/// The last byte of a part call follows the rest after so long, or its connection has broken by then: one that
-/// the other side has left, or resets as it is written to, shows it, and the part call never ran.
+/// On a connection unused for so long, which the other side may have left unsaid, the last byte of a part call
+/// follows the rest after so long more: a dead one breaks before it, and the part call never ran.
+const UNUSED: Duration = Duration::from_millis(50);
 const LAST_BYTE: Duration = Duration::from_millis(2);
 /// So many ids of parts that ended are remembered on a connection, to know their late or second answers by.
 const ENDED: usize = 512;
@@ -87,7 +88,9 @@
 struct Writing {
     frame: Frame,
     at: usize,
-    /// When its last byte may follow.
+    /// Its last byte is held back.
+    held: bool,
+    /// When that may follow.
     last: Option<Instant>,
 }
 
@@ -96,7 +99,7 @@
     fn next(&self) -> (&[u8], Option<Instant>) {
         let rest = &self.frame.bytes[self.at..];
         match self.last {
-            _ if self.frame.parts.is_empty() => (rest, None),
+            _ if !self.held => (rest, None),
             None => (&rest[..rest.len() - 1], None),
             Some(last) if last > Instant::now() => (&[], Some(last)),
             Some(_) => (rest, None),
@@ -411,8 +414,10 @@
         let fault = |e: std::io::Error| Fault::Ended(e.to_string());
         loop {
             if writing.is_none() {
-                writing =
-                    self.frames.borrow_mut().pop_front().map(|frame| Writing { frame, at: 0, last: None });
+                writing = self.frames.borrow_mut().pop_front().map(|frame| {
+                    let held = !frame.parts.is_empty() && self.sound.get() && active.elapsed() > UNUSED;
+                    Writing { frame, at: 0, held, last: None }
+                });
             }
             let empty = writing.is_none() && self.empty();
             if empty && (self.retired.get() || self.silent.get()) {
--- a/crates/linenthread-service/tests/service.rs
+++ b/crates/linenthread-service/tests/service.rs
@@ -78,6 +78,8 @@
         fleet.part().answer("v");
         assert_eq!(client.status(), 200);
         fleet.faint.store(1, Ordering::SeqCst);
+        // Kept for a while without use.
+        std::thread::sleep(std::time::Duration::from_millis(80));
     }
     assert_eq!(fleet.rest(), [""; 0]);
 }
--- a/crates/linenthread-service/tests/stand_ins/mod.rs
+++ b/crates/linenthread-service/tests/stand_ins/mod.rs
@@ -75,7 +75,7 @@
 /// Replicas that leave each answer to the test; probes are answered at once.
 pub struct Fleet {
     pub addresses: Vec<SocketAddr>,
-    /// So many connections end at the first byte that comes on them.
+    /// So many connections that have been used end at the next byte that comes on them.
     pub faint: Arc<AtomicUsize>,
     heard: Receiver<Heard>,
 }
@@ -139,7 +139,10 @@
     loop {
         let mut head = [0; 5];
         let came = line.peek(&mut [0]).is_ok_and(|n| n > 0);
-        if came && faint.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1)).is_ok() {
+        if came
+            && frames > 0
+            && faint.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1)).is_ok()
+        {
             line.shutdown(Shutdown::Both).ok();
             return;
         }
