Where no replica of a shard is ready, one that drains serves as the last resort

Ruled out: admission (3 of 284 refusals), cold budgets. Probed before the change: of 413 parts sent to draining replicas, 243 were answered, 170 turned away unseen. Now such a replica gets the shard's parts for half of the grace and until it turns one away; not after whole lists or failed questions, where the grace may have begun before the news came. It costs one part call turned away.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -115,12 +115,7 @@
     /// Lookups and parts taken, and further part calls made.
     taken: Counts,
     further: Counts,
-    began: Tenths,
-    next_tick: Tenths,
-    next_reset: Tenths,
-    next_wake: Tenths,
-    ask_at: Option<Tenths>,
-    ask_failures: u32,
+    due: Due,
 }
 
 /// When a lookup is given up.
@@ -150,20 +145,15 @@
             open: Vec::new(),
             taken: Counts::default(),
             further: Counts::default(),
-            began: 0,
-            next_tick: 0,
-            next_reset: 0,
-            next_wake: 0,
-            ask_at: None,
-            ask_failures: 0,
+            due: Due::default(),
         }
     }
 
     /// Takes all that came in and writes what is decided on it.
     pub fn round(&mut self, arrivals: &Arrivals, writer: &mut impl Writer) {
         self.now = arrivals.now;
-        if self.next_reset == 0 {
-            (self.began, self.next_reset) = (self.now, self.now + RESET);
+        if self.due.reset == 0 {
+            (self.due.began, self.due.reset) = (self.now, self.now + RESET);
         }
         arrivals.roster.iter().for_each(|news| self.hear_roster(news));
         if let Some(budget) = &self.deployment.further_calls {
@@ -184,12 +174,12 @@
         }
         self.release(writer);
         self.probe(writer);
-        if self.ask_at.take_if(|at| *at <= self.now).is_some() {
+        if self.due.ask.take_if(|at| *at <= self.now).is_some() {
             writer.watch_roster();
         }
-        if self.next_wake <= self.now {
-            self.next_wake = self.now + BEAT;
-            writer.wake_at(self.next_wake);
+        if self.due.wake <= self.now {
+            self.due.wake = self.now + BEAT;
+            writer.wake_at(self.due.wake);
         }
     }
 
@@ -201,17 +191,19 @@
             RosterNews::Whole(listed) => (listed, true),
             RosterNews::Remembered(listed) => {
                 // Restarts may come together: their questions to the roster are spread out.
-                self.ask_at = self.deployment.watch_roster.then(|| self.now + self.chance_up_to(2_000));
+                self.due.ask = self.deployment.watch_roster.then(|| self.now + self.chance_up_to(2_000));
                 (listed, true)
             }
             RosterNews::Failed => {
-                self.ask_failures = (self.ask_failures + 1).min(4);
-                let wait = 2_500 << self.ask_failures;
-                self.ask_at = Some(self.now + wait / 2 + self.chance_up_to(wait / 2));
+                self.due.ask_failures = (self.due.ask_failures + 1).min(4);
+                let wait = 2_500 << self.due.ask_failures;
+                self.due.ask = Some(self.now + wait / 2 + self.chance_up_to(wait / 2));
                 return;
             }
         };
-        (self.ask_failures, self.next_tick) = (0, self.now);
+        // Only news that came without delay leaves some of the grace: the rest counts as told before.
+        let grace = if whole || self.due.ask_failures > 0 { 0 } else { self.deployment.drain_grace / 2 };
+        (self.due.ask_failures, self.due.tick) = (0, self.now);
         if whole {
             self.replicas.iter_mut().for_each(|r| r.listed.phase = Phase::Gone);
         }
@@ -226,6 +218,9 @@
                 // A new process: nothing seen of the old one counts against it.
                 (replica.seen, replica.down) = (Seen::default(), None);
             }
+            if replica.ready() {
+                replica.last_call = self.now + grace;
+            }
             replica.listed = entry.clone();
         }
     }
@@ -266,7 +261,10 @@
         replica.out -= 1;
         let delays = &mut self.fleet.delays;
         match back.ending {
-            Ending::TurnedAway => delays.add(now, RECENT, self.soft.ln()),
+            Ending::TurnedAway => {
+                replica.last_call = now;
+                delays.add(now, RECENT, self.soft.ln());
+            }
             Ending::Answered | Ending::TimedOut | Ending::Withdrawn => delays.add(now, RECENT, took.ln()),
             _ => {}
         }
@@ -314,7 +312,7 @@
 
     fn hear_probe(&mut self, back: &ProbeReturn) {
         let now = self.now;
-        self.next_tick = now;
+        self.due.tick = now;
         let Some(replica) = self.replicas.get_mut(back.replica) else { return };
         let since = replica.asked.take().unwrap_or(now);
         // A replica that broke off and is gone may have been brought down; one that answers was not.
@@ -355,10 +353,10 @@
 
     /// Makes the scores anew, once a tick.
     fn score(&mut self) {
-        if self.now < self.next_tick {
+        if self.now < self.due.tick {
             return;
         }
-        self.next_tick = self.now + TICK;
+        self.due.tick = self.now + TICK;
         let (now, slow) = (self.now, self.time_of_most(2.0));
         let ready_count = self.replicas.iter().filter(|r| r.ready()).count().max(1) as f64;
         let fleet = &mut self.fleet;
@@ -394,8 +392,8 @@
                 replica.asked.filter(|&at| now - at >= ASK && replica.told_at < at).map_or(0.0, |_| UNSURE);
             replica.score = median / largest + SEVERITY * severity + silence + unsure;
         }
-        if now >= self.next_reset {
-            self.next_reset = now + (RESET as f64 * span / RECENT) as Tenths;
+        if now >= self.due.reset {
+            self.due.reset = now + (RESET as f64 * span / RECENT) as Tenths;
             self.replicas.iter_mut().for_each(|r| r.seen = Seen::default());
         }
         self.learn_capacity(ready_count);
@@ -417,9 +415,9 @@
         let seen = mean * window / fleet.span;
         fleet.usual = (fleet.usual * (1.0 - slowly)).max(least).max(seen);
         // In its first soft deadline's time a co-ordinator has seen too little to turn anything away.
-        if (now - self.began) as f64 >= self.soft {
+        if (now - self.due.began) as f64 >= self.soft {
             // One that has just started has not yet seen a whole span of answers.
-            let seen = RECENT * (1.0 - kept(self.began, now, RECENT));
+            let seen = RECENT * (1.0 - kept(self.due.began, now, RECENT));
             // While answers still come fast a burst may fill what a jam may not.
             let ease = (QUICK * self.soft / median).clamp(1.0, 2.0);
             let back_in_time = fleet.times.weight / seen * self.soft * ease;
@@ -493,8 +491,10 @@
 
     fn holders(&self, shard: usize) -> impl Iterator<Item = usize> {
         let Layout { cells, in_a_row, .. } = self.deployment.layout;
-        let holds =
-            move |r: &Replica| r.ready() && (r.listed.cell + cells - shard % cells) % cells < in_a_row;
+        let cell = move |r: &Replica| (r.listed.cell + cells - shard % cells) % cells < in_a_row;
+        // Where none is ready, one that drains serves as the last resort, until it turns a part away.
+        let (now, any) = (self.now, self.replicas.iter().any(|r| r.ready() && cell(r)));
+        let holds = move |r: &Replica| cell(r) && (r.ready() || !any && r.still_takes(now));
         (0..self.replicas.len()).filter(move |&r| holds(&self.replicas[r]))
     }
 
@@ -509,7 +509,7 @@
         self.may_run_again(lookup, part)
             && !lookup.over
             && !part.answered
-            && self.replicas[r].ready()
+            && (self.replicas[r].ready() || self.replicas[r].still_takes(self.now))
             && part.calls.len() < allowance.calls_a_part
             && (out == 0 || allowance.second_copies && out == 1)
             && part.calls.iter().all(|c| c.ending.is_some() || c.replica != r)
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -86,6 +86,8 @@
     pub layout: Layout,
     pub allowance: Allowance,
     pub cold: ColdStart,
+    /// Nothing new may go to a replica later than this after it was told as draining or gone.
+    pub drain_grace: Tenths,
     pub further_calls: Option<FurtherCalls>,
     /// The roster sends changes only to those who watch it.
     pub watch_roster: bool,
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -67,9 +67,23 @@
     }
 }
 
+/// When things began, and are due again.
+#[derive(Default)]
+pub struct Due {
+    pub began: Tenths,
+    pub tick: Tenths,
+    pub reset: Tenths,
+    pub wake: Tenths,
+    /// The roster is to be asked then, and so many times it could not be had.
+    pub ask: Option<Tenths>,
+    pub ask_failures: u32,
+}
+
 #[derive(Default)]
 pub struct Replica {
     pub listed: Listed,
+    /// Until then it may get parts although it drains.
+    pub last_call: Tenths,
     pub seen: Seen,
     pub out: u32,
     /// Of those out, the ones that are as good as lost.
@@ -98,6 +112,10 @@
         self.listed.phase == Phase::Ready
     }
 
+    pub fn still_takes(&self, now: Tenths) -> bool {
+        self.listed.phase == Phase::Draining && now < self.last_call
+    }
+
     /// Parts out that may still be answered.
     pub fn waiting(&self) -> f64 {
         f64::from(self.out.saturating_sub(self.lost))
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -137,6 +137,7 @@
                 retry_advice: None,
             },
             cold: ColdStart { share: 0.2, warm_up: 100_000, multiple: 2.0, window: 10_000 },
+            drain_grace: 0,
             further_calls: None,
             watch_roster: false,
         };
@@ -231,6 +232,7 @@
                 ("a-call", _) => self.deployment.layout.parts_a_call = number(value)?,
                 ("calls", _) => allowance.calls_a_part = number(value)?,
                 ("probes", Some(&"on")) => allowance.probes = true,
+                ("grace", _) => self.deployment.drain_grace = ms(value)?,
                 ("advice", _) => allowance.retry_advice = Some(ms(value)?),
                 ("of", _) => self.deployment.co_ordinators = number(value)?,
                 ("quota", _) => self.deployment.customer_quotas.push(number(value)?),
