Clients that ask once and stay no longer take up all connections there may be

Now a sixth of the descriptors' worth of those stays open, the last to have asked. The test fails without that.

--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -1,6 +1,7 @@
 //! The side towards clients: the listener, their connections, health, and stopping.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -39,7 +40,7 @@
 const IDLE: Duration = Duration::from_secs(10);
 const IDLE_CROWDED: Duration = Duration::from_secs(2);
 /// Connections are looked over this often.
-const SWEEP: Duration = Duration::from_millis(250);
+const SWEEP: Duration = Duration::from_millis(100);
 /// A client that does not take its answer is let go after so long.
 const TAKEN_WITHIN: Duration = Duration::from_secs(2);
 /// After the word to stop, idle connections stay open for so long, as clients still use them ...
@@ -200,8 +201,9 @@
 struct Inner {
     work: Rc<Work>,
     clients: RefCell<Vec<Rc<Client>>>,
-    /// Client connections at the most.
+    /// Client connections at the most, and of those that have had an answer and ask no more.
     most: usize,
+    spent: usize,
     stopping: Cell<bool>,
     left: Notify,
     refused: Sparing,
@@ -251,6 +253,7 @@
         work,
         clients: RefCell::default(),
         most: config.sockets - for_replicas - OWN_DESCRIPTORS,
+        spent: config.sockets / 6,
         stopping: Cell::new(false),
         left: Notify::new(),
         refused: Sparing::default(),
@@ -345,6 +348,11 @@
             let clients = self.0.clients.borrow();
             let crowded = clients.len() > self.0.most / 2;
             clients.iter().filter(|c| c.is_over(crowded)).for_each(|c| c.close());
+            // Clients that ask once and stay would take up all that may be open to those who want to ask.
+            let spent = |c: &&Rc<Client>| c.known.get() && c.state.get() == State::Idle && !c.closing.get();
+            let mut spent: Vec<_> = clients.iter().filter(spent).collect();
+            spent.sort_by_key(|c| Reverse(c.since.get()));
+            spent.iter().skip(self.0.spent).for_each(|c| c.close());
         }
     }
 
--- a/crates/linenthread-service/tests/service.rs
+++ b/crates/linenthread-service/tests/service.rs
@@ -426,6 +426,26 @@
     assert_eq!(kept.status(), 200);
 }
 
+#[test]
+fn those_who_ask_once_and_stay_leave_room_for_others() {
+    let (fleet, _roster, service) = start_with(2, "/limits/sockets", 120.into());
+    let mut stay: Vec<_> = (0..30)
+        .map(|id| {
+            let mut client = service.ask("order", &format!("t{id}"), &[0]);
+            fleet.part().answer("v");
+            assert_eq!(client.status(), 200);
+            client
+        })
+        .collect();
+    // A sixth of all may stay, the last to have asked.
+    assert!(stay.drain(..10).all(|mut client| client.answer().is_none()));
+    for (n, client) in stay.iter_mut().enumerate().skip(10) {
+        client.ask("order", &format!("u{n}"), &[0]);
+        fleet.part().answer("v");
+        assert_eq!(client.status(), 200);
+    }
+}
+
 #[test]
 fn what_follows_a_request_does_not_cost_it_its_answer() {
     let (fleet, _roster, service) = start(2);
