--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -41,6 +41,8 @@
 const IDLE_CROWDED: Duration = Duration::from_secs(2);
 /// Connections are looked over this often.
 const SWEEP: Duration = Duration::from_millis(100);
+/// One that has taken so long already gives way where there is no room for another connection.
+const SLOW: Duration = Duration::from_millis(200);
 /// A client that does not take its answer is let go after so long.
 const TAKEN_WITHIN: Duration = Duration::from_secs(2);
 /// After the word to stop, idle connections stay open for so long, as clients still use them ...
@@ -60,6 +62,8 @@
     known: Cell<bool>,
     /// It is to end as soon as it is idle.
     closing: Cell<bool>,
+    /// It is to end even with half a request, as long as nothing of it waits for an answer.
+    evicted: Cell<bool>,
     reader: RefCell<Option<Waker>>,
     /// It ended while its request was waiting.
     left: Notify,
@@ -109,6 +113,15 @@
         }
     }
 
+    /// It makes room for another: it is idle, or has taken longer over a request than a sound client does.
+    fn gives_way(&self) -> bool {
+        match self.state.get() {
+            State::Idle => true,
+            State::Reading | State::Asking => self.since.get().elapsed() > SLOW,
+            State::Waiting => false,
+        }
+    }
+
     /// It has been idle for longer than it is kept.
     fn is_over(&self, crowded: bool) -> bool {
         let kept = if crowded || !self.known.get() { IDLE_CROWDED } else { IDLE };
@@ -165,7 +178,7 @@
             }
         }
         if read.is_pending() {
-            if self.client.closing.get() && self.client.is_idle() {
+            if self.client.evicted.get() || self.client.closing.get() && self.client.is_idle() {
                 return Poll::Ready(Ok(()));
             }
             self.client.reader.replace(Some(cx.waker().clone()));
@@ -360,17 +373,18 @@
         self.0.clients.borrow().iter().for_each(|client| client.close());
     }
 
-    /// Asks the connection that was idle for longest to end.
+    /// Ends the connection that has gone without a whole request for longest.
     fn make_room(&self) {
         if let Some(left_out) = self.0.full.line() {
             warn!(
                 most = self.0.most,
-                left_out, "client connections are full; the one idle for longest is closed"
+                left_out, "client connections are full; the one without a request for longest is closed"
             );
         }
         let clients = self.0.clients.borrow();
-        let idle = clients.iter().filter(|c| c.is_idle() && !c.closing.get());
-        if let Some(client) = idle.min_by_key(|c| c.since.get()) {
+        let spare = clients.iter().filter(|c| c.gives_way() && !c.evicted.get());
+        if let Some(client) = spare.min_by_key(|c| c.since.get()) {
+            client.evicted.set(true);
             client.close();
         }
     }
@@ -382,6 +396,7 @@
             since: Cell::new(Instant::now()),
             known: Cell::new(false),
             closing: Cell::new(false),
+            evicted: Cell::new(false),
             reader: RefCell::new(None),
             left: Notify::new(),
             refused: Cell::new(false),
--- a/crates/linenthread-service/tests/service.rs
+++ b/crates/linenthread-service/tests/service.rs
@@ -446,6 +446,23 @@
     }
 }
 
+#[test]
+fn half_requests_do_not_keep_others_out() {
+    let (fleet, _roster, service) = start_with(2, "/limits/sockets", 64.into());
+    let good = request("find", "v1", &[0]);
+    let half = |n: usize| {
+        let mut client = service.connect();
+        client.send(&good[..good.len() - 1 - 100 * (n % 2)]);
+        client
+    };
+    let _halves: Vec<_> = (0..60).map(half).collect();
+    let start = std::time::Instant::now();
+    let mut client = service.ask("find", "v2", &[0]);
+    fleet.part().answer("v");
+    assert_eq!(client.status(), 200);
+    assert!(start.elapsed().as_secs_f64() < 1.5, "no longer than they may take over theirs");
+}
+
 #[test]
 fn what_follows_a_request_does_not_cost_it_its_answer() {
     let (fleet, _roster, service) = start(2);
