--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -1,9 +1,9 @@
 //! What goes into a [`Coordinator`](crate::Coordinator) and the [`Writer`] its decisions go to.
 //!
-//! Replicas, lookups and parts are small indices handed out by the caller. A replica keeps its index while the
-//! roster has it; after that, once every lookup taken before it was told as gone is released and no probe of
-//! it is out, the index may be listed with another id: nothing known of the first is held to the second.
-//! A lookup's index may be handed out again once [`Writer::release`] has named it. The parts of a
+//! Replicas, lookups and parts are small indices handed out by the caller. A replica keeps its index while
+//! the roster has it. After that, once every lookup taken before it was told as gone is released and no
+//! probe of it is out, the index may be listed with another id: nothing known of the first is held to the
+//! second. A lookup's index may be handed out again once [`Writer::release`] has named it. The parts of a
 //! lookup are numbered from 0 in the order they came, those of a second step after those of the first.
 
 /// A moment or a length of time, in tenths of a millisecond.
--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -234,8 +234,8 @@
     let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (terminate, interrupt, hangup) else {
         return Err("cannot watch signals".into());
     };
-    // Descriptors for replicas come before those for clients: a quarter of all, or two a replica. The fleet may
-    // change, but not beyond what the rest can do without.
+    // Descriptors for replicas come before those for clients: a quarter of all, or two a replica. The fleet
+    // may change, but not beyond what the rest can do without.
     let for_replicas = (config.sockets / 4).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
     let (surroundings, layout) = (&config.surroundings, &config.deployment.layout);
     let withdraw = config.deployment.allowance.withdraw;
@@ -383,7 +383,9 @@
         }
         let clients = self.0.clients.borrow();
         let spare = clients.iter().filter(|c| c.gives_way() && !c.evicted.get());
-        if let Some(client) = spare.min_by_key(|c| c.since.get()) {
+        // One that has only just connected goes last: its request may be on the way.
+        let new = |c: &Client| !c.known.get() && c.since.get().elapsed() <= SLOW;
+        if let Some(client) = spare.min_by_key(|c| (new(c), c.since.get())) {
             client.evicted.set(true);
             client.close();
         }
--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -30,7 +30,9 @@
         .optional();
     let serve = construct!(Command::Serve(file))
         .to_options()
-        .descr("Serves lookups until SIGTERM or SIGINT, then answers what it has taken and ends; reads its configuration again on SIGHUP")
+        .descr(
+            "Serves lookups until SIGTERM or SIGINT, then answers what it has taken; SIGHUP reads the file",
+        )
         .command("serve")
         .help("Serve lookups");
     let file = positional::<PathBuf>("FILE").help("The configuration to read");
--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -22,8 +22,8 @@
 /// Parts go one a connection while a replica has fewer than this: what one spoils, breaks or silences fails
 /// few beside it.
 const APART: usize = 4;
-/// On a connection unused for so long, which the other side may have left unsaid, the last byte of a part call
-/// follows the rest after so long more: a dead one breaks before it, and the part call never ran.
+/// On a connection unused for so long, which the other side may have left unsaid, the last byte of a part
+/// call follows the rest after so long more: a dead one breaks before it, and the part call never ran.
 const UNUSED: Duration = Duration::from_millis(50);
 const LAST_BYTE: Duration = Duration::from_millis(2);
 /// So many ids of parts that ended are remembered on a connection, to know their late or second answers by.
@@ -306,8 +306,8 @@
             let free = out(l) == 0 || out(l) + more <= streams;
             free && !l.silent.get() && !l.retired.get() && fit(l)
         };
-        // Those with the least out, as parts pile up on one that is stuck, and of them the one heard last: the
-        // others may idle out.
+        // Those with the least out, as parts pile up on one that is stuck, and of them the one heard last:
+        // the others may idle out.
         let order = |l: &&Rc<Link>| (l.midway.get(), out(l), Reverse(l.last_read.get()));
         let best = place.links.iter().filter(room).min_by_key(order);
         let full = self.0.connections.get() >= self.0.limits.connections;
