The module can ask an answered part once more, within the lookup, its calls and the budget

A page of merged rows may need more from one slice than its first part brought; nothing but the module may decide on that call. New in the arrivals: lookups and parts to be asked on. Only for idempotent indexes, counted as a further call, from the natural replica first, waited for while out and never beyond the soft deadline; without room or calls left the answer goes out at once with what is in.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -162,6 +162,7 @@
         arrivals.lookups.iter().for_each(|new| self.take(new));
         arrivals.parts.iter().for_each(|new| self.take_part(new));
         arrivals.returns.iter().for_each(|back| self.hear(back, writer));
+        arrivals.onward.iter().for_each(|&(l, p)| self.ask_on(l, p));
         arrivals.probes.iter().for_each(|back| self.hear_probe(back));
         for &lapsed in &arrivals.lapsed {
             if let Some(Some(lookup)) = self.lookups.get_mut(lapsed) {
@@ -248,6 +249,16 @@
         }
     }
 
+    /// An answered part is wanted once more: only where it may run again, and not beyond the lookup's end.
+    fn ask_on(&mut self, l: usize, p: usize) {
+        if let Some(Some(lookup)) = self.lookups.get_mut(l)
+            && self.deployment.indexes[lookup.index].effect == Effect::Idempotent
+            && let Some(part) = lookup.parts.get_mut(p).filter(|part| part.answered)
+        {
+            part.onward = Some(part.calls.len());
+        }
+    }
+
     fn hear(&mut self, back: &Return, writer: &mut impl Writer) {
         let (now, slow, span) = (self.now, self.time_of_most(2.0), self.fleet.span);
         let Some(Some(lookup)) = self.lookups.get_mut(back.lookup) else { return };
@@ -273,6 +284,7 @@
         match back.ending {
             Ending::Answered => {
                 part.answered |= !lookup.over;
+                part.onward = part.onward.filter(|from| back.call < *from);
                 if first {
                     self.breaks[lookup.index].sum *= 0.7;
                 }
@@ -464,10 +476,12 @@
         let spread = if together { 0 } else { part.shard as u64 + 1 };
         let order = |&r: &usize| (home(r), mix([lookup.key, spread, self.replicas[r].listed.id]));
         let fit: Vec<usize> = self.holders(part.shard).filter(|&r| self.may_call(l, p, r)).collect();
-        let tried = |r: usize| part.calls.iter().any(|c| c.replica == r);
+        // One that answered is no worse for being asked on.
+        let fail = |c: &Call| c.ending != Some(Ending::Answered);
+        let tried = |r: usize| part.calls.iter().any(|c| c.replica == r && fail(c));
         // Full queues don't empty at once: each further call waits twice as long as the one before.
         let turned = part.calls.iter().filter(|c| c.ending == Some(Ending::TurnedAway)).count();
-        let within = |wait: Tenths| part.calls.last().is_some_and(|c| self.now < c.sent + wait);
+        let within = |wait: Tenths| part.calls.last().is_some_and(|c| fail(c) && self.now < c.sent + wait);
         if turned > 1 && within(PAUSE << turned) {
             return None;
         }
@@ -508,7 +522,7 @@
         let out = part.out();
         self.may_run_again(lookup, part)
             && !lookup.over
-            && !part.answered
+            && part.is_wanted()
             && (self.replicas[r].ready() || self.replicas[r].still_takes(self.now))
             && part.calls.len() < allowance.calls_a_part
             && (out == 0 || allowance.second_copies && out == 1)
@@ -614,8 +628,18 @@
             || enough(got, floor)
                 && (!enough(1.0 - lost, need) || self.now >= end || self.now >= lookup.soft && partial_pays);
         let marked_whole = whole && lookup.first_whole.unwrap_or(true);
+        // What is asked on is waited for while it is out: never beyond the soft deadline, nor for room.
+        let onward = |k: &Lookup| k.parts.iter().any(|p| p.onward.is_some());
+        let asks_on = onward(lookup) && self.now < end.min(lookup.soft);
         if answer {
             let ends = lookup.first_whole.is_some() || index.second_step == 0;
+            if asks_on {
+                self.send(l, writer);
+                let lookup = self.lookups[l].as_ref().expect("open");
+                if lookup.parts.iter().any(|p| p.onward.is_some() && p.out() > 0) {
+                    return;
+                }
+            }
             writer.satisfy(l, marked_whole);
             self.withdraw_all(l, writer);
             let lookup = self.lookups[l].as_mut().expect("open");
@@ -752,7 +776,7 @@
             let late = part.calls.last().is_some_and(|c| (now - c.sent) as f64 > straggles);
             let lost = part.calls.last().is_some_and(|c| self.is_lost(c, slow));
             let spare = urgent && self.fleet.copies.sum < COPIES * self.fleet.copies.weight + 1.0;
-            if !part.answered && (part.out() == 0 || part.out() == 1 && (late && spare || lost)) {
+            if part.is_wanted() && (part.out() == 0 || part.out() == 1 && (late && spare || lost)) {
                 self.call(l, p, writer);
                 if alone {
                     return;
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -195,6 +195,9 @@
     pub lookups: Vec<NewLookup>,
     pub parts: Vec<NewPart>,
     pub returns: Vec<Return>,
+    /// Lookups and their parts that are answered and wanted once more, since their answer brought less than
+    /// the lookup needs. It is for the module to say whether that can be had; the answer in hand stays good.
+    pub onward: Vec<(usize, usize)>,
     pub probes: Vec<ProbeReturn>,
     /// Lookups whose client has left.
     pub lapsed: Vec<usize>,
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -153,9 +153,15 @@
     pub weight: f64,
     pub calls: Vec<Call>,
     pub answered: bool,
+    /// It is answered and asked once more, from its call of this number on.
+    pub onward: Option<usize>,
 }
 
 impl Part {
+    pub fn is_wanted(&self) -> bool {
+        !self.answered || self.onward.is_some()
+    }
+
     pub fn out(&self) -> usize {
         self.calls.iter().filter(|c| c.ending.is_none()).count()
     }
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -4,6 +4,7 @@
 //! - `list a:0 b:1/draining`, `change a:0 draining`, `change a:0 ready 500` (started then), `remember a:0`,
 //!   `unheard`; `change c=a:0 ready` lists c under the index that a had;
 //! - `lookup L key 7 hard 4000 shards 0 1`, `more L 0 1` (a second step), `lapsed L`;
+//! - `onward L.0` asks an answered part once more;
 //! - `L.0 errored` ends the oldest call out of a part, `L.0#1 answered` a certain one;
 //! - `serve 100 a b` answers all calls to these after 100 ms, `serve errored a` fails them, `serve never a`
 //!   hangs, `probed a answered 3` is a probe's return, with the parts it tells are waiting;
@@ -333,6 +334,11 @@
                 let lookup = self.named(rest[0])?;
                 self.shards(lookup, &rest[1..])?;
             }
+            "onward" => {
+                let (name, part) = rest[0].split_once('.').ok_or("onward LOOKUP.PART")?;
+                let asked = (self.named(name)?, number(Some(&part))?);
+                self.arrivals.onward.push(asked);
+            }
             "lapsed" => self.arrivals.lapsed.push(self.named(rest[0])?),
             "serve" => {
                 let (how, names) = rest.split_first().ok_or("serve HOW REPLICA ...")?;
