Merged answers, first way through: operators' file, merge package, serve and check

Clients add up totals and sort rows by themselves, and nobody can tell whether a total is short. A value that cannot be read as its index's form ends its part as errored; differing copies are logged and the first counts.

--- a/crates/linenthread-protocol/src/frame.rs
+++ b/crates/linenthread-protocol/src/frame.rs
@@ -10,14 +10,18 @@
     [&(rest.len() as u32 + 1).to_be_bytes()[..], &[letter], rest].concat()
 }
 
-pub fn part_id(lookup: &str, shard: usize) -> String {
-    format!("{lookup}.{shard}")
+/// A part that is asked on has another id each time, so that late answers to the first question are known.
+pub fn part_id(lookup: &str, shard: usize, round: u32) -> String {
+    match round {
+        0 => format!("{lookup}.{shard}"),
+        _ => format!("{lookup}.{shard}.{round}"),
+    }
 }
 
-/// One part call of so many parts, each an id and a shard.
-pub fn call<'a>(parts: impl Iterator<Item = (&'a str, usize)>, wait_ms: u64, text: &str) -> Vec<u8> {
+/// One part call of so many parts, each an id, a shard and a text.
+pub fn call<'a>(parts: impl Iterator<Item = (&'a str, usize, &'a str)>, wait_ms: u64) -> Vec<u8> {
     let mut rest = Vec::new();
-    for (id, shard) in parts {
+    for (id, shard, text) in parts {
         rest.extend_from_slice(format!("{id} {shard} d={wait_ms} {}\n", text.len()).as_bytes());
         rest.extend_from_slice(text.as_bytes());
     }
--- a/crates/linenthread-protocol/src/lookup.rs
+++ b/crates/linenthread-protocol/src/lookup.rs
@@ -110,6 +110,29 @@
     })
 }
 
+/// Which page of a merged index is wanted: `"page":{"rows":20,"after":"MARK"}` in a request's body.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Page {
+    pub rows: Option<usize>,
+    #[serde(rename = "after")]
+    pub mark: Option<String>,
+}
+
+/// Reads the page from a request's body; other indexes than merged ones take no notice of it.
+///
+/// # Errors
+///
+/// A page that has another form.
+pub fn page(body: &[u8]) -> Result<Page, String> {
+    #[derive(Deserialize)]
+    struct Asked {
+        page: Option<Page>,
+    }
+    let asked: Asked = serde_json::from_slice(body).map_err(|e| format!("the page does not parse: {e}"))?;
+    Ok(asked.page.unwrap_or_default())
+}
+
 #[derive(Serialize)]
 struct Found<'a> {
     bucket: usize,
--- a/crates/linenthread-protocol/tests/messages.rs
+++ b/crates/linenthread-protocol/tests/messages.rs
@@ -69,12 +69,12 @@
 
 #[test]
 fn frames_are_written_as_the_page_has_them() {
-    let id = frame::part_id("9b1f", 3);
+    let id = frame::part_id("9b1f", 3, 0);
     assert_eq!(
-        frame::call([(&*id, 3)].into_iter(), 240, "c41e77d0"),
+        frame::call([(&*id, 3, "c41e77d0")].into_iter(), 240),
         framed(b'A', b"9b1f.3 3 d=240 8\nc41e77d0")
     );
-    let two = frame::call([("a.1", 1), ("a.2", 2)].into_iter(), 5, "x");
+    let two = frame::call([("a.1", 1, "x"), ("a.2", 2, "x")].into_iter(), 5);
     assert_eq!(two, framed(b'A', b"a.1 1 d=5 1\nxa.2 2 d=5 1\nx"));
     assert_eq!(frame::give_up(&id), framed(b'B', b"9b1f.3"));
     assert_eq!(frame::probe(), [0, 0, 0, 1, b'D']);
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -258,7 +258,8 @@
         let State { coordinator, arrivals, lookups, free, indices, wake_at, .. } = &mut *state;
         arrivals.now = self.0.clock.now();
         coordinator.round(arrivals, &mut Routes { desk: self, lookups, free, indices, wake_at });
-        let Arrivals { now: _, roster, lookups, parts, returns, probes, lapsed } = arrivals;
+        let Arrivals { now: _, roster, lookups, parts, returns, onward, probes, lapsed } = arrivals;
+        onward.clear();
         roster.clear();
         lookups.clear();
         parts.clear();
@@ -303,6 +304,16 @@
         self.arrive(|arrivals| arrivals.returns.push(back));
     }
 
+    /// Answered parts of a lookup are wanted once more; said before the round that hears of their answers.
+    pub fn ask_on(&self, lookup: usize, parts: &[usize]) {
+        self.arrive(|arrivals| arrivals.onward.extend(parts.iter().map(|&part| (lookup, part))));
+    }
+
+    /// A replica's id, for the log.
+    pub fn name(&self, replica: usize) -> String {
+        self.0.state.borrow_mut().indices.get(replica).map_or_else(String::new, |held| held.id.clone())
+    }
+
     /// A lookup's client has left.
     pub fn lapse(&self, lookup: usize) {
         self.arrive(|arrivals| arrivals.lapsed.push(lookup));
--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/front.rs
@@ -28,6 +28,7 @@
 
 use crate::config::Config;
 use crate::desk::{self, Desk};
+use crate::gather::{Gathering, Merging};
 use crate::log::Sparing;
 use crate::lookup::{self, Answer, Work};
 use crate::replicas::{Limits, Replicas};
@@ -227,8 +228,14 @@
 #[derive(Clone)]
 struct Front(Rc<Inner>);
 
-/// Serves until told to stop, then answers all it has taken. Told to, it reads its file again.
-pub async fn serve(config: Config, file: &Path) -> Result<(), String> {
+/// Serves until told to stop, then answers all it has taken. Told to, it reads its files again. `ready` is
+/// told the address that is listened on.
+pub async fn serve(
+    config: Config,
+    file: &Path,
+    (merging, installation): (Merging, Option<&Path>),
+    ready: impl FnOnce(SocketAddr),
+) -> Result<(), String> {
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let [terminate, interrupt, hangup] =
         [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()].map(signal);
@@ -261,6 +268,7 @@
         surroundings: surroundings.clone(),
         withdraw,
         parts_a_call: layout.parts_a_call,
+        gathering: Gathering { merging: RefCell::new(Rc::new(merging)), ..Gathering::default() },
         open: RefCell::default(),
     });
     let front = Front(Rc::new(Inner {
@@ -274,7 +282,9 @@
         full: Sparing::default(),
     }));
     let listen = listener.local_addr().unwrap_or(config.listen);
-    info!(name = config.name, %listen, roster = %config.roster, "serving");
+    let merged = front.0.work.gathering.merging.borrow().count();
+    info!(name = config.name, %listen, roster = %config.roster, merged, "serving");
+    ready(listen);
     tokio::select! {
         _ = front.accept(&listener) => {}
         _ = front.sweep() => {}
@@ -288,6 +298,10 @@
                 if let Some(roster) = config.again(file) {
                     moved.send_if_modified(|at| std::mem::replace(at, roster) != roster);
                 }
+                // Lookups under way go on by the file that they began with.
+                if let Some(new) = installation.and_then(|file| Merging::again(file, &config)) {
+                    front.0.work.gathering.merging.replace(new);
+                }
             }
         } => {}
     }
--- /dev/null
+++ b/crates/linenthread-service/src/gather.rs
@@ -0,0 +1,214 @@
+//! Where a lookup's values gather until it is answered: as they came, or merged as the operators' file says.
+
+use std::cell::{Cell, RefCell};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use linenthread_core::interface::Ending;
+use linenthread_installation::{Installation, KnownIndex};
+use linenthread_merge::{self as merge, Marks, Merge, PageWish, Plan, Taken};
+use linenthread_protocol::lookup::{self as protocol, Lookup};
+use tracing::{info, warn};
+
+use crate::config::Config;
+use crate::log::Sparing;
+
+/// Which indexes are merged, and how: the operators' file, read and checked.
+#[derive(Default)]
+pub struct Merging {
+    /// By the settings' numbers of indexes.
+    plans: Vec<Option<Plan>>,
+    marks: Option<Marks>,
+}
+
+/// Seconds since 1970, for the life of page marks.
+fn unix_now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
+
+impl Merging {
+    /// Reads the operators' file against the platform's.
+    ///
+    /// # Errors
+    ///
+    /// One line: file, line in it and cause.
+    pub fn read(file: &Path, config: &Config) -> Result<Merging, String> {
+        let indexes = &config.surroundings.indexes;
+        let known = |name: &str| {
+            let at = indexes.iter().position(|index| index == name)?;
+            Some(KnownIndex { floor: config.deployment.indexes.get(at)?.floor })
+        };
+        let read = Installation::read_file(file, &known)?.merging;
+        let plan = |name: &String| read.plans.iter().find(|plan| plan.index == *name).cloned();
+        let plans = indexes.iter().map(plan).collect();
+        let marks = match &read.marks {
+            None => None,
+            Some(marks) => {
+                let secret = |path: &std::path::PathBuf| {
+                    let secret = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+                    let secret = secret.trim_ascii_end().to_vec();
+                    match secret.len() < merge::SHORTEST_SECRET {
+                        true => Err(format!(
+                            "{}: a secret needs {} bytes or more",
+                            path.display(),
+                            merge::SHORTEST_SECRET
+                        )),
+                        false => Ok(secret),
+                    }
+                };
+                let secrets = marks.files.iter().map(secret).collect::<Result<_, _>>()?;
+                Some(Marks::new(secrets, marks.life)?)
+            }
+        };
+        Ok(Merging { plans, marks })
+    }
+
+    /// Reads it once more for a program that runs; a bad file changes nothing.
+    pub fn again(file: &Path, config: &Config) -> Option<Rc<Merging>> {
+        match Merging::read(file, config) {
+            Ok(new) => {
+                info!(merged = new.count(), "installation read again");
+                Some(Rc::new(new))
+            }
+            Err(message) => {
+                warn!("installation not taken, all goes on as it was: {message}");
+                None
+            }
+        }
+    }
+
+    /// How many indexes are merged.
+    pub fn count(&self) -> usize {
+        self.plans.iter().flatten().count()
+    }
+
+    fn plan(&self, index: usize) -> Option<&Plan> {
+        self.plans.get(index)?.as_ref()
+    }
+}
+
+/// What was odd about slices' values, counted for the log.
+#[derive(Default)]
+pub struct Oddities {
+    differ: Cell<u64>,
+    unreadable: Cell<u64>,
+    lines: Sparing,
+}
+
+/// What every lookup gathers by.
+#[derive(Default)]
+pub struct Gathering {
+    pub merging: RefCell<Rc<Merging>>,
+    pub oddities: Oddities,
+}
+
+/// The values of one lookup.
+pub enum Gather<'a> {
+    AsTheyCame(Vec<Option<String>>),
+    Merged { merge: Merge<'a>, marks: Option<&'a Marks>, oddities: &'a Oddities },
+}
+
+impl<'a> Gather<'a> {
+    /// Begins for a lookup.
+    ///
+    /// # Errors
+    ///
+    /// A page that can't be had, where its index is merged.
+    pub fn begin(
+        merging: &'a Merging,
+        oddities: &'a Oddities,
+        index: usize,
+        shards: usize,
+        asked: &Lookup,
+        body: &[u8],
+    ) -> Result<Self, String> {
+        let Some(plan) = merging.plan(index) else {
+            return Ok(Gather::AsTheyCame(vec![None; asked.parts.len()]));
+        };
+        let protocol::Page { rows, mark } = protocol::page(body)?;
+        let slices: Vec<_> = asked.parts.iter().map(|p| (p.shard, p.weight)).collect();
+        let said = merge::Asked {
+            customer: asked.customer.as_deref(),
+            key: asked.key.as_deref(),
+            query: &asked.text,
+            slices: &slices,
+            shards,
+        };
+        let marks = merging.marks.as_ref();
+        let merge = Merge::begin(plan, &said, &PageWish { rows, mark }, marks, unix_now())?;
+        Ok(Gather::Merged { merge, marks, oddities })
+    }
+
+    /// What a part's replica is to be asked now, and how many times it was asked on before.
+    pub fn question(&self, part: usize, text: &Rc<str>) -> (u32, Rc<str>) {
+        match self {
+            Gather::AsTheyCame(_) => (0, text.clone()),
+            Gather::Merged { merge, .. } => (merge.round(part), merge.text(part).into()),
+        }
+    }
+
+    /// Takes what a part call brought, and says how it truly ended: a value that is none has run and failed.
+    pub fn take(
+        &mut self,
+        (part, round): (usize, u32),
+        ending: Ending,
+        value: String,
+        of: impl Fn() -> (String, usize),
+    ) -> Ending {
+        let Gather::Merged { merge, oddities, .. } = self else {
+            if let (Gather::AsTheyCame(values), Ending::Answered) = (self, ending) {
+                values[part].get_or_insert(value);
+            }
+            return ending;
+        };
+        if ending != Ending::Answered {
+            merge.fail(part);
+            return ending;
+        }
+        let count = |of: &Cell<u64>| {
+            of.set(of.get() + 1);
+            of.get()
+        };
+        match merge.take(part, round, &value) {
+            Taken::In | Taken::Again { differs: false } => ending,
+            Taken::Again { differs: true } => {
+                let all = count(&oddities.differ);
+                if let Some(left_out) = oddities.lines.line() {
+                    let (replica, shard) = of();
+                    warn!(replica, shard, all, left_out, "copies of a part differ, the first one counts");
+                }
+                ending
+            }
+            Taken::Unreadable(why) => {
+                let all = count(&oddities.unreadable);
+                if let Some(left_out) = oddities.lines.line() {
+                    let (replica, shard) = of();
+                    let why: String = why.chars().take(160).collect();
+                    warn!(replica, shard, all, left_out, "a part's value cannot be merged: {why}");
+                }
+                Ending::Errored
+            }
+        }
+    }
+
+    /// Parts that are to be asked on, each named once.
+    pub fn onward(&mut self) -> Vec<usize> {
+        match self {
+            Gather::AsTheyCame(_) => Vec::new(),
+            Gather::Merged { merge, .. } => merge.onward(),
+        }
+    }
+
+    /// The body of the answer from what is in.
+    pub fn answer(&self, whole: bool, asked: &Lookup) -> Vec<u8> {
+        match self {
+            Gather::AsTheyCame(values) => {
+                let shards = asked.parts.iter().map(|p| p.shard);
+                let found = shards.zip(values).filter_map(|(s, v)| Some((s, v.as_deref()?)));
+                protocol::answer(whole, found)
+            }
+            Gather::Merged { merge, marks, .. } => merge.answer(whole, *marks, unix_now()),
+        }
+    }
+}
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::desk::{self, Decision, Desk, HandedIn};
+use crate::gather::{Gather, Gathering};
 use crate::replicas::{Asked, Ended, PartOut, Replicas};
 
 /// A lookup that runs out of time withdraws its parts about when they time out: either way their time is up.
@@ -43,6 +44,7 @@
     /// Part calls may be given up.
     pub withdraw: bool,
     pub parts_a_call: usize,
+    pub gathering: Gathering,
     /// The ids of open lookups, each kept by its [`OpenId`].
     pub open: RefCell<HashSet<String>>,
 }
@@ -100,6 +102,9 @@
 struct Out {
     sent: Tenths,
     due: Instant,
+    replica: usize,
+    /// How many times the part was asked on before.
+    round: u32,
     at: Option<PartOut>,
 }
 
@@ -112,22 +117,21 @@
 
 impl Calls<'_> {
     /// The one place where a part call ends. One that was still waited for is given up on its connection.
-    fn end(&mut self, part: usize, call: usize, ending: Ending, queue: Option<f64>) -> bool {
-        let Some(out) = self.out.remove(&(part, call)) else { return false };
+    fn end(&mut self, part: usize, call: usize, ending: Ending, queue: Option<f64>) {
+        let Some(out) = self.out.remove(&(part, call)) else { return };
         let given_up = matches!(ending, Ending::TimedOut | Ending::Withdrawn);
         if let (true, Some(at)) = (given_up && Instant::now() + NEAR >= out.due, &out.at) {
             at.timed_out();
         }
         let took = self.work.desk.clock().now() - out.sent;
         self.work.desk.give_back(Return { lookup: self.lookup, part, call, ending, took, queue });
-        true
     }
 
     /// Makes part calls, by replica and time-out.
     fn send(
         &mut self,
         sends: &mut BTreeMap<(usize, Tenths), Vec<Asked>>,
-        lookup: &Lookup,
+        id: &str,
         to: &mpsc::UnboundedSender<Ended>,
     ) {
         let (now, sent) = (Instant::now(), self.work.desk.clock().now());
@@ -135,9 +139,10 @@
             let wait = desk::span(time_out.max(1));
             let wait_ms = wait.as_micros().div_ceil(1000) as u64;
             for parts in parts.chunks(self.work.parts_a_call.max(1)) {
-                let at = self.work.replicas.call(replica, &lookup.id, parts, wait_ms, &lookup.text, to);
-                for (Asked { part, call, .. }, at) in parts.iter().zip(at) {
-                    self.out.insert((*part, *call), Out { sent, due: now + wait, at });
+                let at = self.work.replicas.call(replica, id, parts, wait_ms, to);
+                for (Asked { part, call, round, .. }, at) in parts.iter().zip(at) {
+                    let out = Out { sent, due: now + wait, replica, round: *round, at };
+                    self.out.insert((*part, *call), out);
                 }
             }
         }
@@ -162,13 +167,19 @@
         Ok(decoded) => decoded,
         Err(answer) => return drop(client.send(answer)),
     };
+    let merging = work.gathering.merging.borrow().clone();
+    let (shards, oddities) = (work.surroundings.shards, &work.gathering.oddities);
+    let mut gather = match Gather::begin(&merging, oddities, new.index, shards, &asked, &body) {
+        Ok(gather) => gather,
+        Err(why) => return drop(client.send(Answer::Bad(why))),
+    };
     drop((request, body));
+    let text: Rc<str> = asked.text.as_str().into();
     let Some(_open) = OpenId::take(&work, &asked.id) else {
         return drop(client.send(Answer::Open));
     };
     let (lookup, mut decisions) = work.desk.hand_in(new);
     let mut client = Some(client);
-    let mut values: Vec<Option<String>> = vec![None; asked.parts.len()];
     let mut made = vec![0; asked.parts.len()];
     let mut calls = Calls { work: &work, lookup, out: BTreeMap::new() };
     let (to_here, mut ended) = mpsc::unbounded_channel::<Ended>();
@@ -181,8 +192,12 @@
                 None => return, // released: over, and nothing is out
             },
             Some(Ended { part, call, ending, queue, value }) = ended.recv() => {
-                if calls.end(part, call, ending, queue) && ending == Ending::Answered {
-                    values[part].get_or_insert(value);
+                if let Some(out) = calls.out.get(&(part, call)) {
+                    let (replica, round) = (out.replica, out.round);
+                    let of = || (work.desk.name(replica), asked.parts[part].shard);
+                    let ending = gather.take((part, round), ending, value, of);
+                    calls.end(part, call, ending, queue);
+                    work.desk.ask_on(lookup, &gather.onward());
                 }
                 continue;
             }
@@ -208,21 +223,20 @@
         let mut next = Some(first);
         while let Some(decision) = next {
             if !matches!(decision, Decision::Call { .. }) {
-                calls.send(&mut sends, &asked, &to_here);
+                calls.send(&mut sends, &asked.id, &to_here);
             }
             match decision {
                 Decision::Call { part, replica, time_out } => {
-                    let asked = Asked { part, call: made[part], shard: asked.parts[part].shard };
+                    let (shard, (round, text)) = (asked.parts[part].shard, gather.question(part, &text));
+                    let one = Asked { part, call: made[part], shard, round, text };
                     made[part] += 1;
-                    sends.entry((replica, time_out)).or_insert_with(Vec::new).push(asked);
+                    sends.entry((replica, time_out)).or_insert_with(Vec::new).push(one);
                 }
                 Decision::Withdraw { part, call } => {
                     calls.end(part, call, Ending::Withdrawn, None);
                 }
                 Decision::Satisfy { whole } => {
-                    let shards = asked.parts.iter().map(|p| p.shard);
-                    let found = shards.zip(&values).filter_map(|(s, v)| Some((s, v.as_deref()?)));
-                    answer(&mut client, Answer::Satisfied(protocol::answer(whole, found)));
+                    answer(&mut client, Answer::Satisfied(gather.answer(whole, &asked)));
                 }
                 Decision::Nack { retry_after } => {
                     answer(&mut client, Answer::Nacked(retry_after.map(|t| t as f64 / 10.0)));
@@ -231,7 +245,7 @@
             }
             next = decisions.try_recv().ok();
         }
-        calls.send(&mut sends, &asked, &to_here);
+        calls.send(&mut sends, &asked.id, &to_here);
     }
 }
 
--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod desk;
 mod front;
+mod gather;
 mod log;
 mod lookup;
 mod replicas;
@@ -14,11 +15,13 @@
 use bpaf::{Parser, construct, long, positional, pure};
 
 use config::Config;
+use gather::Merging;
 
 #[derive(Clone)]
 enum Command {
-    Serve(Option<PathBuf>),
-    Check(PathBuf),
+    Serve(Option<PathBuf>, Option<PathBuf>),
+    Check(PathBuf, Option<PathBuf>),
+    Schema,
     Version,
 }
 
@@ -28,36 +31,64 @@
         .help("The configuration, as JSON")
         .argument::<PathBuf>("FILE")
         .optional();
-    let serve = construct!(Command::Serve(file))
+    let installation = || {
+        long("installation")
+            .help("The operators' own file, as XML; what it switches on is off without it")
+            .argument::<PathBuf>("FILE")
+            .optional()
+    };
+    let own = installation();
+    let serve = construct!(Command::Serve(file, own))
         .to_options()
         .descr(
-            "Serves lookups until SIGTERM or SIGINT, then answers what it has taken; SIGHUP reads the file",
+            "Serves lookups until SIGTERM or SIGINT, then answers what it has taken; SIGHUP reads its files",
         )
+        .footer("Example: linenthread serve --config config.json --installation deploy/installation.xml")
         .command("serve")
         .help("Serve lookups");
     let file = positional::<PathBuf>("FILE").help("The configuration to read");
-    let check = construct!(Command::Check(file))
+    let own = installation();
+    let check = construct!(own, file)
+        .map(|(own, file)| Command::Check(file, own))
         .to_options()
         .descr(
-            "Reads a configuration as serve would; says in one line what is wrong with it, and exits with 2",
+            "Reads a configuration as serve would, and the operators' file beside it; says in one line what \
+             is wrong, with file and line, and exits with 2",
         )
+        .footer("Example: linenthread check config.json --installation deploy/installation.xml")
         .command("check")
         .help("Check a configuration");
+    let schema = pure(Command::Schema)
+        .to_options()
+        .descr("Prints the schema (XSD) of the operators' file")
+        .footer("Example: linenthread schema > installation.xsd")
+        .command("schema")
+        .help("Print the schema of the operators' file");
     let version = pure(Command::Version)
         .to_options()
         .descr("Prints the version")
         .command("version")
         .help("Print the version");
-    construct!([serve, check, version])
+    construct!([serve, check, schema, version])
         .to_options()
         .descr("linenthread co-ordinates lookups over replicated shards")
         .footer("Start with: EDGE_CONFIG=/run/balancer/config.json linenthread serve")
 }
 
-fn with_config(file: Option<PathBuf>, use_it: impl FnOnce(Config, &Path) -> ExitCode) -> ExitCode {
-    let read = file.ok_or_else(|| "EDGE_CONFIG is not set and there is no --config".to_owned());
-    match read.and_then(|file| Config::read(&file).map(|config| (config, file))) {
-        Ok((config, file)) => use_it(config, &file),
+/// Reads both files; what is wrong with either is one line and exit 2.
+fn with_files(
+    file: Option<PathBuf>,
+    own: Option<&Path>,
+    use_them: impl FnOnce(Config, &Path, Merging) -> ExitCode,
+) -> ExitCode {
+    let read = || {
+        let file = file.ok_or("EDGE_CONFIG is not set and there is no --config")?;
+        let config = Config::read(&file)?;
+        let merging = own.map(|own| Merging::read(own, &config)).transpose()?.unwrap_or_default();
+        Ok::<_, String>((config, file, merging))
+    };
+    match read() {
+        Ok((config, file, merging)) => use_them(config, &file, merging),
         Err(message) => {
             eprintln!("linenthread: {message}");
             ExitCode::from(2)
@@ -71,14 +102,20 @@
             println!("linenthread {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        Command::Check(file) => with_config(Some(file), |config, _| {
+        Command::Schema => {
+            print!("{}", linenthread_installation::SCHEMA);
+            ExitCode::SUCCESS
+        }
+        Command::Check(file, own) => with_files(Some(file), own.as_deref(), |config, _, merging| {
             let (indexes, replicas) = (config.deployment.indexes.len(), config.remembered.replicas.len());
-            println!("{}: {indexes} indexes, {replicas} replicas remembered", config.name);
+            let merged = if own.is_some() { format!(", {} merged", merging.count()) } else { String::new() };
+            println!("{}: {indexes} indexes{merged}, {replicas} replicas remembered", config.name);
             ExitCode::SUCCESS
         }),
-        Command::Serve(file) => with_config(file, |config, file| {
+        Command::Serve(file, own) => with_files(file, own.as_deref(), |config, file, merging| {
             log::start();
-            match actix_rt::System::new().block_on(front::serve(config, file)) {
+            let served = front::serve(config, file, (merging, own.as_deref()), |_| {});
+            match actix_rt::System::new().block_on(served) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(message) => {
                     tracing::error!("{message}");
--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/replicas.rs
@@ -42,11 +42,14 @@
 }
 
 /// One part of a part call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Asked {
     pub part: usize,
     pub call: usize,
     pub shard: usize,
+    /// How many times it was asked on before.
+    pub round: u32,
+    pub text: Rc<str>,
 }
 
 /// What connections may do.
@@ -67,7 +70,8 @@
 /// A part out on a connection.
 struct Waiter {
     number: u64,
-    asked: Asked,
+    part: usize,
+    call: usize,
     written: bool,
     to: mpsc::UnboundedSender<Ended>,
 }
@@ -238,10 +242,9 @@
         lookup: &str,
         asked: &[Asked],
         wait_ms: u64,
-        text: &str,
         to: &mpsc::UnboundedSender<Ended>,
     ) -> Vec<Option<PartOut>> {
-        let ids: Vec<String> = asked.iter().map(|a| frame::part_id(lookup, a.shard)).collect();
+        let ids: Vec<String> = asked.iter().map(|a| frame::part_id(lookup, a.shard, a.round)).collect();
         let link = self.link(replica, asked.len(), |link| {
             let parts = link.parts.borrow();
             ids.iter().all(|id| !parts.contains_key(id))
@@ -253,14 +256,14 @@
             }
             return asked.iter().map(|_| None).collect();
         };
-        let bytes =
-            frame::call(ids.iter().map(String::as_str).zip(asked.iter().map(|a| a.shard)), wait_ms, text);
+        let parts = ids.iter().zip(asked).map(|(id, a)| (id.as_str(), a.shard, &*a.text));
+        let bytes = frame::call(parts, wait_ms);
         let mut frame = Frame { bytes, parts: Vec::new(), probe: false };
         let mut out = Vec::new();
-        for (id, &asked) in ids.into_iter().zip(asked) {
+        for (id, &Asked { part, call, .. }) in ids.into_iter().zip(asked) {
             let number = self.0.numbers.get();
             self.0.numbers.set(number + 1);
-            let waiter = Waiter { number, asked, written: false, to: to.clone() };
+            let waiter = Waiter { number, part, call, written: false, to: to.clone() };
             link.parts.borrow_mut().insert(id.clone(), waiter);
             frame.parts.push((id.clone(), number));
             out.push(Some(PartOut { link: link.clone(), id, number, sent: Instant::now() }));
@@ -485,9 +488,7 @@
                 if self.parts.borrow().get(&id).is_some_and(|w| !w.written) {
                     return Err(Fault::Spoilt("an answer to a part not yet sent".into()));
                 }
-                if let Some(Waiter { asked: Asked { part, call, .. }, to, .. }) =
-                    self.parts.borrow_mut().remove(&id)
-                {
+                if let Some(Waiter { part, call, to, .. }) = self.parts.borrow_mut().remove(&id) {
                     self.remember(&id);
                     to.send(Ended { part, call, ending, queue, value }).ok();
                 } else if !self.ended.borrow().contains(&number(&id)) {
@@ -517,7 +518,7 @@
             false if spoilt || self.sound.get() => Ending::Unsent,
             false => Ending::Unconnected,
         };
-        for Waiter { asked: Asked { part, call, .. }, written, to, .. } in
+        for Waiter { part, call, written, to, .. } in
             std::mem::take(&mut *self.parts.borrow_mut()).into_values()
         {
             to.send(Ended { part, call, ending: ending(written), queue: None, value: String::new() }).ok();
@@ -556,9 +557,9 @@
                 replicas.place(0, listener.local_addr().ok());
                 let (to, mut ended) = mpsc::unbounded_channel();
                 // More than any socket's buffers hold.
-                let text = "x".repeat(60_000);
-                let call =
-                    |part| replicas.call(0, "l", &[Asked { part, call: 0, shard: part }], 9, &text, &to);
+                let text: Rc<str> = "x".repeat(60_000).into();
+                let asked = |part| Asked { part, call: 0, shard: part, round: 0, text: text.clone() };
+                let call = |part| replicas.call(0, "l", &[asked(part)], 9, &to);
                 let out: Vec<_> = (0..500).map(call).collect();
                 let (mut replica, _) = listener.accept().await.unwrap();
                 replica.read_exact(&mut vec![0; 61_000]).await.unwrap();
