Stand-ins as a package, ledgers with real rows, and a checker that judges merged answers

Merged answers had no test that knows the truth. Socket tests ask 400 random lookups through delays, unreadable, spoilt, double, errored, refused, cut and silent parts, with rows added between pages, and try marks at another program.

The checker found one wrong merge: rows left out because a full page had been reached within one value did not count as rows to come, so a reading ended early.

--- a/crates/linenthread-merge/src/ranked.rs
+++ b/crates/linenthread-merge/src/ranked.rs
@@ -113,9 +113,13 @@
     pub fn take(&mut self, slice: usize, batch: Batch) {
         for (Known { place, distinct }, text) in batch.rows {
             self.slices[slice].frontier = Some(place.clone());
-            if self.rows.contains_key(&place) || self.is_beyond(&place) || self.is_seen(slice, &place) {
+            if self.rows.contains_key(&place) || self.is_seen(slice, &place) {
                 continue;
             }
+            if self.is_beyond(&place) {
+                self.slices[slice].trimmed = true;
+                break;
+            }
             if let Some(value) = &distinct {
                 match self.by_value.get(value) {
                     Some(better) if *better < place => continue,
--- /dev/null
+++ b/crates/linenthread-service/tests/merged.rs
@@ -0,0 +1,268 @@
+//! Merged indexes through the program on loopback sockets, judged by the stand-ins' full data.
+
+use std::time::Duration;
+
+use linenthread_stand_ins::checker::{self, Reading};
+use linenthread_stand_ins::ledger::{Hosts, How, INSTALLATION, Ledger};
+use linenthread_stand_ins::{Class, Part, Roster, Service, config_of, entry, list};
+use oorandom::Rand64;
+use serde_json::{Value, json};
+
+const EXE: &str = env!("CARGO_BIN_EXE_linenthread");
+const SHARDS: usize = 6;
+const SOFT_MS: u64 = 400;
+const FLOOR: f64 = 0.5;
+
+struct Rig {
+    hosts: Hosts,
+    service: Service,
+    known: String,
+    roster: Roster,
+}
+
+fn configuration(roster: &Roster, known: &str) -> Value {
+    let class = |name, floor| Class { name, once_only: false, soft_ms: SOFT_MS, floor };
+    let classes = [
+        class("history", FLOOR),
+        class("pledges", FLOOR),
+        class("charities", FLOOR),
+        Class { name: "order", once_only: true, soft_ms: SOFT_MS, floor: 1.0 },
+    ];
+    config_of(roster.address, known, &classes, 3, SHARDS)
+}
+
+/// Three replicas, each slice on two of them, over one ledger.
+fn start(
+    ledger: Ledger,
+    most_rows: usize,
+    installation: &str,
+    cue: impl FnMut(&Part) -> (Duration, How) + Send + 'static,
+) -> Rig {
+    let hosts = Hosts::start(3, ledger, most_rows, cue);
+    let entries = hosts.addresses.iter().enumerate().map(|(i, a)| entry(i, *a, "active"));
+    let known = list(1, true, entries.collect());
+    let roster = Roster::start(known.clone());
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("marks.key"), "a secret of some length\n").unwrap();
+    std::fs::write(folder.path().join("installation.xml"), installation).unwrap();
+    let words = ["--installation", "installation.xml"];
+    let service = Service::start_in(folder, EXE, &configuration(&roster, &known), &words);
+    Rig { hosts, service, known, roster }
+}
+
+fn weights(shards: &[usize]) -> Vec<(usize, f64)> {
+    shards.iter().map(|&s| (s, 1.0 / shards.len() as f64)).collect()
+}
+
+fn now(_: &Part) -> (Duration, How) {
+    (Duration::ZERO, How::Answer)
+}
+
+/// A fault, or an answer after a random while; seldom one that takes longer than a lookup waits.
+fn faulty(mut chance: Rand64) -> impl FnMut(&Part) -> (Duration, How) + Send {
+    move |_| {
+        let how = match chance.rand_range(0..100) {
+            0..2 => How::TwoAnswers,
+            2..5 => How::Unreadable,
+            5..6 => How::Spoilt,
+            6..9 => How::Errored,
+            9..11 => How::Full,
+            11..12 => How::Cut,
+            12..14 => How::Silent,
+            _ => How::Answer,
+        };
+        (Duration::from_micros(chance.rand_range(0..8_000)), how)
+    }
+}
+
+/// Reads a chain of pages, with rows added between them, or asks for totals or groups, until so many lookups
+/// were asked. What is refused or given up is no answer; every answer is judged.
+fn read_on(seed: u128, lookups: usize) -> (usize, usize) {
+    let mut chance = Rand64::new(seed);
+    let ledger = Ledger::new(&mut chance, SHARDS, 14);
+    let rig = start(ledger, 4, INSTALLATION, faulty(Rand64::new(seed + 1)));
+    let (mut answered, mut partial, mut asked) = (0, 0, 0);
+    while asked < lookups {
+        let mut shards: Vec<usize> = (0..SHARDS).filter(|_| chance.rand_range(0..3) > 0).collect();
+        if shards.is_empty() {
+            shards.push(0);
+        }
+        let with = weights(&shards);
+        let mut reading = Reading::new(&with);
+        let (mut added, mut mark) = (Vec::new(), Value::Null);
+        let index = ["history", "history", "pledges", "charities"][chance.rand_range(0..4) as usize];
+        loop {
+            asked += 1;
+            let id = format!("m{seed}-{asked}");
+            let limit = 1 + chance.rand_range(0..8) as usize;
+            let page = if index == "history" { json!({"rows": limit, "after": mark}) } else { Value::Null };
+            let (status, answer) = rig.service.connect().merged(index, &id, &shards, index, &page);
+            let ledger = rig.hosts.ledger.lock().unwrap().clone();
+            if status != 200 {
+                assert!([502, 503].contains(&status), "seed {seed}, lookup {asked}: {status} {answer}");
+                break;
+            }
+            answered += 1;
+            partial += usize::from(answer["finished"] == json!(false));
+            let judged = match index {
+                "history" => reading.page(&ledger, &with, FLOOR, limit, &answer),
+                "pledges" => checker::totals(&ledger, &with, FLOOR, &answer),
+                _ => checker::groups(&ledger, &with, FLOOR, 3, &answer),
+            };
+            judged.unwrap_or_else(|why| panic!("seed {seed}, lookup {asked}, {index}: {why}\n{answer}"));
+            mark = answer["next"].clone();
+            if index == "history" && mark.is_null() {
+                reading.ends(&ledger, &added).unwrap();
+            }
+            if mark.is_null() || asked >= lookups {
+                break;
+            }
+            if chance.rand_range(0..2) == 0 {
+                let slice = shards[chance.rand_range(0..shards.len() as u64) as usize];
+                added.push(rig.hosts.ledger.lock().unwrap().add(&mut chance, slice));
+            }
+        }
+    }
+    (answered, partial)
+}
+
+#[test]
+fn answers_are_what_the_full_data_says_through_delays_and_faults() {
+    let threads: Vec<_> = (0..4).map(|n| std::thread::spawn(move || read_on(7 + 10 * n, 100))).collect();
+    let all = threads.into_iter().map(|t| t.join().unwrap());
+    let (answered, partial) = all.fold((0, 0), |(a, p), (answered, partial)| (a + answered, p + partial));
+    assert!(answered > 300 && partial > 0, "{answered} of 400 answered, {partial} partial");
+}
+
+#[test]
+fn a_mark_is_good_at_another_program_and_for_its_own_lookup_only() {
+    let ledger = Ledger::new(&mut Rand64::new(3), SHARDS, 9);
+    let rig = start(ledger, 50, INSTALLATION, now);
+    let ask = |shards: &[usize], id: &str, text: &str, mark: &str| {
+        rig.service.connect().merged("history", id, shards, text, &json!({"rows": 3, "after": mark}))
+    };
+    let shards = [0, 1, 2, 3];
+    let page = json!({"rows": 3});
+    let (status, first) = rig.service.connect().merged("history", "p1", &shards, "all", &page);
+    assert_eq!(status, 200);
+    let mark = first["next"].as_str().unwrap().to_owned();
+    // Another program with the same secret serves page two from the mark alone.
+    let folder = tempfile::tempdir().unwrap();
+    for file in ["marks.key", "installation.xml"] {
+        std::fs::copy(rig.service.file(file), folder.path().join(file)).unwrap();
+    }
+    let words = ["--installation", "installation.xml"];
+    let other = Service::start_in(folder, EXE, &configuration(&rig.roster, &rig.known), &words);
+    let next = json!({"rows": 3, "after": mark});
+    let (status, second) = other.connect().merged("history", "p2", &shards, "all", &next);
+    let ledger = rig.hosts.ledger.lock().unwrap().clone();
+    let mut reading = Reading::new(&weights(&shards));
+    reading.page(&ledger, &weights(&shards), FLOOR, 3, &first).unwrap();
+    assert_eq!(status, 200);
+    reading.page(&ledger, &weights(&shards), FLOOR, 3, &second).unwrap();
+    // Whatever is not that mark for that lookup gets a plain 400.
+    let forged = format!("{}{}", &mark[..mark.len() - 2], if mark.ends_with("AA") { "BB" } else { "AA" });
+    let cases = [
+        (&shards[..], "all", forged.as_str(), "not one that was given here"),
+        (&shards, "all", &mark[..40], "not one that was given here"),
+        (&shards, "all", "", "not one that was given here"),
+        (&shards, "some", &mark, "another lookup"),
+        (&shards[..3], "all", &mark, "another layout"),
+    ];
+    for (n, (shards, text, mark, why)) in cases.into_iter().enumerate() {
+        let (status, said) = ask(shards, &format!("bad{n}"), text, mark);
+        assert!(status == 400 && said.to_string().contains(why), "{n}: {status} {said}");
+    }
+    let (status, said) =
+        rig.service.connect().merged("history", "rows", &shards, "all", &json!({"rows": 101}));
+    assert!(status == 400 && said.to_string().contains("from 1 to 100"), "{said}");
+    let (status, said) =
+        rig.service.connect().merged("pledges", "t", &shards, "pledges", &json!({"rows": 1}));
+    assert!(status == 400 && said.to_string().contains("no pages"), "{said}");
+}
+
+#[test]
+fn the_operators_file_is_judged_and_read_again() {
+    let rig = start(Ledger::new(&mut Rand64::new(5), SHARDS, 9), 50, INSTALLATION, now);
+    let merged = || rig.service.connect().merged("pledges", &fresh(), &[0, 1], "pledges", &Value::Null).1;
+    assert!(merged()["totals"].is_object());
+    // A bad file changes nothing; a good one counts from the next lookup on.
+    let file = rig.service.file("installation.xml");
+    std::fs::write(&file, INSTALLATION.replace("index=\"pledges\"", "index=\"gifts\"")).unwrap();
+    rig.service.signal("-HUP");
+    let line = rig.service.logged("installation not taken");
+    assert!(line.contains("installation.xml:9: the settings have no index gifts"), "{line}");
+    assert!(merged()["totals"].is_object());
+    std::fs::write(&file, "<installation version=\"1\"/>").unwrap();
+    rig.service.signal("-HUP");
+    rig.service.logged("installation read again");
+    assert!(merged()["found"].is_array(), "answered as ever");
+    // The same fault at the start is one line and exit 2, from check and from serve.
+    std::fs::write(&file, "<installation version=\"1\">\n<merge/></installation>").unwrap();
+    let config = rig.service.file("config.json");
+    for words in [["check", "--installation"], ["serve", "--installation"]] {
+        let mut program = std::process::Command::new(EXE);
+        program.args(words).arg(&file);
+        match words[0] {
+            "check" => program.arg(&config),
+            _ => program.env("EDGE_CONFIG", &config),
+        };
+        let output = program.output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        assert!(said.contains("installation.xml:2: <merge>") && said.lines().count() == 1, "{said}");
+    }
+}
+
+fn fresh() -> String {
+    use std::sync::atomic::{AtomicUsize, Ordering};
+    static IDS: AtomicUsize = AtomicUsize::new(0);
+    format!("f{}", IDS.fetch_add(1, Ordering::Relaxed))
+}
+
+#[test]
+fn what_a_slice_gets_wrong_spoils_nothing_else_and_is_named() {
+    let unreadable = |part: &Part| {
+        let how = if part.shard == 2 { How::Unreadable } else { How::Answer };
+        (Duration::ZERO, how)
+    };
+    let ledger = Ledger::new(&mut Rand64::new(11), SHARDS, 9);
+    let rig = start(ledger, 50, INSTALLATION, unreadable);
+    let shards = [0, 1, 2, 3];
+    let (status, answer) = rig.service.connect().merged("pledges", "u1", &shards, "pledges", &Value::Null);
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(answer["slices"]["missing"], json!({"unreadable": [2]}));
+    let ledger = rig.hosts.ledger.lock().unwrap().clone();
+    checker::totals(&ledger, &weights(&shards), FLOOR, &answer).unwrap();
+    rig.service.logged("a part's value cannot be merged");
+    // Under the floor nothing is given.
+    let (status, _) = rig.service.connect().merged("pledges", "u2", &[2], "pledges", &Value::Null);
+    assert_eq!(status, 503);
+}
+
+#[test]
+fn a_once_only_index_is_never_asked_on() {
+    let asked = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let heard = asked.clone();
+    let count = move |part: &Part| {
+        heard.lock().unwrap().push(part.id.clone());
+        (Duration::ZERO, How::Answer)
+    };
+    let mut ledger = Ledger::new(&mut Rand64::new(13), SHARDS, 0);
+    let mut chance = Rand64::new(1);
+    (0..12).for_each(|n| drop(ledger.add(&mut chance, n % 2)));
+    let installation = INSTALLATION.replace("index=\"history\"", "index=\"order\"");
+    let rig = start(ledger.clone(), 2, &installation, count);
+    let with = weights(&[0, 1]);
+    let (status, answer) = rig.service.connect().merged("order", "o1", &[0, 1], "all", &json!({"rows": 5}));
+    assert_eq!(status, 200, "{answer}");
+    // Cut off where a slice is not known to go on, and it says so.
+    assert!(!answer["cut"]["behind"].as_array().unwrap().is_empty(), "{answer}");
+    Reading::new(&with).page(&ledger, &with, 1.0, 5, &answer).unwrap();
+    assert_eq!(asked.lock().unwrap().len(), 2);
+    // The same rows from an idempotent index are asked on, under ids of their own, and the page is full.
+    let rig = start(ledger.clone(), 2, INSTALLATION, now);
+    let (_, answer) = rig.service.connect().merged("history", "h1", &[0, 1], "all", &json!({"rows": 5}));
+    assert_eq!((answer["rows"].as_array().unwrap().len(), &answer["cut"]), (5, &Value::Null), "{answer}");
+    Reading::new(&with).page(&ledger, &with, FLOOR, 5, &answer).unwrap();
+}
--- a/crates/linenthread-service/tests/service.rs
+++ b/crates/linenthread-service/tests/service.rs
@@ -1,14 +1,14 @@
 //! The program on loopback sockets, against stand-ins of replicas and roster.
 
-mod stand_ins;
-
 use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::process::Command;
 use std::sync::atomic::Ordering;
 
+use linenthread_stand_ins::{Fleet, Roster, Service, config, entry, list, program, request};
 use serde_json::Value;
-use stand_ins::{Fleet, Roster, Service, config, entry, list, program, request};
+
+const EXE: &str = env!("CARGO_BIN_EXE_linenthread");
 
 /// A program with replicas of its own, all ready, on a configuration changed at one place.
 fn start_with(replicas: usize, place: &str, value: Value) -> (Fleet, Roster, Service) {
@@ -18,7 +18,7 @@
     let roster = Roster::start(known.clone());
     let mut config = config(roster.address, &known);
     *config.pointer_mut(place).unwrap() = value;
-    let service = Service::start(&config);
+    let service = Service::start(EXE, &config);
     (fleet, roster, service)
 }
 
@@ -151,7 +151,7 @@
     let nobody = "127.0.0.9:1".parse().unwrap();
     let known = list(1, true, vec![entry(0, nobody, "active"), entry(1, fleet.addresses[0], "active")]);
     let roster = Roster::start(known.clone());
-    let service = Service::start(&config(roster.address, &known));
+    let service = Service::start(EXE, &config(roster.address, &known));
     for id in 0..8 {
         let mut client = service.ask("order", &format!("c{id}"), &[0, 1, 2, 3]);
         (0..4).for_each(|_| fleet.part().answer("v"));
@@ -269,7 +269,7 @@
     let fleet = Fleet::start(1);
     let known = list(1, true, vec![entry(0, fleet.addresses[0], "active")]);
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
-    let service = Service::start(&config(silent.local_addr().unwrap(), &known));
+    let service = Service::start(EXE, &config(silent.local_addr().unwrap(), &known));
     service.logged("roster failed");
     let mut client = service.ask("find", "j1", &[0]);
     fleet.part().answer("v");
@@ -289,7 +289,7 @@
     // The new roster counts from a lower revision.
     let (old, new) = (Roster::start(known(9, "active")), Roster::start(known(2, "leaving")));
     let good = config(old.address, &known(9, "active"));
-    let mut service = Service::start(&good);
+    let mut service = Service::start(EXE, &good);
     let mut held = service.ask("order", "n1", &[0]);
     let part = fleet.part();
     service.logged("revision=9");
@@ -520,17 +520,16 @@
     ];
     for (field, text) in bad {
         for command in ["check", "serve"] {
-            let output = program(&[command], &text).wait_with_output().unwrap();
+            let output = program(EXE, &[command], &text);
             let said = String::from_utf8(output.stderr).unwrap();
             assert_eq!(output.status.code(), Some(2), "{command} {field}: {said}");
             assert!(said.contains(field) && said.lines().count() == 1, "{command} {field}: {said}");
         }
     }
-    let output =
-        Command::new(env!("CARGO_BIN_EXE_linenthread")).arg("serve").env_remove("EDGE_CONFIG").output();
+    let output = Command::new(EXE).arg("serve").env_remove("EDGE_CONFIG").output();
     let output = output.unwrap();
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8(output.stderr).unwrap().contains("EDGE_CONFIG"));
-    let output = program(&["check"], &good.to_string()).wait_with_output().unwrap();
+    let output = program(EXE, &["check"], &good.to_string());
     assert!(output.status.success());
 }
