linenthread-drill merged: pages, totals and groups in simulated time, judged by the full data

Socket tests reach some hundred lookups; a wrong merge that shows once in thousands needs more. The drill runs the decision module and the merge package over replicas that answer, hang, fail, restart and drain, with rows added between pages, and judges each answer by the full data; a breach prints what plays it again.

--- /dev/null
+++ b/crates/linenthread-drill/src/main.rs
@@ -0,0 +1,67 @@
+//! `linenthread-drill`: long checks of each subsystem. Each takes a seed and a count, prints what breaches it
+//! found with all that is needed to play them again, ends with `N checked, B breaches`, and exits with 1
+//! where B is not 0.
+
+mod fleet;
+mod merged;
+mod merging_speed;
+
+use std::process::ExitCode;
+
+use bpaf::{Parser, construct, long};
+
+#[derive(Clone)]
+enum Command {
+    Merged(merged::Drill),
+    MergingSpeed { rounds: usize },
+}
+
+fn command() -> bpaf::OptionParser<Command> {
+    let lookups = long("lookups").help("Lookups to ask").argument("N").fallback(10_000);
+    let seed = long("seed").help("What all chance comes from").argument("S").fallback(1);
+    let slow = long("slow")
+        .help("Share of parts that take longer than a lookup waits, 0 to 1; by chance where not given")
+        .argument("SHARE")
+        .optional();
+    let floor = long("floor")
+        .help("Least share of an answer's weight that may be given; 1 where all parts must be in")
+        .argument("SHARE")
+        .fallback(0.5);
+    let merged = construct!(merged::Drill { lookups, seed, slow, floor })
+        .map(Command::Merged)
+        .to_options()
+        .descr("Random lookups of merged indexes over a fleet in simulated time, judged by the full data")
+        .footer("Example: linenthread-drill merged --lookups 100000 --seed 7")
+        .command("merged")
+        .help("Check merged answers");
+    let rounds = long("rounds").help("Runs of each size").argument("N").fallback(5);
+    let speed = construct!(Command::MergingSpeed { rounds })
+        .to_options()
+        .descr("Rows merged a second and memory held, beside collecting, sorting and cutting all")
+        .footer("Example: linenthread-drill merging-speed --rounds 9")
+        .command("merging-speed")
+        .help("Measure merging");
+    construct!([merged, speed])
+        .to_options()
+        .descr("Long checks of linenthread's subsystems")
+        .footer("Example: linenthread-drill merged --lookups 100000 --seed 7")
+}
+
+/// The closing line of every check.
+fn close(checked: usize, breaches: usize) -> ExitCode {
+    println!("{checked} checked, {breaches} breaches");
+    if breaches == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn main() -> ExitCode {
+    match command().run() {
+        Command::Merged(drill) => {
+            let (checked, breaches) = drill.run();
+            close(checked, breaches)
+        }
+        Command::MergingSpeed { rounds } => {
+            let (checked, breaches) = merging_speed::run(rounds);
+            close(checked, breaches)
+        }
+    }
+}
--- a/crates/linenthread-merge/src/place.rs
+++ b/crates/linenthread-merge/src/place.rs
@@ -27,7 +27,7 @@
 pub(crate) struct Known {
     pub place: Place,
     /// The value of the field that rows are to differ by.
-    pub distinct: Option<Box<str>>,
+    pub distinct: Option<Box<[u8]>>,
 }
 
 fn put_text(to: &mut Vec<u8>, text: &str, turned: bool) {
@@ -108,9 +108,12 @@
         let mut json = serde_json::Deserializer::from_str(row);
         let found = json.deserialize_map(Fields { wanted: &wanted }).map_err(|e| format!("a row: {e}"))?;
         let mut place = Vec::with_capacity(64);
+        // Of an order field the value counts, not how it is written.
+        let mut distinct = None;
         for (order, raw) in self.order.iter().zip(&found) {
             let value = raw.map(scalar).transpose()?.flatten();
             let is_text = raw.is_some_and(|r| r.starts_with('"'));
+            let begin = place.len();
             place.push(if value.is_some() { HERE } else { ABSENT });
             match (value, order.kind) {
                 (None, _) => {}
@@ -120,11 +123,16 @@
                     put_number(&mut place, decimal::parse(&text, scale)?, order.descending);
                 }
             }
+            if place[begin] == HERE && self.distinct.as_ref() == Some(&order.field) {
+                distinct = Some(place[begin..].into());
+            }
         }
         let of = |at: usize| found.get(at).copied().flatten().map(scalar).transpose().map(Option::flatten);
         let identity = of(self.order.len())?.ok_or_else(|| format!("a row lacks {}", self.identity))?;
         put_text(&mut place, &identity, false);
-        let distinct = of(self.order.len() + 1)?.map(|value| value.into());
+        if distinct.is_none() && !self.order.iter().any(|o| self.distinct.as_ref() == Some(&o.field)) {
+            distinct = of(self.order.len() + 1)?.map(|value| value.as_bytes().into());
+        }
         Ok(Known { place: Place(place.into()), distinct })
     }
 
@@ -152,12 +160,13 @@
         rest.is_empty().then_some(values)
     }
 
-    /// How much of a place the first field of the order takes: rows alike in it have that much in common.
+    /// What of a place the first field of the order takes, where it is there: rows alike in it have that much
+    /// in common.
     pub(crate) fn first_field<'p>(&self, place: &'p Place) -> Option<&'p [u8]> {
         let order = self.order.first()?;
         let mut rest = &place.0[1..];
         match (place.0[0], order.kind) {
-            (ABSENT, _) => {}
+            (ABSENT, _) => return None,
             (_, Kind::Text) => drop(take_text(&mut rest, order.descending)?),
             (_, Kind::Decimal(_)) => rest = rest.get(16..)?,
         }
--- a/crates/linenthread-merge/src/ranked.rs
+++ b/crates/linenthread-merge/src/ranked.rs
@@ -19,7 +19,7 @@
 struct Kept {
     slice: usize,
     text: Box<str>,
-    distinct: Option<Box<str>>,
+    distinct: Option<Box<[u8]>>,
 }
 
 #[derive(Clone, Default)]
@@ -48,7 +48,7 @@
     limit: usize,
     rows: BTreeMap<Place, Kept>,
     /// The place held for each value of the distinct field.
-    by_value: HashMap<Box<str>, Place>,
+    by_value: HashMap<Box<[u8]>, Place>,
     slices: Vec<Reach>,
 }
 
@@ -142,9 +142,9 @@
 
     /// Its value of the distinct field was shown on the page before, as the last one there.
     fn is_seen(&self, slice: usize, place: &Place) -> bool {
-        let value = |p: &Place| self.plan.first_field(p).map(<[u8]>::to_vec);
-        let from = &self.slices[slice].from;
-        self.plan.distinct.is_some() && from.as_ref().is_some_and(|from| value(from) == value(place))
+        let from = self.slices[slice].from.as_ref().filter(|_| self.plan.distinct.is_some());
+        let value = from.and_then(|from| self.plan.first_field(from));
+        value.is_some_and(|value| self.plan.first_field(place) == Some(value))
     }
 
     /// Slices that hold the page back, as long as it is not full before their frontier.
