--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod desk;
+mod first_try;
 mod front;
 mod gather;
 mod log;
@@ -22,6 +23,7 @@
     Serve(Option<PathBuf>, Option<PathBuf>),
     Check(PathBuf, Option<PathBuf>),
     Schema,
+    Try { show: bool, seed: u64 },
     Version,
 }
 
@@ -64,12 +66,23 @@
         .footer("Example: linenthread schema > installation.xsd")
         .command("schema")
         .help("Print the schema of the operators' file");
+    let show = long("show").help("Ask some lookups, print their answers and end").switch();
+    let seed = long("seed").help("What the rows come from").argument("S").fallback(5);
+    let first_try = construct!(Command::Try { show, seed })
+        .to_options()
+        .descr(
+            "Starts a small fleet of stand-ins, a roster and a co-ordinator with merged indexes on loopback, \
+             and prints the commands to ask it",
+        )
+        .footer("Example: linenthread try --show")
+        .command("try")
+        .help("See it work on this machine, with nothing else set up");
     let version = pure(Command::Version)
         .to_options()
         .descr("Prints the version")
         .command("version")
         .help("Print the version");
-    construct!([serve, check, schema, version])
+    construct!([serve, check, schema, first_try, version])
         .to_options()
         .descr("linenthread co-ordinates lookups over replicated shards")
         .footer("Start with: EDGE_CONFIG=/run/balancer/config.json linenthread serve")
@@ -106,6 +119,7 @@
             print!("{}", linenthread_installation::SCHEMA);
             ExitCode::SUCCESS
         }
+        Command::Try { show, seed } => first_try::run(seed, show),
         Command::Check(file, own) => with_files(Some(file), own.as_deref(), |config, _, merging| {
             let (indexes, replicas) = (config.deployment.indexes.len(), config.remembered.replicas.len());
             let merged = if own.is_some() { format!(", {} merged", merging.count()) } else { String::new() };
--- a/crates/linenthread-service/tests/merged.rs
+++ b/crates/linenthread-service/tests/merged.rs
@@ -266,3 +266,13 @@
     assert_eq!((answer["rows"].as_array().unwrap().len(), &answer["cut"]), (5, &Value::Null), "{answer}");
     Reading::new(&with).page(&ledger, &with, FLOOR, 5, &answer).unwrap();
 }
+
+#[test]
+fn a_first_try_shows_pages_and_a_partial_total() {
+    let output = std::process::Command::new(EXE).args(["try", "--show"]).output().unwrap();
+    let said = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success(), "{said}");
+    let partial = said.split("# the total").nth(1).unwrap();
+    assert!(partial.contains("\"at-least\"") && partial.contains("\"unanswered\""), "{partial}");
+    assert_eq!(said.matches("\"d000").count(), 10, "two pages of five: {said}");
+}
