--- a/crates/linenthread-drill/src/fleet.rs
+++ b/crates/linenthread-drill/src/fleet.rs
@@ -66,6 +66,8 @@
 pub struct Manner {
     pub slow: f64,
     pub faults: f64,
+    /// Replicas die, drain, restart and come back.
+    pub changes: bool,
 }
 
 #[derive(Default)]
@@ -171,7 +173,9 @@
         };
         fleet.arrivals.roster.push(RosterNews::Whole(fleet.listed.clone()));
         fleet.schedule(1, Event::Wake);
-        fleet.schedule(20_000, Event::Changes);
+        if manner.changes {
+            fleet.schedule(20_000, Event::Changes);
+        }
         fleet
     }
 
@@ -239,7 +243,7 @@
     }
 
     fn fate(&mut self, replica: usize) -> (Tenths, Fate) {
-        let Manner { slow, faults } = self.manner;
+        let Manner { slow, faults, .. } = self.manner;
         if !self.lives[replica] {
             return (2 + self.chance.rand_range(0..20) as Tenths, Fate::Unconnected);
         }
--- a/crates/linenthread-drill/src/main.rs
+++ b/crates/linenthread-drill/src/main.rs
@@ -27,7 +27,9 @@
         .help("Least share of an answer's weight that may be given; 1 where all parts must be in")
         .argument("SHARE")
         .fallback(0.5);
-    let merged = construct!(merged::Drill { lookups, seed, slow, floor })
+    let only_delays =
+        long("only-delays").help("No faults and no changes of replicas, only slow parts").switch();
+    let merged = construct!(merged::Drill { lookups, seed, slow, floor, only_delays })
         .map(Command::Merged)
         .to_options()
         .descr("Random lookups of merged indexes over a fleet in simulated time, judged by the full data")
--- a/crates/linenthread-drill/src/merged.rs
+++ b/crates/linenthread-drill/src/merged.rs
@@ -29,6 +29,7 @@
     pub seed: u64,
     pub slow: Option<f64>,
     pub floor: f64,
+    pub only_delays: bool,
 }
 
 fn plans() -> Vec<Plan> {
@@ -128,7 +129,8 @@
         let mut chance = Rand64::new(u128::from(self.seed));
         let manner = Manner {
             slow: self.slow.unwrap_or_else(|| chance.rand_float() * 0.1),
-            faults: 0.02 + 0.2 * chance.rand_float(),
+            faults: if self.only_delays { 0.0 } else { 0.02 + 0.2 * chance.rand_float() },
+            changes: !self.only_delays,
         };
         let marks = Marks::new(vec![b"a secret of the drill".to_vec()], 1 << 40).expect("long enough");
         let client = |_| Client {
@@ -179,8 +181,9 @@
     fn breach(&mut self, lookup: usize, why: &str) {
         self.counts.breaches += 1;
         if self.counts.breaches <= PRINTED {
-            let Drill { seed, lookups, floor, slow } = self.drill;
-            let slow = slow.map_or_else(String::new, |slow| format!(" --slow {slow}"));
+            let Drill { seed, lookups, floor, slow, only_delays } = self.drill;
+            let mut slow = slow.map_or_else(String::new, |slow| format!(" --slow {slow}"));
+            slow.push_str(if *only_delays { " --only-delays" } else { "" });
             println!("breach at lookup {lookup}: {why}");
             println!(
                 "  again: linenthread-drill merged --lookups {lookups} --seed {seed} --floor {floor}{slow}"
--- a/crates/linenthread-drill/src/merging_speed.rs
+++ b/crates/linenthread-drill/src/merging_speed.rs
@@ -1,8 +1,10 @@
 //! Rows merged a second, beside the obvious way in the same run: parse all, sort, cut.
 
+use std::hint::black_box;
 use std::time::Instant;
 
-use linenthread_merge::{Asked, Form, Kind, Merge, Order, PageWish, Plan, Rows, Taken};
+use linenthread_merge::{Asked, Form, Kind, Marks, Merge, Order, PageWish, Plan, Rows, Taken};
+use linenthread_protocol::lookup::answer;
 use oorandom::Rand64;
 use serde_json::{Value, json};
 
@@ -57,6 +59,41 @@
     times[times.len() / 2]
 }
 
+/// What merging adds to one lookup, in microseconds: eight slices of 20 rows into a page of 20 with its mark,
+/// beside writing the eight values into an answer as they came.
+fn one_lookup(rounds: usize) -> (f64, f64) {
+    let order = vec![Order { field: "amount".into(), kind: Kind::Decimal(0), descending: false }];
+    let rows = Rows { order, identity: "id".into(), distinct: None, page: 20, most: 20, pages: true };
+    let plan = Plan { index: "i".into(), form: Form::Rows(rows) };
+    let Ok(marks) = Marks::new(vec![vec![7; 32]], 900) else { return (0.0, 0.0) };
+    let values = values(8, 20);
+    let slices: Vec<_> = (0..8).map(|s| (s, 0.125)).collect();
+    let asked = Asked { customer: None, key: None, query: "q", slices: &slices, shards: 8 };
+    let (mut merged, mut passed) = (Vec::new(), Vec::new());
+    for _ in 0..rounds.max(1) {
+        const TIMES: u32 = 2_000;
+        let begin = Instant::now();
+        for _ in 0..TIMES {
+            let Ok(mut merge) = Merge::begin(&plan, &asked, &PageWish::default(), Some(&marks), 0) else {
+                continue;
+            };
+            for (slice, value) in values.iter().enumerate() {
+                black_box(merge.text(slice));
+                black_box(merge.take(slice, 0, value));
+                black_box(merge.onward());
+            }
+            black_box(merge.answer(true, Some(&marks), 0));
+        }
+        merged.push(begin.elapsed().as_secs_f64() * 1e6 / f64::from(TIMES));
+        let begin = Instant::now();
+        for _ in 0..TIMES {
+            black_box(answer(true, values.iter().enumerate().map(|(s, v)| (s, v.as_str()))));
+        }
+        passed.push(begin.elapsed().as_secs_f64() * 1e6 / f64::from(TIMES));
+    }
+    (middle(merged), middle(passed))
+}
+
 /// Prints a line a size; a page that differs is a breach.
 pub fn run(rounds: usize) -> (usize, usize) {
     let order = vec![Order { field: "amount".into(), kind: Kind::Decimal(0), descending: false }];
@@ -96,5 +133,7 @@
             );
         }
     }
+    let (merged, passed) = one_lookup(rounds);
+    println!("one lookup of 8 slices, 20 rows each: merged in {merged:.1} us, passed on in {passed:.1} us");
     (checked, breaches)
 }
--- a/crates/linenthread-installation/src/lib.rs
+++ b/crates/linenthread-installation/src/lib.rs
@@ -131,6 +131,19 @@
         assert_eq!(super::tests::read(r#"<installation version="1"/>"#), Ok(Installation::default()));
     }
 
+    #[test]
+    fn the_example_is_a_good_file() {
+        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/installation.xml");
+        let text = std::fs::read_to_string(&file).unwrap();
+        // What stands there as a comment is good too.
+        let whole =
+            text.replace("lower bound.\n", "lower bound. -->\n").replace("as one.\n", "as one. -->\n");
+        let whole =
+            whole.replace("</totals>\n    -->", "</totals>").replace("</groups>\n    -->", "</groups>");
+        assert_eq!(read(&text).unwrap().merging.plans.len(), 1);
+        assert_eq!(read(&whole).unwrap().merging.plans.len(), 3);
+    }
+
     /// Each fault names its line, and nothing that the schema or a check refuses passes.
     #[test]
     fn bad_files_are_refused_with_line_and_cause() {
--- a/crates/linenthread-service/src/first_try.rs
+++ b/crates/linenthread-service/src/first_try.rs
@@ -104,9 +104,10 @@
             return ExitCode::FAILURE;
         }
     };
+    let (done, shown) = tokio::sync::oneshot::channel();
     let ready = move |address| {
         if show_only {
-            thread::spawn(move || std::process::exit(i32::from(!show(address))));
+            thread::spawn(move || done.send(show(address)));
         } else {
             println!("{}", commands(address));
         }
@@ -114,7 +115,13 @@
     if !show_only {
         log::start();
     }
-    match actix_rt::System::new().block_on(front::serve(config, &file, (merging, Some(&own)), ready)) {
+    let ends = async {
+        tokio::select! {
+            served = front::serve(config, &file, (merging, Some(&own)), ready) => served,
+            Ok(good) = shown => if good { Ok(()) } else { Err("a lookup was not answered".into()) },
+        }
+    };
+    match actix_rt::System::new().block_on(ends) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("linenthread: {message}");
