linenthread-link: both ends of a link as pure machines, and a drill through cuts and restarts

A co-ordinator is to pass parts to replicas that only a gateway in another site reaches, over a link that breaks. Near and Far are the two ends: challenge and proof by a shared secret, numbered calls, outcomes kept until held, a session resumed on a new connection, credit by calls and bytes, heartbeats judged by measured delay, back-off with chance. A call ends once; never ran is said only of calls not written whole or that the far side says never came.

--- a/crates/linenthread-drill/src/main.rs
+++ b/crates/linenthread-drill/src/main.rs
@@ -3,6 +3,7 @@
 //! where B is not 0.
 
 mod fleet;
+mod link;
 mod merged;
 mod merging_speed;
 
@@ -13,6 +14,7 @@
 #[derive(Clone)]
 enum Command {
     Merged(merged::Drill),
+    Link(link::Drill),
     MergingSpeed { rounds: usize },
 }
 
@@ -36,6 +38,19 @@
         .footer("Example: linenthread-drill merged --lookups 100000 --seed 7")
         .command("merged")
         .help("Check merged answers");
+    let schedules = long("schedules").help("Schedules of troubles to play").argument("N").fallback(2_000);
+    let seed =
+        long("seed").help("The first schedule's seed; the others count on from it").argument("S").fallback(1);
+    let no_resume = long("no-resume").help("Sessions end with their connection").switch();
+    let link = construct!(link::Drill { schedules, seed, no_resume })
+        .map(Command::Link)
+        .to_options()
+        .descr(
+            "Both ends of a link through random cuts, loss, slowness and restarts, judged by what truly ran",
+        )
+        .footer("Example: linenthread-drill link --schedules 100000 --seed 7")
+        .command("link")
+        .help("Check the link between sites");
     let rounds = long("rounds").help("Runs of each size").argument("N").fallback(5);
     let speed = construct!(Command::MergingSpeed { rounds })
         .to_options()
@@ -43,7 +58,7 @@
         .footer("Example: linenthread-drill merging-speed --rounds 9")
         .command("merging-speed")
         .help("Measure merging");
-    construct!([merged, speed])
+    construct!([merged, link, speed])
         .to_options()
         .descr("Long checks of linenthread's subsystems")
         .footer("Example: linenthread-drill merged --lookups 100000 --seed 7")
@@ -61,6 +76,10 @@
             let (checked, breaches) = drill.run();
             close(checked, breaches)
         }
+        Command::Link(drill) => {
+            let (checked, breaches) = drill.run();
+            close(checked, breaches)
+        }
         Command::MergingSpeed { rounds } => {
             let (checked, breaches) = merging_speed::run(rounds);
             close(checked, breaches)
--- /dev/null
+++ b/crates/linenthread-link/src/auth.rs
@@ -0,0 +1,65 @@
+//! Peers prove that they know a shared secret, each over what the other has just made up: a hello that was
+//! heard before proves nothing.
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+use crate::frame::{Nonce, Proof};
+
+/// A shorter secret could be guessed.
+pub const SHORTEST: usize = 16;
+
+/// The secrets of a link: the first is used, all are taken, so that two can be valid while one is changed.
+#[derive(Clone, PartialEq)]
+pub struct Secrets(Vec<Vec<u8>>);
+
+impl std::fmt::Debug for Secrets {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{} secrets", self.0.len())
+    }
+}
+
+/// Which side proves: one side's proof is none for the other.
+#[derive(Clone, Copy)]
+pub enum Side {
+    Near,
+    Far,
+}
+
+fn mac(secret: &[u8], side: Side, parts: &[&[u8]]) -> Option<Hmac<Sha256>> {
+    let mut mac = <Hmac<Sha256> as KeyInit>::new_from_slice(secret).ok()?;
+    mac.update(match side {
+        Side::Near => b"linenthread near",
+        Side::Far => b"linenthread far ",
+    });
+    for part in parts {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    Some(mac)
+}
+
+impl Secrets {
+    /// # Errors
+    ///
+    /// No secret, or one that is too short.
+    pub fn new(secrets: Vec<Vec<u8>>) -> Result<Secrets, String> {
+        match !secrets.is_empty() && secrets.iter().all(|s| s.len() >= SHORTEST) {
+            true => Ok(Secrets(secrets)),
+            false => Err(format!("a secret needs {SHORTEST} bytes or more")),
+        }
+    }
+
+    /// Proves to the other side, which made up `nonce`, that what is said comes from one that knows the secret.
+    pub(crate) fn prove(&self, side: Side, nonce: &Nonce, said: &[u8]) -> Proof {
+        let proof = self.0.first().and_then(|secret| mac(secret, side, &[nonce, said]));
+        proof.map(|mac| mac.finalize().into_bytes().into()).unwrap_or_default()
+    }
+
+    pub(crate) fn holds(&self, side: Side, nonce: &Nonce, said: &[u8], proof: &Proof) -> bool {
+        let proves = |secret: &Vec<u8>| {
+            mac(secret, side, &[nonce, said]).is_some_and(|m| m.verify_slice(proof).is_ok())
+        };
+        self.0.iter().any(proves)
+    }
+}
