Fronts and carriers: a lookup's life reads no HTTP request and knows no way of a part call

A second protocol and a link need the lookup's life to themselves. The HTTP front reads and holds a request and hands a question on (fronts/http.rs); how a part call travels is a carrier (carriers/, frames.rs for the platform's); serve.rs puts the program together.

--- a/crates/linenthread-service/src/replicas.rs
+++ b/crates/linenthread-service/src/carriers/frames.rs
@@ -1,4 +1,4 @@
-//! Owns every connection to a replica: part calls and probes go out on them, and each ends exactly once.
+//! The platform's frames. Owns every connection to a replica: part calls and probes go out on them, and each ends exactly once.
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{info, warn};
 
+use crate::carriers::{Asked, Ended, Limits};
 use crate::log::Sparing;
 
 /// Parts go one a connection while a replica has fewer than this: what one spoils, breaks or silences fails
@@ -31,42 +32,6 @@
 /// What is read at once from a connection at the most.
 const READ: usize = 16 * 1024;
 
-/// How a part call ended, told to its lookup.
-#[derive(Debug)]
-pub struct Ended {
-    pub part: usize,
-    pub call: usize,
-    pub ending: Ending,
-    pub queue: Option<f64>,
-    pub value: String,
-}
-
-/// One part of a part call.
-#[derive(Clone, Debug)]
-pub struct Asked {
-    pub part: usize,
-    pub call: usize,
-    pub shard: usize,
-    /// How many times it was asked on before.
-    pub round: u32,
-    pub text: Rc<str>,
-}
-
-/// What connections may do.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Part calls that one connection carries at once.
-    pub streams: usize,
-    /// Replicas may be told of parts that are given up.
-    pub withdraw: bool,
-    pub connect: Duration,
-    pub probe: Duration,
-    /// An idle connection is closed after so long, before the replica does.
-    pub idle: Duration,
-    /// Connections in all.
-    pub connections: usize,
-}
-
 /// A part out on a connection.
 struct Waiter {
     number: u64,
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -14,8 +14,8 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep_until};
 
+use crate::carriers::Carriers;
 use crate::config::Config;
-use crate::replicas::Replicas;
 
 /// The clock starts this far from 0, which stands for long ago.
 const EPOCH: Tenths = 36_000_000;
@@ -142,7 +142,7 @@
     state: RefCell<State>,
     came: Notify,
     roster_wanted: Notify,
-    replicas: Replicas,
+    carriers: Carriers,
 }
 
 #[derive(Clone)]
@@ -198,7 +198,7 @@
             held.probes += 1;
         }
         actix_rt::spawn(async move {
-            let (ending, queue) = desk.0.replicas.probe(replica).await;
+            let (ending, queue) = desk.0.carriers.probe(replica).await;
             desk.arrive(|arrivals| arrivals.probes.push(ProbeReturn { replica, ending, queue }));
         });
     }
@@ -213,7 +213,7 @@
 }
 
 impl Desk {
-    pub fn new(config: &Config, replicas: Replicas) -> Self {
+    pub fn new(config: &Config, carriers: Carriers) -> Self {
         let desk = Desk(Rc::new(Inner {
             clock: Clock::new(),
             state: RefCell::new(State {
@@ -228,7 +228,7 @@
             }),
             came: Notify::new(),
             roster_wanted: Notify::new(),
-            replicas,
+            carriers,
         }));
         let listed = desk.listed(&config.remembered);
         desk.hear_roster(RosterNews::Remembered(listed));
@@ -342,7 +342,7 @@
         let mut state = self.0.state.borrow_mut();
         let State { lookups, indices, sites, handed_in, .. } = &mut *state;
         let over = lookups.iter().flatten().map(|task| task.before).min().unwrap_or(*handed_in);
-        indices.give_back(over, |replica| self.0.replicas.is_vacant(replica));
+        indices.give_back(over, |replica| self.0.carriers.is_vacant(replica));
         let mut named = vec![false; indices.held.len()];
         let mut listed = Vec::with_capacity(list.replicas.len());
         for r in &list.replicas {
@@ -356,7 +356,7 @@
             if let Some(held) = indices.get(replica) {
                 held.gone = gone.then_some(*handed_in);
             }
-            self.0.replicas.place(replica, (!gone).then_some(r.address));
+            self.0.carriers.place(replica, (!gone).then_some(r.address));
             listed.push(Listed {
                 replica,
                 id: number(&r.id),
@@ -371,7 +371,7 @@
             if let Some(held) = indices.get(replica) {
                 held.gone = held.gone.or(Some(*handed_in));
             }
-            self.0.replicas.place(replica, None);
+            self.0.carriers.place(replica, None);
         }
         listed
     }
--- a/crates/linenthread-service/src/first_try.rs
+++ b/crates/linenthread-service/src/first_try.rs
@@ -12,7 +12,7 @@
 
 use crate::config::Config;
 use crate::gather::Merging;
-use crate::{front, log};
+use crate::{log, serve};
 
 const CELLS: usize = 4;
 const SHARDS: usize = 8;
@@ -117,7 +117,7 @@
     }
     let ends = async {
         tokio::select! {
-            served = front::serve(config, &file, (merging, Some(&own)), ready) => served,
+            served = serve::serve(config, &file, (merging, Some(&own)), ready) => served,
             Ok(good) = shown => if good { Ok(()) } else { Err("a lookup was not answered".into()) },
         }
     };
--- a/crates/linenthread-service/src/front.rs
+++ b/crates/linenthread-service/src/fronts/http.rs
@@ -1,11 +1,10 @@
-//! The side towards clients: the listener, their connections, health, and stopping.
+//! The front that speaks the platform's HTTP/1.1: the listener, clients' connections, health, and stopping.
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -13,26 +12,23 @@
 
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderValue;
-use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode, header};
+use actix_http::{HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode, header};
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_core::Stream;
+use linenthread_core::interface::Tenths;
 use linenthread_protocol::lookup as protocol;
+use linenthread_protocol::number;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, interval, sleep, sleep_until, timeout, timeout_at};
 use tracing::{info, warn};
 
-use crate::config::Config;
-use crate::desk::{self, Desk};
-use crate::gather::{Gathering, Merging};
+use crate::desk::HandedIn;
 use crate::log::Sparing;
-use crate::lookup::{self, Answer, Work};
-use crate::replicas::{Limits, Replicas};
-use crate::roster;
+use crate::lookup::{self, Answer, Question, Work};
 
 /// A request must be here whole within so long: from the connect for the first, else from its first byte.
 const WHOLE_WITHIN: Duration = Duration::from_millis(2_500);
@@ -51,9 +47,6 @@
 /// ... and new ones are taken for so long in all; each serves one request.
 const STILL_TAKES: Duration = Duration::from_millis(1_200);
 const BACKLOG: u32 = 1024;
-/// Descriptors that are neither a client's nor a replica's: standard streams, the listener, the roster's,
-/// the runtime's own.
-const OWN_DESCRIPTORS: usize = 24;
 
 /// What the front keeps of one client connection.
 struct Client {
@@ -226,90 +219,9 @@
 }
 
 #[derive(Clone)]
-struct Front(Rc<Inner>);
-
-/// Serves until told to stop, then answers all it has taken. Told to, it reads its files again. `ready` is
-/// told the address that is listened on.
-pub async fn serve(
-    config: Config,
-    file: &Path,
-    (merging, installation): (Merging, Option<&Path>),
-    ready: impl FnOnce(SocketAddr),
-) -> Result<(), String> {
-    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let [terminate, interrupt, hangup] =
-        [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()].map(signal);
-    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (terminate, interrupt, hangup) else {
-        return Err("cannot watch signals".into());
-    };
-    // Descriptors for replicas come before those for clients: a quarter of all, or two a replica. The fleet
-    // may change, but not beyond what the rest can do without.
-    let for_replicas = (config.sockets / 4).max(config.remembered.replicas.len() * 2).min(config.sockets / 2);
-    let (surroundings, layout) = (&config.surroundings, &config.deployment.layout);
-    let withdraw = config.deployment.allowance.withdraw;
-    let connect = desk::span(surroundings.connect_time_out.max(1));
-    let idle = desk::span(surroundings.idle.max(1));
-    let replicas = Replicas::new(Limits {
-        streams: surroundings.streams,
-        withdraw,
-        connect,
-        probe: connect,
-        idle: idle - idle / 8,
-        connections: for_replicas,
-    });
-    let desk = Desk::new(&config, replicas.clone());
-    let ask_first = !config.deployment.watch_roster;
-    let mut rounds = actix_rt::spawn(desk.clone().run());
-    let (moved, address) = watch::channel(config.roster);
-    let mut watch = actix_rt::spawn(roster::watch(desk.clone(), address, layout.cells, ask_first));
-    let work = Rc::new(Work {
-        desk,
-        replicas,
-        surroundings: surroundings.clone(),
-        withdraw,
-        parts_a_call: layout.parts_a_call,
-        gathering: Gathering { merging: RefCell::new(Rc::new(merging)), ..Gathering::default() },
-        open: RefCell::default(),
-    });
-    let front = Front(Rc::new(Inner {
-        work,
-        clients: RefCell::default(),
-        most: config.sockets - for_replicas - OWN_DESCRIPTORS,
-        spent: config.sockets / 6,
-        stopping: Cell::new(false),
-        left: Notify::new(),
-        refused: Sparing::default(),
-        full: Sparing::default(),
-    }));
-    let listen = listener.local_addr().unwrap_or(config.listen);
-    let merged = front.0.work.gathering.merging.borrow().count();
-    info!(name = config.name, %listen, roster = %config.roster, merged, "serving");
-    ready(listen);
-    tokio::select! {
-        _ = front.accept(&listener) => {}
-        _ = front.sweep() => {}
-        _ = &mut rounds => return Err("the decision module failed".into()),
-        _ = &mut watch => return Err("the roster's watch failed".into()),
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        _ = async {
-            loop {
-                hangup.recv().await;
-                if let Some(roster) = config.again(file) {
-                    moved.send_if_modified(|at| std::mem::replace(at, roster) != roster);
-                }
-                // Lookups under way go on by the file that they began with.
-                if let Some(new) = installation.and_then(|file| Merging::again(file, &config)) {
-                    front.0.work.gathering.merging.replace(new);
-                }
-            }
-        } => {}
-    }
-    front.stop(listener).await;
-    Ok(())
-}
+pub struct Front(Rc<Inner>);
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
@@ -317,8 +229,22 @@
 }
 
 impl Front {
+    /// With so many client connections at the most, and of those that have had an answer and ask no more.
+    pub fn new(work: Rc<Work>, most: usize, spent: usize) -> Self {
+        Front(Rc::new(Inner {
+            work,
+            clients: RefCell::default(),
+            most,
+            spent,
+            stopping: Cell::new(false),
+            left: Notify::new(),
+            refused: Sparing::default(),
+            full: Sparing::default(),
+        }))
+    }
+
     /// Accepts connections for as long as it is polled; full, it lets idle ones go first.
-    async fn accept(&self, listener: &TcpListener) {
+    pub async fn accept(&self, listener: &TcpListener) {
         loop {
             if self.0.clients.borrow().len() >= self.0.most {
                 self.make_room();
@@ -342,7 +268,7 @@
     }
 
     /// Takes what still comes for a moment, then answers all that was taken.
-    async fn stop(&self, listener: TcpListener) {
+    pub async fn stop(&self, listener: TcpListener) {
         info!(clients = self.0.clients.borrow().len(), "stopping: takes what still comes for a moment");
         self.0.stopping.set(true);
         let began = Instant::now();
@@ -369,7 +295,7 @@
     }
 
     /// Closes what is idle for too long, for as long as it is polled.
-    async fn sweep(&self) {
+    pub async fn sweep(&self) {
         let mut sweep = interval(SWEEP);
         loop {
             sweep.tick().await;
@@ -477,9 +403,14 @@
             Ok(body) => body,
             Err((status, why)) => return self.refuse(asker, status, why.into()),
         };
+        let question = match decode(&request, &body, &self.0.work) {
+            Ok(question) => question,
+            Err((status, why)) => return self.refuse(asker, status, why),
+        };
+        drop((request, body));
         asker.now_in(State::Waiting);
         let (client, answer) = oneshot::channel();
-        actix_rt::spawn(lookup::live(self.0.work.clone(), request, body, client));
+        actix_rt::spawn(lookup::live(self.0.work.clone(), question, client));
         let with = |status, body: Vec<u8>| Response::with_body(status, BoxBody::new(body));
         let answer = tokio::select! {
             answer = answer => answer.unwrap_or(Answer::Aborted),
@@ -501,7 +432,6 @@
                 response
             }
             Answer::Aborted => with(StatusCode::BAD_GATEWAY, Vec::new()),
-            Answer::Unknown(why) => self.refuse(asker, StatusCode::NOT_FOUND, why),
             Answer::Open => self.refuse(asker, StatusCode::CONFLICT, "a lookup of this id is open".into()),
             Answer::Bad(why) => self.refuse(asker, StatusCode::BAD_REQUEST, why),
         }
@@ -518,6 +448,37 @@
     }
 }
 
+/// Reads a request and holds it to what the deployment has.
+fn decode(request: &Request, body: &[u8], work: &Work) -> Result<Question, (StatusCode, String)> {
+    let known = &work.surroundings;
+    let bad = |why: String| (StatusCode::BAD_REQUEST, why);
+    let header = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok());
+    let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
+    let Some(index) = position(&known.indexes, protocol::index(request.path())) else {
+        return Err((StatusCode::NOT_FOUND, "no such index".into()));
+    };
+    let asked = protocol::decode(header, body).map_err(bad)?;
+    let customer = match &asked.customer {
+        _ if known.customers.is_empty() => 0,
+        Some(name) => position(&known.customers, name).ok_or_else(|| bad("no such customer".into()))?,
+        None => return Err(bad("the customer is missing".into())),
+    };
+    if let Some(part) = asked.parts.iter().find(|p| p.shard >= known.shards) {
+        return Err(bad(format!("no such shard: {}", part.shard)));
+    }
+    let new = HandedIn {
+        index,
+        customer,
+        key: asked.key.as_deref().map(number),
+        number: number(&asked.id),
+        expires_in: asked.expires_in_ms as Tenths * 10,
+        parts: asked.parts.iter().map(|p| (p.shard, p.weight)).collect(),
+    };
+    let is_merged = work.gathering.merging.borrow().is_merged(index);
+    let page = if is_merged { protocol::page(body).map_err(bad)? } else { protocol::Page::default() };
+    Ok(Question { asked, new, page })
+}
+
 /// The whole body, if it is not too long. One that says so itself is not read at all.
 async fn whole(request: &mut Request) -> Result<Bytes, (StatusCode, &'static str)> {
     const TOO_LONG: (StatusCode, &str) = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
--- a/crates/linenthread-service/src/gather.rs
+++ b/crates/linenthread-service/src/gather.rs
@@ -8,7 +8,7 @@
 use linenthread_core::interface::Ending;
 use linenthread_installation::{Installation, KnownIndex};
 use linenthread_merge::{self as merge, Marks, Merge, PageWish, Plan, Taken};
-use linenthread_protocol::lookup::{self as protocol, Lookup};
+use linenthread_protocol::lookup::{self as protocol, Lookup, Page};
 use tracing::{info, warn};
 
 use crate::config::Config;
@@ -83,6 +83,10 @@
         self.plans.iter().flatten().count()
     }
 
+    pub fn is_merged(&self, index: usize) -> bool {
+        self.plan(index).is_some()
+    }
+
     fn plan(&self, index: usize) -> Option<&Plan> {
         self.plans.get(index)?.as_ref()
     }
@@ -121,12 +125,12 @@
         index: usize,
         shards: usize,
         asked: &Lookup,
-        body: &[u8],
+        page: Page,
     ) -> Result<Self, String> {
         let Some(plan) = merging.plan(index) else {
             return Ok(Gather::AsTheyCame(vec![None; asked.parts.len()]));
         };
-        let protocol::Page { rows, mark } = protocol::page(body)?;
+        let Page { rows, mark } = page;
         let slices: Vec<_> = asked.parts.iter().map(|p| (p.shard, p.weight)).collect();
         let said = merge::Asked {
             customer: asked.customer.as_deref(),
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -1,22 +1,19 @@
-//! One lookup's life, from its request to the moment nothing of it is out any more.
+//! One lookup's life, from its question to the moment nothing of it is out any more.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::{HttpMessage, Request};
-use bytes::Bytes;
 use linenthread_core::interface::{Ending, Return, Tenths};
-use linenthread_protocol::lookup::{self as protocol, Lookup};
-use linenthread_protocol::number;
+use linenthread_protocol::lookup::{Lookup, Page};
 use linenthread_terms::Surroundings;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
+use crate::carriers::{Asked, Carriers, Ended, PartOut};
 use crate::desk::{self, Decision, Desk, HandedIn};
 use crate::gather::{Gather, Gathering};
-use crate::replicas::{Asked, Ended, PartOut, Replicas};
 
 /// A lookup that runs out of time withdraws its parts about when they time out: either way their time is up.
 const NEAR: Duration = Duration::from_millis(20);
@@ -28,8 +25,6 @@
     /// Asking again is harmless, after so many milliseconds where they are given.
     Nacked(Option<f64>),
     Aborted,
-    /// No such index.
-    Unknown(String),
     /// A lookup of the same id is open.
     Open,
     /// The request can't be used.
@@ -39,7 +34,7 @@
 /// What every lookup works with.
 pub struct Work {
     pub desk: Desk,
-    pub replicas: Replicas,
+    pub carriers: Carriers,
     pub surroundings: Surroundings,
     /// Part calls may be given up.
     pub withdraw: bool,
@@ -69,35 +64,6 @@
     }
 }
 
-/// Reads a request and holds it to what the deployment has.
-fn decode(request: &Request, body: &[u8], known: &Surroundings) -> Result<(Lookup, HandedIn), Answer> {
-    let header = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok());
-    let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
-    let Some(index) = position(&known.indexes, protocol::index(request.path())) else {
-        return Err(Answer::Unknown("no such index".into()));
-    };
-    let asked = protocol::decode(header, body).map_err(Answer::Bad)?;
-    let customer = match &asked.customer {
-        _ if known.customers.is_empty() => 0,
-        Some(name) => {
-            position(&known.customers, name).ok_or_else(|| Answer::Bad("no such customer".into()))?
-        }
-        None => return Err(Answer::Bad("the customer is missing".into())),
-    };
-    if let Some(part) = asked.parts.iter().find(|p| p.shard >= known.shards) {
-        return Err(Answer::Bad(format!("no such shard: {}", part.shard)));
-    }
-    let new = HandedIn {
-        index,
-        customer,
-        key: asked.key.as_deref().map(number),
-        number: number(&asked.id),
-        expires_in: asked.expires_in_ms as Tenths * 10,
-        parts: asked.parts.iter().map(|p| (p.shard, p.weight)).collect(),
-    };
-    Ok((asked, new))
-}
-
 /// A part call that is out.
 struct Out {
     sent: Tenths,
@@ -139,7 +105,7 @@
             let wait = desk::span(time_out.max(1));
             let wait_ms = wait.as_micros().div_ceil(1000) as u64;
             for parts in parts.chunks(self.work.parts_a_call.max(1)) {
-                let at = self.work.replicas.call(replica, id, parts, wait_ms, to);
+                let at = self.work.carriers.call(replica, id, parts, wait_ms, to);
                 for (Asked { part, call, round, .. }, at) in parts.iter().zip(at) {
                     let out = Out { sent, due: now + wait, replica, round: *round, at };
                     self.out.insert((*part, *call), out);
@@ -161,19 +127,23 @@
     }
 }
 
-/// A lookup from its request to its end. `client` takes the one answer; it closes where the client leaves.
-pub async fn live(work: Rc<Work>, request: Request, body: Bytes, client: oneshot::Sender<Answer>) {
-    let (asked, new) = match decode(&request, &body, &work.surroundings) {
-        Ok(decoded) => decoded,
-        Err(answer) => return drop(client.send(answer)),
-    };
+/// What a front has read, and held to what the deployment has.
+pub struct Question {
+    pub asked: Lookup,
+    pub new: HandedIn,
+    /// Which page, where its index is merged.
+    pub page: Page,
+}
+
+/// A lookup from its question to its end. `client` takes the one answer; it closes where the client leaves.
+pub async fn live(work: Rc<Work>, question: Question, client: oneshot::Sender<Answer>) {
+    let Question { asked, new, page } = question;
     let merging = work.gathering.merging.borrow().clone();
     let (shards, oddities) = (work.surroundings.shards, &work.gathering.oddities);
-    let mut gather = match Gather::begin(&merging, oddities, new.index, shards, &asked, &body) {
+    let mut gather = match Gather::begin(&merging, oddities, new.index, shards, &asked, page) {
         Ok(gather) => gather,
         Err(why) => return drop(client.send(Answer::Bad(why))),
     };
-    drop((request, body));
     let text: Rc<str> = asked.text.as_str().into();
     let Some(_open) = OpenId::take(&work, &asked.id) else {
         return drop(client.send(Answer::Open));
--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -1,14 +1,15 @@
 //! `linenthread`: a co-ordinator of lookups over replicated shards, on sockets.
 
+mod carriers;
 mod config;
 mod desk;
 mod first_try;
-mod front;
+mod fronts;
 mod gather;
 mod log;
 mod lookup;
-mod replicas;
 mod roster;
+mod serve;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -128,7 +129,7 @@
         }),
         Command::Serve(file, own) => with_files(file, own.as_deref(), |config, file, merging| {
             log::start();
-            let served = front::serve(config, file, (merging, own.as_deref()), |_| {});
+            let served = serve::serve(config, file, (merging, own.as_deref()), |_| {});
             match actix_rt::System::new().block_on(served) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(message) => {
