--- a/crates/linenthread-adapter/src/host.rs
+++ b/crates/linenthread-adapter/src/host.rs
@@ -274,6 +274,7 @@
                         site: usize::from(e.site),
                         phase: e.phase,
                         started: (e.started != 0.0).then(|| tenths(e.started)),
+                        cold_share: None,
                     })
                     .collect();
                 arrivals.roster.push(match mode {
--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -556,7 +556,8 @@
         let Some(share) = self.cold_share(r) else { return true };
         let cold = &self.deployment.cold;
         let sent = self.replicas[r].cold_sends.since(self.now - cold.window);
-        let room = cold.multiple * COLD_USE * share * self.fleet.usual;
+        let told = self.replicas[r].listed.cold_share.unwrap_or(1.0);
+        let room = cold.multiple * COLD_USE * share * told * self.fleet.usual;
         if room >= 1.0 {
             return (sent + 1) as f64 <= room;
         }
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -113,6 +113,9 @@
     pub phase: Phase,
     /// When it last started; `None` for long ago.
     pub started: Option<Tenths>,
+    /// What share of this co-ordinator's part in its cold budget may be used; `None` for all of it. Who
+    /// reaches it through a gateway is told by that how much others leave.
+    pub cold_share: Option<f64>,
 }
 
 /// News from the roster, in the order it came.
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -201,7 +201,7 @@
         };
         let site = replica % 3;
         let id = replica as u64 + 77 + 1_000 * former.len() as u64;
-        Ok(Listed { replica, id, site, cell: number(Some(&cell))?, phase, started })
+        Ok(Listed { replica, id, site, cell: number(Some(&cell))?, phase, started, cold_share: None })
     }
 
     fn replica(&self, name: &str) -> Res<usize> {
--- a/crates/linenthread-drill/src/fleet.rs
+++ b/crates/linenthread-drill/src/fleet.rs
@@ -156,6 +156,7 @@
             site: n % 2,
             phase: Phase::Ready,
             started: None,
+            cold_share: None,
         };
         let listed: Vec<_> = (0..CELLS).map(entry).collect();
         let mut fleet = Fleet {
--- a/crates/linenthread-drill/src/main.rs
+++ b/crates/linenthread-drill/src/main.rs
@@ -7,14 +7,17 @@
 mod merged;
 mod merging_speed;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::{Parser, construct, long};
+use linenthread_stand_ins::sites::{Verdict, cut_everywhere};
 
 #[derive(Clone)]
 enum Command {
     Merged(merged::Drill),
     Link(link::Drill),
+    LinkBytes { program: Option<PathBuf>, step: usize, keep: u64, at_once: usize },
     MergingSpeed { rounds: usize },
 }
 
@@ -51,6 +54,22 @@
         .footer("Example: linenthread-drill link --schedules 100000 --seed 7")
         .command("link")
         .help("Check the link between sites");
+    let program = long("program")
+        .help("The program to run at both ends; by default linenthread beside this one")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let step = long("step").help("Cut after every so manieth byte").argument("N").fallback(1);
+    let keep = long("keep")
+        .help("Milliseconds for which a session outlives its connection; 10 is without resume")
+        .argument("MS")
+        .fallback(3_000);
+    let at_once = long("at-once").help("Pairs of sites at once").argument("N").fallback(4);
+    let link_bytes = construct!(Command::LinkBytes { program, step, keep, at_once })
+        .to_options()
+        .descr("A once-only lookup between two sites on loopback, the link cut after each byte, both ways")
+        .footer("Example: linenthread-drill link-bytes --keep 10")
+        .command("link-bytes")
+        .help("Check the link at every byte");
     let rounds = long("rounds").help("Runs of each size").argument("N").fallback(5);
     let speed = construct!(Command::MergingSpeed { rounds })
         .to_options()
@@ -58,7 +77,7 @@
         .footer("Example: linenthread-drill merging-speed --rounds 9")
         .command("merging-speed")
         .help("Measure merging");
-    construct!([merged, link, speed])
+    construct!([merged, link, link_bytes, speed])
         .to_options()
         .descr("Long checks of linenthread's subsystems")
         .footer("Example: linenthread-drill merged --lookups 100000 --seed 7")
@@ -80,6 +99,18 @@
             let (checked, breaches) = drill.run();
             close(checked, breaches)
         }
+        Command::LinkBytes { program, step, keep, at_once } => {
+            let beside = || Some(std::env::current_exe().ok()?.with_file_name("linenthread"));
+            let Some(program) = program.or_else(beside) else {
+                eprintln!("linenthread-drill: no program is told");
+                return ExitCode::from(2);
+            };
+            let verdict = cut_everywhere(&program.to_string_lossy(), keep, step, at_once);
+            verdict.breaches.iter().for_each(|why| println!("breach: {why}"));
+            let Verdict { checked, answered, nacked, aborted, .. } = verdict;
+            println!("{answered} answered, {nacked} nacked, {aborted} aborted");
+            close(checked, verdict.breaches.len())
+        }
         Command::MergingSpeed { rounds } => {
             let (checked, breaches) = merging_speed::run(rounds);
             close(checked, breaches)
--- a/crates/linenthread-installation/src/lib.rs
+++ b/crates/linenthread-installation/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Installation::read`] takes the file's text and what the platform's settings know of their indexes; it
 //! gives typed values or one [`Fault`] with line and cause. Each subsystem has a section and a module here.
 
+mod links;
 mod merging;
 mod schema;
 mod tree;
@@ -12,6 +13,7 @@
 
 use serde::Deserialize;
 
+pub use links::{Gateway, Peer};
 pub use merging::{MarkFiles, Merging};
 use schema::Schema;
 
@@ -47,6 +49,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Installation {
     pub merging: Merging,
+    pub gateway: Option<Gateway>,
+    pub peers: Vec<Peer>,
 }
 
 #[derive(Deserialize)]
@@ -56,6 +60,8 @@
     #[allow(dead_code, reason = "the schema holds it; named so that no other attribute passes")]
     version: String,
     merging: Option<merging::Section>,
+    gateway: Option<links::GatewaySection>,
+    peers: Option<links::PeersSection>,
 }
 
 impl Installation {
@@ -74,7 +80,11 @@
             (Some(section), Some(node)) => merging::check(section, node, known)?,
             _ => Merging::default(),
         };
-        Ok(Installation { merging })
+        let gateway = document.gateway.zip(root.all("gateway").next());
+        let gateway = gateway.map(|(said, node)| links::gateway(said, node)).transpose()?;
+        let peers = document.peers.zip(root.all("peers").next());
+        let peers = peers.map(|(said, node)| links::peers(said, node)).transpose()?.unwrap_or_default();
+        Ok(Installation { merging, gateway, peers })
     }
 
     /// Reads a file; see [`Installation::read`].
@@ -86,9 +96,10 @@
         let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
         let mut read = Self::read(&text, known).map_err(|fault| format!("{}:{fault}", file.display()))?;
         let folder = file.parent().unwrap_or(Path::new(""));
-        if let Some(marks) = &mut read.merging.marks {
-            marks.files.iter_mut().for_each(|path| *path = folder.join(&*path));
-        }
+        let marks = read.merging.marks.iter_mut().flat_map(|m| &mut m.files);
+        let gateway = read.gateway.iter_mut().flat_map(|g| &mut g.secrets);
+        let peers = read.peers.iter_mut().flat_map(|p| &mut p.secrets);
+        marks.chain(gateway).chain(peers).for_each(|path| *path = folder.join(&*path));
         Ok(read)
     }
 }
@@ -112,6 +123,10 @@
       <identity field="id"/>
     </rows>
   </merging>
+  <gateway listen="127.0.0.1:7400" secret="link.key"/>
+  <peers>
+    <peer name="messina" address="127.0.0.1:7401" secret="link.key"/>
+  </peers>
 </installation>
 "#;
 
@@ -173,7 +188,8 @@
             ("field=\"date\" ", "field=\"date\" scale=\"1\" ", 11, "scale"),
             ("<marks life=\"900\" secret=\"marks.key\"/>", "", 10, "marks"),
             ("<!-- money -->", "money", 2, "text"),
-            ("</installation>", "", 17, "begun and ended"),
+            ("</installation>", "", 21, "begun and ended"),
+            ("listen=\"127.0.0.1:7400\"", "listen=\"messina\"", 16, "not an address"),
             ("<?xml version=\"1.0\"?>", "<!DOCTYPE x [<!ENTITY a \"b\">]>", 1, "document type"),
             ("secret=\"marks.key\"", "secret=\"&a;\"", 5, ""),
             ("</merging>", "</merge>", 15, ""),
@@ -209,9 +225,13 @@
             ("Rows", "<rows"),
             ("Order", "<order"),
             ("Field", "<distinct"),
+            ("Gateway", "<gateway"),
+            ("Peer", "<peer"),
         ];
-        let decode =
-            |text: &str| quick_xml::de::from_str::<Document>(text).map(|d| format!("{:?}", d.merging));
+        let decode = |text: &str| {
+            quick_xml::de::from_str::<Document>(text)
+                .map(|d| format!("{:?}{:?}{:?}", d.merging, d.gateway, d.peers))
+        };
         assert!(decode(&whole).is_ok());
         let samples = schema.samples();
         for (kind, name, values) in &samples {
--- a/crates/linenthread-installation/src/schema.rs
+++ b/crates/linenthread-installation/src/schema.rs
@@ -325,7 +325,7 @@
             match (simple.words.is_empty(), simple.number) {
                 (false, _) => simple.words.clone(),
                 (true, true) => [simple.least, simple.most].iter().flatten().map(u64::to_string).collect(),
-                (true, false) => vec!["a".into()],
+                (true, false) => vec!["a".repeat(simple.shortest.max(1))],
             }
         };
         let attribute = |c: &'_ str, a: &'_ Attribute| (c.to_owned(), a.name.clone(), of(&a.kind));
--- a/crates/linenthread-link/src/far.rs
+++ b/crates/linenthread-link/src/far.rs
@@ -78,6 +78,10 @@
 }
 
 struct Session {
+    /// Made up as it began: a session of the same number that was given up is another.
+    epoch: u64,
+    /// The newest hello's number.
+    attempt: u64,
     connection: Option<u64>,
     /// The last call that came.
     received: u64,
@@ -98,7 +102,6 @@
     terms: FarTerms,
     secrets: Secrets,
     chance: Rand64,
-    epoch: u64,
     sessions: BTreeMap<u64, Session>,
     connections: BTreeMap<u64, Connection>,
     members: Vec<Member>,
@@ -107,14 +110,13 @@
 }
 
 impl Far {
-    /// A gateway that has just started; its epoch is told from others by the seed.
+    /// A gateway that has just started. Its seed must be new with each start: the epochs of its sessions come
+    /// from it, and tell them from those of an earlier life.
     pub fn new(terms: FarTerms, secrets: Secrets, seed: u64) -> Far {
-        let mut chance = Rand64::new(u128::from(seed));
         Far {
             terms,
             secrets,
-            epoch: chance.rand_u64().max(1),
-            chance,
+            chance: Rand64::new(u128::from(seed)),
             sessions: BTreeMap::new(),
             connections: BTreeMap::new(),
             members: Vec::new(),
@@ -193,7 +195,7 @@
     }
 
     fn hello(&mut self, now: Tenths, connection: u64, nonce: &Nonce, frame: &Frame, to: &mut Vec<FarDo>) {
-        let Frame::Hello { version, nonce: theirs, session, epoch, proof, .. } = frame else {
+        let Frame::Hello { version, nonce: theirs, session, attempt, epoch, proof, .. } = frame else {
             return self.close(now, connection, "a hello must come first", to);
         };
         if *version != VERSION {
@@ -202,13 +204,19 @@
         if !self.secrets.holds(Side::Near, nonce, &frame.said(), proof) {
             return self.close(now, connection, "the hello does not prove that it knows the secret", to);
         }
-        let resumed = *epoch == self.epoch && self.sessions.contains_key(session);
+        if self.sessions.get(session).is_some_and(|known| *attempt <= known.attempt) {
+            // It was long on its way, and would take the session from a newer connection.
+            return self.close(now, connection, "the session has said a newer hello", to);
+        }
+        let resumed = self.sessions.get(session).is_some_and(|known| known.epoch == *epoch);
         if !resumed {
             self.forget(*session, to);
             if self.sessions.len() >= self.terms.most_sessions {
                 return self.close(now, connection, "no room for a session", to);
             }
             let new = Session {
+                epoch: self.chance.rand_u64().max(1),
+                attempt: 0,
                 connection: None,
                 received: 0,
                 calls: BTreeMap::new(),
@@ -228,8 +236,8 @@
                 why: "the session goes on on another connection".into(),
             });
         }
-        known.told = (0, 0);
-        let (received, bytes) = (known.received, known.bytes);
+        (known.told, known.attempt) = ((0, 0), *attempt);
+        let (epoch, received, bytes) = (known.epoch, known.received, known.bytes);
         let again: Vec<Frame> = known
             .calls
             .values()
@@ -239,7 +247,7 @@
             })
             .collect();
         self.connections.insert(connection, Connection::Welcomed { session: *session, heard: now });
-        let mut welcome = Frame::Welcome { epoch: self.epoch, resumed, received, bytes, proof: [0; 32] };
+        let mut welcome = Frame::Welcome { epoch, resumed, received, bytes, proof: [0; 32] };
         let proven = self.secrets.prove(Side::Far, theirs, &welcome.said());
         if let Frame::Welcome { proof, .. } = &mut welcome {
             *proof = proven;
--- a/crates/linenthread-link/src/frame.rs
+++ b/crates/linenthread-link/src/frame.rs
@@ -55,16 +55,18 @@
         nonce: Nonce,
         name: String,
     },
-    /// Near: its session, the far side's epoch as it knows it (0 for none), and what the welcome must prove.
+    /// Near: its session, how many hellos it has said, the session's epoch there as it knows it (0 for none),
+    /// and what the welcome must prove itself over.
     Hello {
         version: u8,
         name: String,
         nonce: Nonce,
         session: u64,
+        attempt: u64,
         epoch: u64,
         proof: Proof,
     },
-    /// Far: its epoch, whether the session is known, the last call that came of it, and the bytes of all.
+    /// Far: the session's epoch, whether it goes on, the last call that came of it, and the bytes of all.
     Welcome {
         epoch: u64,
         resumed: bool,
@@ -244,11 +246,12 @@
                 put.text(name);
                 1
             }
-            Frame::Hello { version, name, nonce, session, epoch, proof } => {
+            Frame::Hello { version, name, nonce, session, attempt, epoch, proof } => {
                 put.0.push(*version);
                 put.text(name);
                 put.0.extend(nonce);
                 put.0.extend(session.to_be_bytes());
+                put.0.extend(attempt.to_be_bytes());
                 put.0.extend(epoch.to_be_bytes());
                 put.0.extend(proof);
                 2
@@ -369,6 +372,7 @@
                 name: take.text()?,
                 nonce: take.array()?,
                 session: take.u64()?,
+                attempt: take.u64()?,
                 epoch: take.u64()?,
                 proof: take.array()?,
             },
@@ -469,6 +473,7 @@
                 name: "n".into(),
                 nonce: [1; 16],
                 session: 2,
+                attempt: 1,
                 epoch: 3,
                 proof: [4; 32],
             },
--- a/crates/linenthread-link/src/near.rs
+++ b/crates/linenthread-link/src/near.rs
@@ -125,8 +125,10 @@
     chance: Rand64,
     state: State,
     session: u64,
-    /// The far side's epoch, once it is known; 0 before.
+    /// The session's epoch at the far side, once it is known; 0 before.
     epoch: u64,
+    /// Hellos said: one that comes late must not be taken for the newest.
+    attempts: u64,
     nonce: Nonce,
     /// The number of the last call that was given out, and of the last one given to a connection.
     numbers: u64,
@@ -162,6 +164,7 @@
             state: State::Down { again: 0 },
             session,
             epoch: 0,
+            attempts: 0,
             nonce: Nonce::default(),
             numbers: 0,
             last_sent: 0,
@@ -354,11 +357,13 @@
                     return self.break_off(now, format!("it speaks {least} to {most}, not {VERSION}"), to);
                 }
                 self.nonce.iter_mut().for_each(|b| *b = self.chance.rand_u64() as u8);
+                self.attempts += 1;
                 let mut hello = Frame::Hello {
                     version: VERSION,
                     name: self.terms.name.clone(),
                     nonce: self.nonce,
                     session: self.session,
+                    attempt: self.attempts,
                     epoch: self.epoch,
                     proof: [0; 32],
                 };
@@ -374,6 +379,8 @@
             (_, Frame::Refuse { why }) => self.break_off(now, format!("refused: {why}"), to),
             (State::Up { .. }, Frame::Outcome { number, ending, queue, value }) => {
                 to.push(NearDo::Send(Frame::Ack { numbers: vec![number] }));
+                // It is of use: what goes wrong next is a new failure.
+                self.failures = 0;
                 if let Some(known) = self.by_sent.get(&number).copied() {
                     self.end(known, ending, queue, value, to);
                 }
--- /dev/null
+++ b/crates/linenthread-service/src/carriers/link.rs
@@ -0,0 +1,265 @@
+//! Links to gateways: part calls to replicas that only a gateway in another site reaches. The machine in
+//! `linenthread-link` decides; the task here connects, reads, writes and wakes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use linenthread_core::interface::{Ending, Tenths};
+use linenthread_link::{Call, Frame, Member, Near, NearDo, NearTerms, Secrets};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::{sleep_until, timeout};
+use tracing::{info, warn};
+
+use crate::carriers::{Asked, Ended};
+use crate::desk::Clock;
+use crate::log::Sparing;
+
+/// What is read at once from a connection at the most.
+const READ: usize = 32 * 1024;
+/// A gateway that cannot be connected to within so long cannot be had.
+const CONNECT: Duration = Duration::from_millis(1_000);
+
+/// Who waits for a part call.
+struct Waiter {
+    part: usize,
+    call: usize,
+    to: mpsc::UnboundedSender<Ended>,
+}
+
+type ProbeWaiter = oneshot::Sender<(Ending, Option<f64>)>;
+
+/// What lies behind a link has changed: all of it, or that it cannot be reached.
+pub enum News {
+    Members(Vec<Member>),
+    Up(bool),
+}
+
+struct Inner {
+    name: String,
+    address: SocketAddr,
+    clock: Clock,
+    near: RefCell<Near>,
+    waiters: RefCell<BTreeMap<u64, Waiter>>,
+    probes: RefCell<BTreeMap<u64, ProbeWaiter>>,
+    frames: RefCell<VecDeque<Frame>>,
+    connect: Cell<bool>,
+    close: RefCell<Option<String>>,
+    news: Notify,
+    changes: mpsc::UnboundedSender<News>,
+    lines: Sparing,
+}
+
+/// One peer's link.
+#[derive(Clone)]
+pub struct Peer(Rc<Inner>);
+
+/// A part call out over a link. Dropping it gives it up, unless it has ended.
+pub struct PartOut {
+    peer: Peer,
+    number: u64,
+}
+
+impl Drop for PartOut {
+    fn drop(&mut self) {
+        if self.peer.0.waiters.borrow_mut().remove(&self.number).is_some() {
+            self.peer.act(|near, _, to| near.withdraw(self.number, to));
+        }
+    }
+}
+
+/// What a link's peer is set to.
+pub struct Terms {
+    pub name: String,
+    pub address: SocketAddr,
+    pub secrets: Secrets,
+    pub near: NearTerms,
+    pub seed: u64,
+}
+
+impl Peer {
+    /// A link that is kept up from now on; what lies behind it is told to `changes`.
+    pub fn start(terms: Terms, clock: Clock, changes: mpsc::UnboundedSender<News>) -> Peer {
+        let peer = Peer(Rc::new(Inner {
+            name: terms.name,
+            address: terms.address,
+            clock,
+            near: RefCell::new(Near::new(terms.near, terms.secrets, terms.seed)),
+            waiters: RefCell::default(),
+            probes: RefCell::default(),
+            frames: RefCell::default(),
+            connect: Cell::new(false),
+            close: RefCell::default(),
+            news: Notify::new(),
+            changes,
+            lines: Sparing::default(),
+        }));
+        actix_rt::spawn(peer.clone().run());
+        peer
+    }
+
+    /// Lets the machine take something in, and does what it says.
+    fn act(&self, take: impl FnOnce(&mut Near, Tenths, &mut Vec<NearDo>)) {
+        let mut to = Vec::new();
+        take(&mut self.0.near.borrow_mut(), self.0.clock.now(), &mut to);
+        for one in to {
+            match one {
+                NearDo::Connect => self.0.connect.set(true),
+                NearDo::Close(why) => drop(self.0.close.replace(Some(why))),
+                NearDo::Send(frame) => self.0.frames.borrow_mut().push_back(frame),
+                NearDo::Ended { number, ending, queue, value } => {
+                    if let Some(Waiter { part, call, to }) = self.0.waiters.borrow_mut().remove(&number) {
+                        to.send(Ended { part, call, ending, queue, value }).ok();
+                    }
+                }
+                NearDo::Probed { number, ending, queue } => {
+                    if let Some(to) = self.0.probes.borrow_mut().remove(&number) {
+                        to.send((ending, queue)).ok();
+                    }
+                }
+                NearDo::Members { members, .. } => drop(self.0.changes.send(News::Members(members))),
+                NearDo::Up(up) => {
+                    info!(peer = self.0.name, up, "link");
+                    self.0.changes.send(News::Up(up)).ok();
+                }
+            }
+        }
+        self.0.news.notify_one();
+    }
+
+    /// Sends parts of one lookup to one replica, each as a call of its own.
+    pub fn call(
+        &self,
+        replica: &str,
+        lookup: &str,
+        asked: &[Asked],
+        wait: Duration,
+        ended_to: &mpsc::UnboundedSender<Ended>,
+    ) -> Vec<PartOut> {
+        let due = self.0.clock.now() + (wait.as_micros() / 100) as Tenths;
+        let one = |asked: &Asked| {
+            let call = Call {
+                replica: replica.to_owned(),
+                lookup: lookup.to_owned(),
+                shard: asked.shard as u32,
+                round: asked.round,
+                text: asked.text.to_string(),
+            };
+            let mut number = 0;
+            let mut ends = Vec::new();
+            // It may end at once: its waiter stands before that is told.
+            self.act(|near, now, to| {
+                number = near.call(now, call, due, &mut ends);
+                let waiter = Waiter { part: asked.part, call: asked.call, to: ended_to.clone() };
+                self.0.waiters.borrow_mut().insert(number, waiter);
+                to.append(&mut ends);
+            });
+            PartOut { peer: self.clone(), number }
+        };
+        asked.iter().map(one).collect()
+    }
+
+    /// Asks a replica behind the link how it fares.
+    pub async fn probe(&self, replica: &str, wait: Duration) -> (Ending, Option<f64>) {
+        let (done, answer) = oneshot::channel();
+        let mut ends = Vec::new();
+        self.act(|near, _, to| {
+            let number = near.probe(replica.to_owned(), &mut ends);
+            self.0.probes.borrow_mut().insert(number, done);
+            to.append(&mut ends);
+        });
+        match timeout(wait, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => (Ending::Broken, None),
+            Err(_) => (Ending::TimedOut, None),
+        }
+    }
+
+    async fn run(self) {
+        loop {
+            let at = self.0.clock.at(self.0.near.borrow().wake_at().min(self.0.clock.now() + 100_000));
+            tokio::select! {
+                _ = sleep_until(at) => self.act(|near, now, to| near.wake(now, to)),
+                _ = self.0.news.notified() => {}
+            }
+            if self.0.connect.take() {
+                let why = match timeout(CONNECT, TcpStream::connect(self.0.address)).await {
+                    Ok(Ok(stream)) => self.connection(stream).await,
+                    Ok(Err(e)) => format!("cannot connect: {e}"),
+                    Err(_) => "cannot connect in time".into(),
+                };
+                if let Some(left_out) = self.0.lines.line() {
+                    warn!(peer = self.0.name, address = %self.0.address, left_out, "link lost: {why}");
+                }
+                self.0.frames.borrow_mut().clear();
+                self.0.close.take();
+                self.act(|near, now, to| near.lost(now, to));
+            }
+        }
+    }
+
+    /// Serves one connection until it ends; says why it did.
+    async fn connection(&self, mut stream: TcpStream) -> String {
+        stream.set_nodelay(true).ok();
+        self.act(|near, now, _| near.connected(now));
+        let (mut reads, mut writes) = stream.split();
+        let (mut read, mut buffer) = (Vec::new(), vec![0; READ]);
+        // What is being written, how much of it is, and which call it is.
+        let mut writing: Option<(Vec<u8>, usize, Option<u64>)> = None;
+        loop {
+            // Not a byte more: what was not written whole by now has been told as never run.
+            if let Some(why) = self.0.close.take() {
+                return why;
+            }
+            if writing.is_none()
+                && let Some(frame) = self.0.frames.borrow_mut().pop_front()
+            {
+                let number = if let Frame::Call { number, .. } = &frame { Some(*number) } else { None };
+                writing = Some((frame.encode(), 0, number));
+            }
+            let wake = self.0.near.borrow().wake_at().min(self.0.clock.now() + 100_000);
+            let rest = writing.as_ref().map_or(&[][..], |(bytes, at, _)| &bytes[*at..]);
+            tokio::select! {
+                n = reads.read(&mut buffer) => match n {
+                    Ok(0) => return "closed by the gateway".into(),
+                    Ok(n) => {
+                        read.extend_from_slice(&buffer[..n]);
+                        let mut at = 0;
+                        loop {
+                            match Frame::decode(&read[at..]) {
+                                Ok(None) => break,
+                                Ok(Some((frame, took))) => {
+                                    at += took;
+                                    self.act(|near, now, to| near.received(now, frame, to));
+                                }
+                                Err(why) => return why,
+                            }
+                        }
+                        read.drain(..at);
+                    }
+                    Err(e) => return e.to_string(),
+                },
+                n = writes.write(rest), if !rest.is_empty() => match n {
+                    Ok(n) => {
+                        if let Some((bytes, at, number)) = &mut writing {
+                            *at += n;
+                            if *at == bytes.len() {
+                                if let Some(number) = *number {
+                                    self.0.near.borrow_mut().written(number);
+                                }
+                                writing = None;
+                            }
+                        }
+                    }
+                    Err(e) => return e.to_string(),
+                },
+                _ = sleep_until(self.0.clock.at(wake)) => self.act(|near, now, to| near.wake(now, to)),
+                _ = self.0.news.notified() => {}
+            }
+        }
+    }
+}
--- a/crates/linenthread-service/src/carriers/mod.rs
+++ b/crates/linenthread-service/src/carriers/mod.rs
@@ -2,7 +2,10 @@
 //! whether the part ran, may have run, or never left.
 
 pub mod frames;
+pub mod link;
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,39 +51,82 @@
     pub connections: usize,
 }
 
+/// Where a replica is found.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Place {
+    At(SocketAddr),
+    /// Behind the peer of this number, under this id.
+    Behind(usize, Rc<str>),
+}
+
 /// Every replica, whichever way it is reached.
 #[derive(Clone)]
-pub struct Carriers {
+pub struct Carriers(Rc<Inner>);
+
+struct Inner {
     frames: Replicas,
+    probe: Duration,
+    peers: RefCell<Vec<link::Peer>>,
+    /// Replicas that are reached over a link.
+    behind: RefCell<BTreeMap<usize, (usize, Rc<str>)>>,
 }
 
 /// A part out at a replica. Dropping it gives the part up, unless it has ended.
 pub enum PartOut {
     Frames(frames::PartOut),
+    Link(#[allow(dead_code, reason = "held for its drop")] link::PartOut),
 }
 
 impl PartOut {
-    /// Its time is up: a connection on which nothing came meanwhile is not trusted with more.
+    /// Its time is up: a connection on which nothing came meanwhile is not trusted with more. A link judges
+    /// itself by its beats.
     pub fn timed_out(&self) {
         match self {
             PartOut::Frames(out) => out.timed_out(),
+            PartOut::Link(_) => {}
         }
     }
 }
 
 impl Carriers {
     pub fn new(limits: Limits) -> Self {
-        Carriers { frames: Replicas::new(limits) }
+        Carriers(Rc::new(Inner {
+            frames: Replicas::new(limits),
+            probe: limits.probe,
+            peers: RefCell::default(),
+            behind: RefCell::default(),
+        }))
+    }
+
+    /// One more peer's link; its number.
+    pub fn add_peer(&self, peer: link::Peer) -> usize {
+        self.0.peers.borrow_mut().push(peer);
+        self.0.peers.borrow().len() - 1
     }
 
     /// Where a replica is found from now on.
-    pub fn place(&self, replica: usize, address: Option<SocketAddr>) {
-        self.frames.place(replica, address);
+    pub fn place(&self, replica: usize, place: Option<Place>) {
+        let mut behind = self.0.behind.borrow_mut();
+        behind.remove(&replica);
+        let address = match place {
+            Some(Place::At(address)) => Some(address),
+            Some(Place::Behind(peer, id)) => {
+                behind.insert(replica, (peer, id));
+                None
+            }
+            None => None,
+        };
+        self.0.frames.place(replica, address);
+    }
+
+    /// Whether a replica is reached from here, and not over a link: what comes over one never goes back.
+    pub fn is_direct(&self, replica: usize) -> bool {
+        !self.0.behind.borrow().contains_key(&replica)
     }
 
     /// Whether nothing is open to a replica that is found nowhere: then its index may stand for another.
     pub fn is_vacant(&self, replica: usize) -> bool {
-        self.frames.is_vacant(replica)
+        self.is_direct(replica) && self.0.frames.is_vacant(replica)
     }
 
     /// Sends parts of one lookup to one replica as one part call.
@@ -92,12 +138,24 @@
         wait_ms: u64,
         to: &mpsc::UnboundedSender<Ended>,
     ) -> Vec<Option<PartOut>> {
-        let out = self.frames.call(replica, lookup, asked, wait_ms, to);
+        if let Some((peer, id)) = self.behind(replica) {
+            let out = peer.call(&id, lookup, asked, Duration::from_millis(wait_ms), to);
+            return out.into_iter().map(|out| Some(PartOut::Link(out))).collect();
+        }
+        let out = self.0.frames.call(replica, lookup, asked, wait_ms, to);
         out.into_iter().map(|out| out.map(PartOut::Frames)).collect()
     }
 
     /// Asks a replica how it fares.
     pub async fn probe(&self, replica: usize) -> (Ending, Option<f64>) {
-        self.frames.probe(replica).await
+        match self.behind(replica) {
+            Some((peer, id)) => peer.probe(&id, self.0.probe).await,
+            None => self.0.frames.probe(replica).await,
+        }
+    }
+
+    fn behind(&self, replica: usize) -> Option<(link::Peer, Rc<str>)> {
+        let (peer, id) = self.0.behind.borrow().get(&replica).cloned()?;
+        Some((self.0.peers.borrow().get(peer)?.clone(), id))
     }
 }
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -2,7 +2,7 @@
 //! in since the last round goes into the next, and each decision goes to its lookup's task.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -10,11 +10,14 @@
     Arrivals, Listed, NewLookup, NewPart, Phase, ProbeReturn, Return, RosterNews, Tenths,
 };
 use linenthread_core::{Coordinator, Writer};
+use linenthread_link::Member;
 use linenthread_protocol::{number, roster};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep_until};
+use tracing::info;
 
-use crate::carriers::Carriers;
+use crate::carriers::link::News;
+use crate::carriers::{Carriers, Place};
 use crate::config::Config;
 
 /// The clock starts this far from 0, which stands for long ago.
@@ -43,7 +46,7 @@
 }
 
 impl Clock {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
     }
@@ -135,6 +138,18 @@
     indices: Indices,
     sites: Vec<String>,
     wake_at: Option<Tenths>,
+    /// What the roster lists, for those who reach it through this program.
+    local: BTreeMap<String, Member>,
+    /// What lies behind each peer, and whether it can be reached now.
+    peers: Vec<Behind>,
+    /// Replicas behind peers as the module was last told of them.
+    far: BTreeMap<String, (usize, Member)>,
+}
+
+#[derive(Default)]
+struct Behind {
+    up: bool,
+    members: BTreeMap<String, Member>,
 }
 
 struct Inner {
@@ -142,6 +157,8 @@
     state: RefCell<State>,
     came: Notify,
     roster_wanted: Notify,
+    /// The roster's list has changed.
+    listed: Notify,
     carriers: Carriers,
 }
 
@@ -225,9 +242,13 @@
                 indices: Indices::default(),
                 sites: config.surroundings.sites.clone(),
                 wake_at: None,
+                local: BTreeMap::new(),
+                peers: Vec::new(),
+                far: BTreeMap::new(),
             }),
             came: Notify::new(),
             roster_wanted: Notify::new(),
+            listed: Notify::new(),
             carriers,
         }));
         let listed = desk.listed(&config.remembered);
@@ -340,13 +361,19 @@
     /// Turns a list's ids into indices, and tells where its replicas are found.
     fn listed(&self, list: &roster::List) -> Vec<Listed> {
         let mut state = self.0.state.borrow_mut();
-        let State { lookups, indices, sites, handed_in, .. } = &mut *state;
+        let State { lookups, indices, sites, handed_in, local, far, .. } = &mut *state;
         let over = lookups.iter().flatten().map(|task| task.before).min().unwrap_or(*handed_in);
         indices.give_back(over, |replica| self.0.carriers.is_vacant(replica));
+        if list.whole {
+            local.clear();
+        }
         let mut named = vec![false; indices.held.len()];
         let mut listed = Vec::with_capacity(list.replicas.len());
         for r in &list.replicas {
             let gone = r.phase == Phase::Gone;
+            self.0.keep_local(local, r);
+            // What the roster lists is reached directly, whoever else lists it.
+            far.remove(&r.id);
             if gone && !indices.of.contains_key(&r.id) {
                 continue;
             }
@@ -356,7 +383,7 @@
             if let Some(held) = indices.get(replica) {
                 held.gone = gone.then_some(*handed_in);
             }
-            self.0.carriers.place(replica, (!gone).then_some(r.address));
+            self.0.carriers.place(replica, (!gone).then_some(Place::At(r.address)));
             listed.push(Listed {
                 replica,
                 id: number(&r.id),
@@ -365,8 +392,19 @@
                 site: sites.iter().position(|s| *s == r.site).unwrap_or(sites.len()),
                 phase: r.phase,
                 started: (r.started_ms > 0.0).then(|| self.0.clock.of_unix(r.started_ms)),
+                cold_share: None,
             });
         }
+        if list.whole {
+            // A whole list leaves out what only peers reach.
+            for (id, (peer, member)) in far.iter() {
+                let entry = self.entry(indices, sites, *handed_in, id, Some(*peer), member);
+                named.resize(named.len().max(entry.replica + 1), false);
+                named[entry.replica] = true;
+                listed.push(entry);
+            }
+        }
+        self.0.listed.notify_one();
         for replica in (0..named.len()).filter(|r| list.whole && !named[*r]) {
             if let Some(held) = indices.get(replica) {
                 held.gone = held.gone.or(Some(*handed_in));
@@ -375,6 +413,120 @@
         }
         listed
     }
+
+    /// One more peer; its number.
+    pub fn add_peer(&self) -> usize {
+        let mut state = self.0.state.borrow_mut();
+        state.peers.push(Behind::default());
+        state.peers.len() - 1
+    }
+
+    /// What a peer's link tells.
+    pub fn hear_peer(&self, peer: usize, news: News) {
+        if let Some(behind) = self.0.state.borrow_mut().peers.get_mut(peer) {
+            match news {
+                News::Up(up) => behind.up = up,
+                News::Members(members) => {
+                    behind.members = members.into_iter().map(|m| (m.id.clone(), m)).collect();
+                }
+            }
+        }
+        self.tell_far();
+    }
+
+    /// Tells the module what has changed behind links: a link that is down takes all with it that no other
+    /// reaches, and none of these replicas has to be learnt as failing by itself.
+    fn tell_far(&self) {
+        let mut state = self.0.state.borrow_mut();
+        let State { indices, sites, handed_in, local, peers, far, .. } = &mut *state;
+        let mut now: BTreeMap<String, (usize, Member)> = BTreeMap::new();
+        for (peer, behind) in peers.iter().enumerate().filter(|(_, behind)| behind.up) {
+            for (id, member) in &behind.members {
+                if member.phase != Phase::Gone && !local.contains_key(id) {
+                    now.entry(id.clone()).or_insert_with(|| (peer, member.clone()));
+                }
+            }
+        }
+        let mut listed = Vec::new();
+        for (id, (peer, member)) in &now {
+            if far.get(id) != Some(&(*peer, member.clone())) {
+                listed.push(self.entry(indices, sites, *handed_in, id, Some(*peer), member));
+            }
+        }
+        for (id, (_, member)) in far.iter().filter(|(id, _)| !now.contains_key(*id)) {
+            let gone = Member { phase: Phase::Gone, ..member.clone() };
+            listed.push(self.entry(indices, sites, *handed_in, id, None, &gone));
+        }
+        let count = now.len();
+        *far = now;
+        drop(state);
+        if !listed.is_empty() {
+            info!(far = count, "replicas behind links");
+            self.hear_roster(RosterNews::Changes(listed));
+        }
+    }
+
+    /// A replica behind a peer, or that is gone there.
+    fn entry(
+        &self,
+        indices: &mut Indices,
+        sites: &[String],
+        handed_in: u64,
+        id: &str,
+        peer: Option<usize>,
+        member: &Member,
+    ) -> Listed {
+        let replica = indices.take(id);
+        if let Some(held) = indices.get(replica) {
+            held.gone = peer.is_none().then_some(handed_in);
+        }
+        self.0.carriers.place(replica, peer.map(|peer| Place::Behind(peer, id.into())));
+        Listed {
+            replica,
+            id: number(id),
+            cell: member.cell as usize,
+            site: sites.iter().position(|s| *s == member.site).unwrap_or(sites.len()),
+            phase: member.phase,
+            started: member.age_ms.map(|age| self.0.clock.now() - Tenths::from(age) * 10),
+            cold_share: Some(f64::from(member.share) / 1000.0),
+        }
+    }
+
+    /// Waits until the roster's list has changed.
+    pub async fn local_changed(&self) {
+        self.0.listed.notified().await;
+    }
+
+    /// What the roster lists, for those behind a link.
+    pub fn local(&self) -> Vec<Member> {
+        self.0.state.borrow().local.values().cloned().collect()
+    }
+
+    /// The index of a replica that is reached from here directly.
+    pub fn direct(&self, id: &str) -> Option<usize> {
+        let state = self.0.state.borrow();
+        let replica = *state.indices.of.get(id).filter(|_| state.local.contains_key(id))?;
+        self.0.carriers.is_direct(replica).then_some(replica)
+    }
+}
+
+impl Inner {
+    fn keep_local(&self, local: &mut BTreeMap<String, Member>, r: &roster::Replica) {
+        if r.phase == Phase::Gone {
+            local.remove(&r.id);
+            return;
+        }
+        let age = |ms: f64| (self.clock.now() - self.clock.of_unix(ms)).max(0) / 10;
+        let member = Member {
+            id: r.id.clone(),
+            site: r.site.clone(),
+            cell: r.cell as u32,
+            phase: r.phase,
+            age_ms: (r.started_ms > 0.0).then(|| age(r.started_ms).min(Tenths::from(u32::MAX - 1)) as u32),
+            share: 1_000,
+        };
+        local.insert(r.id.clone(), member);
+    }
 }
 
 #[cfg(test)]
--- a/crates/linenthread-service/src/first_try.rs
+++ b/crates/linenthread-service/src/first_try.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use crate::config::Config;
-use crate::gather::Merging;
+use crate::own::Own;
 use crate::{log, serve};
 
 const CELLS: usize = 4;
@@ -94,10 +94,10 @@
         let own = put("installation.xml", INSTALLATION)?;
         let file = put("config.json", &config.to_string())?;
         let config = Config::read(&file)?;
-        let merging = Merging::read(&own, &config)?;
-        Ok((folder, file, own, config, merging))
+        let read = Own::read(&own, &config)?;
+        Ok((folder, file, own, config, read))
     };
-    let (_folder, file, own, config, merging) = match prepared() {
+    let (_folder, file, own, config, read) = match prepared() {
         Ok(prepared) => prepared,
         Err(message) => {
             eprintln!("linenthread: {message}");
@@ -117,7 +117,7 @@
     }
     let ends = async {
         tokio::select! {
-            served = serve::serve(config, &file, (merging, Some(&own)), ready) => served,
+            served = serve::serve(config, &file, (read, Some(&own)), ready) => served,
             Ok(good) = shown => if good { Ok(()) } else { Err("a lookup was not answered".into()) },
         }
     };
--- /dev/null
+++ b/crates/linenthread-service/src/fronts/link.rs
@@ -0,0 +1,283 @@
+//! The front for links: this program as a gateway. Part calls that come over a link go to the replica that
+//! they name, once, and their outcome back; which replica, and whether again, the other side decides.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use linenthread_core::interface::{Ending, Tenths};
+use linenthread_link::{Call, Far, FarDo, Frame, Member};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{sleep, sleep_until, timeout};
+use tracing::{info, warn};
+
+use crate::carriers::{Asked, Carriers, Ended};
+use crate::desk::{self, Desk};
+use crate::log::Sparing;
+
+/// What is read at once from a connection at the most.
+const READ: usize = 32 * 1024;
+/// Connections at once; more than there may be sessions, since old ones are let go only when new ones come.
+const MOST_CONNECTIONS: usize = 64;
+/// A connection that does not take what it is told for so long is ended.
+const TAKEN_WITHIN: Duration = Duration::from_secs(5);
+/// Bytes that wait to be written on a connection at the most; beyond that it is ended, and may be resumed.
+const MOST_WAITING: usize = 16 * 1024 * 1024;
+
+struct Connection {
+    frames: RefCell<VecDeque<Vec<u8>>>,
+    waiting: RefCell<usize>,
+    close: RefCell<Option<String>>,
+    news: Notify,
+}
+
+struct Inner {
+    desk: Desk,
+    carriers: Carriers,
+    far: RefCell<Far>,
+    cold_share: u16,
+    connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
+    /// Calls that run here, by session and number: to give them up.
+    running: RefCell<BTreeMap<(u64, u64), Rc<Notify>>>,
+    numbers: RefCell<u64>,
+    woken: Notify,
+    lines: Sparing,
+}
+
+#[derive(Clone)]
+pub struct Gateway(Rc<Inner>);
+
+impl Gateway {
+    pub fn new(desk: Desk, carriers: Carriers, far: Far, cold_share: u16) -> Gateway {
+        Gateway(Rc::new(Inner {
+            desk,
+            carriers,
+            far: RefCell::new(far),
+            cold_share,
+            connections: RefCell::default(),
+            running: RefCell::default(),
+            numbers: RefCell::default(),
+            woken: Notify::new(),
+            lines: Sparing::default(),
+        }))
+    }
+
+    /// Lets the machine take something in, and does what it says.
+    fn act(&self, take: impl FnOnce(&mut Far, Tenths, &mut Vec<FarDo>)) {
+        let mut to = Vec::new();
+        take(&mut self.0.far.borrow_mut(), self.0.desk.clock().now(), &mut to);
+        for one in to {
+            match one {
+                FarDo::Send { connection, frame } => self.send(connection, &frame),
+                FarDo::Close { connection, why } => {
+                    if let Some(connection) = self.0.connections.borrow().get(&connection) {
+                        connection.close.replace(Some(why));
+                        connection.news.notify_one();
+                    }
+                }
+                FarDo::Start { session, number, time_out, call } => {
+                    let stop = Rc::new(Notify::new());
+                    self.0.running.borrow_mut().insert((session, number), stop.clone());
+                    actix_rt::spawn(self.clone().start((session, number), time_out, call, stop));
+                }
+                FarDo::Stop { session, number } => {
+                    if let Some(stop) = self.0.running.borrow().get(&(session, number)) {
+                        stop.notify_one();
+                    }
+                }
+                FarDo::Probe { connection, number, replica } => {
+                    actix_rt::spawn(self.clone().probe(connection, number, replica));
+                }
+            }
+        }
+        self.0.woken.notify_one();
+    }
+
+    fn send(&self, id: u64, frame: &Frame) {
+        let connections = self.0.connections.borrow();
+        let Some(connection) = connections.get(&id) else { return };
+        let bytes = frame.encode();
+        let mut waiting = connection.waiting.borrow_mut();
+        *waiting += bytes.len();
+        if *waiting > MOST_WAITING {
+            connection.close.replace(Some("it does not take what it is told".into()));
+        }
+        connection.frames.borrow_mut().push_back(bytes);
+        connection.news.notify_one();
+    }
+
+    /// One call's way to its replica and back.
+    async fn start(self, at: (u64, u64), time_out: Tenths, call: Call, stop: Rc<Notify>) {
+        let (to, mut ended) = mpsc::unbounded_channel::<Ended>();
+        let unsent = Ended { part: 0, call: 0, ending: Ending::Unsent, queue: None, value: String::new() };
+        let end = match self.0.desk.direct(&call.replica) {
+            None => unsent,
+            Some(replica) => {
+                let asked = Asked {
+                    part: 0,
+                    call: 0,
+                    shard: call.shard as usize,
+                    round: call.round,
+                    text: call.text.as_str().into(),
+                };
+                let wait = desk::span(time_out.max(1));
+                let wait_ms = wait.as_micros().div_ceil(1000) as u64;
+                let out = self.0.carriers.call(replica, &call.lookup, &[asked], wait_ms, &to);
+                let given_up = |ending| Ended { ending, part: 0, call: 0, queue: None, value: String::new() };
+                let end = tokio::select! {
+                    Some(end) = ended.recv() => end,
+                    _ = sleep(wait) => {
+                        out.iter().flatten().for_each(|out| out.timed_out());
+                        given_up(Ending::TimedOut)
+                    }
+                    _ = stop.notified() => given_up(Ending::Withdrawn),
+                };
+                drop(out);
+                end
+            }
+        };
+        self.0.running.borrow_mut().remove(&at);
+        self.act(|far, _, to| far.ended(at.0, at.1, end.ending, end.queue, end.value, to));
+    }
+
+    async fn probe(self, connection: u64, number: u64, replica: String) {
+        let (ending, queue) = match self.0.desk.direct(&replica) {
+            Some(replica) => self.0.carriers.probe(replica).await,
+            None => (Ending::Unsent, None),
+        };
+        self.send(connection, &Frame::Probed { number, ending, queue });
+    }
+
+    /// Takes links for as long as it is polled.
+    pub async fn run(&self, listener: &TcpListener) {
+        tokio::join!(self.accept(listener), self.wakes(), self.tell_members());
+    }
+
+    /// Tells what can be reached from here, whenever that changes.
+    async fn tell_members(&self) {
+        loop {
+            let share = self.0.cold_share;
+            let members = self.0.desk.local().into_iter().map(|m| Member { share, ..m }).collect();
+            self.act(|far, _, to| far.members(members, to));
+            self.0.desk.local_changed().await;
+        }
+    }
+
+    async fn wakes(&self) {
+        let clock = self.0.desk.clock();
+        loop {
+            let at = self.0.far.borrow().wake_at().min(clock.now() + 100_000);
+            tokio::select! {
+                _ = sleep_until(clock.at(at)) => self.act(|far, now, to| far.wake(now, to)),
+                _ = self.0.woken.notified() => {}
+            }
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, address)) if self.0.connections.borrow().len() < MOST_CONNECTIONS => {
+                    actix_rt::spawn(self.clone().connection(stream, address));
+                }
+                Ok(_) => {
+                    if let Some(left_out) = self.0.lines.line() {
+                        warn!(left_out, "no room for a link's connection");
+                    }
+                }
+                Err(_) => sleep(Duration::from_millis(20)).await,
+            }
+        }
+    }
+
+    async fn connection(self, mut stream: TcpStream, address: SocketAddr) {
+        stream.set_nodelay(true).ok();
+        let id = {
+            let mut numbers = self.0.numbers.borrow_mut();
+            *numbers += 1;
+            *numbers
+        };
+        let connection = Rc::new(Connection {
+            frames: RefCell::default(),
+            waiting: RefCell::default(),
+            close: RefCell::default(),
+            news: Notify::new(),
+        });
+        self.0.connections.borrow_mut().insert(id, connection.clone());
+        self.act(|far, now, to| far.accepted(now, id, to));
+        let why = self.serve(&mut stream, id, &connection).await;
+        // The one place where a link's connection is given back.
+        self.0.connections.borrow_mut().remove(&id);
+        self.act(|far, now, _| far.lost(now, id));
+        if let Some(left_out) = self.0.lines.line() {
+            info!(%address, left_out, "link's connection ended: {why}");
+        }
+    }
+
+    async fn serve(&self, stream: &mut TcpStream, id: u64, connection: &Connection) -> String {
+        let (mut reads, mut writes) = stream.split();
+        let (mut read, mut buffer) = (Vec::new(), vec![0; READ]);
+        loop {
+            // What is to be said is said before the end, its reason included.
+            loop {
+                let next = connection.frames.borrow_mut().pop_front();
+                let Some(bytes) = next else { break };
+                match timeout(TAKEN_WITHIN, writes.write_all(&bytes)).await {
+                    Ok(Ok(())) => *connection.waiting.borrow_mut() -= bytes.len(),
+                    Ok(Err(e)) => return e.to_string(),
+                    Err(_) => return "it does not take what it is told".into(),
+                }
+            }
+            if let Some(why) = connection.close.take() {
+                return why;
+            }
+            tokio::select! {
+                n = reads.read(&mut buffer) => match n {
+                    Ok(0) => return "closed by the other side".into(),
+                    Ok(n) => {
+                        read.extend_from_slice(&buffer[..n]);
+                        let mut at = 0;
+                        loop {
+                            match Frame::decode(&read[at..]) {
+                                Ok(None) => break,
+                                Ok(Some((frame, took))) => {
+                                    at += took;
+                                    self.act(|far, now, to| far.received(now, id, frame, to));
+                                }
+                                Err(why) => {
+                                    self.send(id, &Frame::Refuse { why: why.clone() });
+                                    connection.close.replace(Some(why));
+                                    break;
+                                }
+                            }
+                        }
+                        read.drain(..at);
+                    }
+                    Err(e) => return e.to_string(),
+                },
+                _ = connection.news.notified() => {}
+            }
+        }
+    }
+
+    /// Takes nothing new, and waits until what runs has its outcome held, for so long at the most.
+    pub async fn leave(&self, most: Duration) {
+        self.act(|far, _, to| far.leave(to));
+        let drained = async {
+            while self.0.far.borrow().held() > 0 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(most, drained).await.ok();
+    }
+}
+
+/// Where links come in.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    crate::fronts::http::listen(address)
+}
--- a/crates/linenthread-service/src/fronts/mod.rs
+++ b/crates/linenthread-service/src/fronts/mod.rs
@@ -2,3 +2,4 @@
 //! writes its answer; it knows nothing of how part calls travel.
 
 pub mod http;
+pub mod link;
--- a/crates/linenthread-service/src/gather.rs
+++ b/crates/linenthread-service/src/gather.rs
@@ -1,20 +1,17 @@
 //! Where a lookup's values gather until it is answered: as they came, or merged as the operators' file says.
 
 use std::cell::{Cell, RefCell};
-use std::path::Path;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use linenthread_core::interface::Ending;
-use linenthread_installation::{Installation, KnownIndex};
 use linenthread_merge::{self as merge, Marks, Merge, PageWish, Plan, Taken};
 use linenthread_protocol::lookup::{self as protocol, Lookup, Page};
-use tracing::{info, warn};
+use tracing::warn;
 
-use crate::config::Config;
 use crate::log::Sparing;
 
-/// Which indexes are merged, and how: the operators' file, read and checked.
+/// Which indexes are merged, and how.
 #[derive(Default)]
 pub struct Merging {
     /// By the settings' numbers of indexes.
@@ -28,54 +25,9 @@
 }
 
 impl Merging {
-    /// Reads the operators' file against the platform's.
-    ///
-    /// # Errors
-    ///
-    /// One line: file, line in it and cause.
-    pub fn read(file: &Path, config: &Config) -> Result<Merging, String> {
-        let indexes = &config.surroundings.indexes;
-        let known = |name: &str| {
-            let at = indexes.iter().position(|index| index == name)?;
-            Some(KnownIndex { floor: config.deployment.indexes.get(at)?.floor })
-        };
-        let read = Installation::read_file(file, &known)?.merging;
-        let plan = |name: &String| read.plans.iter().find(|plan| plan.index == *name).cloned();
-        let plans = indexes.iter().map(plan).collect();
-        let marks = match &read.marks {
-            None => None,
-            Some(marks) => {
-                let secret = |path: &std::path::PathBuf| {
-                    let secret = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-                    let secret = secret.trim_ascii_end().to_vec();
-                    match secret.len() < merge::SHORTEST_SECRET {
-                        true => Err(format!(
-                            "{}: a secret needs {} bytes or more",
-                            path.display(),
-                            merge::SHORTEST_SECRET
-                        )),
-                        false => Ok(secret),
-                    }
-                };
-                let secrets = marks.files.iter().map(secret).collect::<Result<_, _>>()?;
-                Some(Marks::new(secrets, marks.life)?)
-            }
-        };
-        Ok(Merging { plans, marks })
-    }
-
-    /// Reads it once more for a program that runs; a bad file changes nothing.
-    pub fn again(file: &Path, config: &Config) -> Option<Rc<Merging>> {
-        match Merging::read(file, config) {
-            Ok(new) => {
-                info!(merged = new.count(), "installation read again");
-                Some(Rc::new(new))
-            }
-            Err(message) => {
-                warn!("installation not taken, all goes on as it was: {message}");
-                None
-            }
-        }
+    /// Plans by the settings' numbers of indexes.
+    pub fn new(plans: Vec<Option<Plan>>, marks: Option<Marks>) -> Merging {
+        Merging { plans, marks }
     }
 
     /// How many indexes are merged.
--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -8,6 +8,7 @@
 mod gather;
 mod log;
 mod lookup;
+mod own;
 mod roster;
 mod serve;
 
@@ -17,7 +18,7 @@
 use bpaf::{Parser, construct, long, positional, pure};
 
 use config::Config;
-use gather::Merging;
+use own::Own;
 
 #[derive(Clone)]
 enum Command {
@@ -93,16 +94,16 @@
 fn with_files(
     file: Option<PathBuf>,
     own: Option<&Path>,
-    use_them: impl FnOnce(Config, &Path, Merging) -> ExitCode,
+    use_them: impl FnOnce(Config, &Path, Own) -> ExitCode,
 ) -> ExitCode {
     let read = || {
         let file = file.ok_or("EDGE_CONFIG is not set and there is no --config")?;
         let config = Config::read(&file)?;
-        let merging = own.map(|own| Merging::read(own, &config)).transpose()?.unwrap_or_default();
-        Ok::<_, String>((config, file, merging))
+        let own = own.map(|own| Own::read(own, &config)).transpose()?.unwrap_or_default();
+        Ok::<_, String>((config, file, own))
     };
     match read() {
-        Ok((config, file, merging)) => use_them(config, &file, merging),
+        Ok((config, file, own)) => use_them(config, &file, own),
         Err(message) => {
             eprintln!("linenthread: {message}");
             ExitCode::from(2)
@@ -121,15 +122,16 @@
             ExitCode::SUCCESS
         }
         Command::Try { show, seed } => first_try::run(seed, show),
-        Command::Check(file, own) => with_files(Some(file), own.as_deref(), |config, _, merging| {
+        Command::Check(file, own) => with_files(Some(file), own.as_deref(), |config, _, read| {
             let (indexes, replicas) = (config.deployment.indexes.len(), config.remembered.replicas.len());
-            let merged = if own.is_some() { format!(", {} merged", merging.count()) } else { String::new() };
+            let merged =
+                if own.is_some() { format!(", {} merged", read.merging.count()) } else { String::new() };
             println!("{}: {indexes} indexes{merged}, {replicas} replicas remembered", config.name);
             ExitCode::SUCCESS
         }),
-        Command::Serve(file, own) => with_files(file, own.as_deref(), |config, file, merging| {
+        Command::Serve(file, own) => with_files(file, own.as_deref(), |config, file, read| {
             log::start();
-            let served = serve::serve(config, file, (merging, own.as_deref()), |_| {});
+            let served = serve::serve(config, file, (read, own.as_deref()), |_| {});
             match actix_rt::System::new().block_on(served) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(message) => {
--- /dev/null
+++ b/crates/linenthread-service/src/own.rs
@@ -0,0 +1,78 @@
+//! The operators' own file, read and checked against the platform's, with the secrets that it names.
+
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+use linenthread_installation::{Gateway, Installation, KnownIndex, Peer};
+use linenthread_link::Secrets;
+use linenthread_merge::Marks;
+use tracing::{info, warn};
+
+use crate::config::Config;
+use crate::gather::Merging;
+
+/// What the file switches on. Nothing of it where there is none.
+#[derive(Default)]
+pub struct Own {
+    pub merging: Merging,
+    pub gateway: Option<(Gateway, Secrets)>,
+    pub peers: Vec<(Peer, Secrets)>,
+}
+
+fn secrets(files: &[PathBuf]) -> Result<Vec<Vec<u8>>, String> {
+    let secret = |path: &PathBuf| {
+        let secret = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let secret = secret.trim_ascii_end().to_vec();
+        let shortest = linenthread_merge::SHORTEST_SECRET;
+        match secret.len() < shortest {
+            true => Err(format!("{}: a secret needs {shortest} bytes or more", path.display())),
+            false => Ok(secret),
+        }
+    };
+    files.iter().map(secret).collect()
+}
+
+impl Own {
+    /// Reads the operators' file against the platform's.
+    ///
+    /// # Errors
+    ///
+    /// One line: file, line in it and cause.
+    pub fn read(file: &Path, config: &Config) -> Result<Own, String> {
+        let indexes = &config.surroundings.indexes;
+        let known = |name: &str| {
+            let at = indexes.iter().position(|index| index == name)?;
+            Some(KnownIndex { floor: config.deployment.indexes.get(at)?.floor })
+        };
+        let read = Installation::read_file(file, &known)?;
+        let plan = |name: &String| read.merging.plans.iter().find(|plan| plan.index == *name).cloned();
+        let marks = match &read.merging.marks {
+            Some(marks) => Some(Marks::new(secrets(&marks.files)?, marks.life)?),
+            None => None,
+        };
+        let merging = Merging::new(indexes.iter().map(plan).collect(), marks);
+        let link = |files: &[PathBuf]| Secrets::new(secrets(files)?);
+        let gateway = match read.gateway {
+            Some(gateway) => Some((gateway.clone(), link(&gateway.secrets)?)),
+            None => None,
+        };
+        let peer = |peer: Peer| Ok::<_, String>((peer.clone(), link(&peer.secrets)?));
+        let peers = read.peers.into_iter().map(peer).collect::<Result<_, _>>()?;
+        Ok(Own { merging, gateway, peers })
+    }
+
+    /// Reads it once more for a program that runs: how indexes are merged counts at once, links from the next
+    /// start on. A bad file changes nothing.
+    pub fn again(file: &Path, config: &Config) -> Option<Rc<Merging>> {
+        match Own::read(file, config) {
+            Ok(new) => {
+                info!(merged = new.merging.count(), "installation read again");
+                Some(Rc::new(new.merging))
+            }
+            Err(message) => {
+                warn!("installation not taken, all goes on as it was: {message}");
+                None
+            }
+        }
+    }
+}
--- a/crates/linenthread-service/src/serve.rs
+++ b/crates/linenthread-service/src/serve.rs
@@ -4,29 +4,41 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::time::Duration;
 
+use linenthread_core::interface::Tenths;
+use linenthread_link::{Far, FarTerms, NearTerms};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tracing::info;
 
-use crate::carriers::{Carriers, Limits};
+use crate::carriers::{Carriers, Limits, link as far};
 use crate::config::Config;
 use crate::desk::{self, Desk};
 use crate::fronts::http::{self, Front};
-use crate::gather::{Gathering, Merging};
+use crate::fronts::link::{self, Gateway};
+use crate::gather::Gathering;
 use crate::lookup::Work;
+use crate::own::Own;
 use crate::roster;
 
 /// Descriptors that are neither a client's nor a replica's: standard streams, the listener, the roster's,
 /// the runtime's own.
 const OWN_DESCRIPTORS: usize = 24;
 
+/// After the word to stop, what runs for links may go on for so long.
+const LINKS_DRAIN: Duration = Duration::from_millis(1_500);
+
+fn tenths(ms: u64) -> Tenths {
+    ms as Tenths * 10
+}
+
 /// Serves until told to stop, then answers all it has taken. Told to, it reads its files again. `ready` is
 /// told the address that is listened on.
 pub async fn serve(
     config: Config,
     file: &Path,
-    (merging, installation): (Merging, Option<&Path>),
+    (own, installation): (Own, Option<&Path>),
     ready: impl FnOnce(SocketAddr),
 ) -> Result<(), String> {
     let listener =
@@ -56,6 +68,49 @@
     let mut rounds = actix_rt::spawn(desk.clone().run());
     let (moved, address) = watch::channel(config.roster);
     let mut watch = actix_rt::spawn(roster::watch(desk.clone(), address, layout.cells, ask_first));
+    let Own { merging, gateway, peers } = own;
+    // A link takes one descriptor, a gateway as many as it may have sessions and the listener.
+    let for_links = peers.len() + gateway.as_ref().map_or(0, |(gateway, _)| 2 * gateway.sessions + 1);
+    for (n, (peer, secrets)) in peers.into_iter().enumerate() {
+        let number = desk.add_peer();
+        let (changes, mut news) = mpsc::unbounded_channel();
+        let near = NearTerms {
+            name: config.name.clone(),
+            most_out: peer.most_out,
+            keep: tenths(peer.keep),
+            beat: tenths(peer.beat),
+            back_off: (tenths(50), tenths(2_000)),
+        };
+        let seed = config.seed.wrapping_add(1 + n as u64);
+        let terms = far::Terms { name: peer.name, address: peer.address, secrets, near, seed };
+        carriers.add_peer(far::Peer::start(terms, desk.clock(), changes));
+        let desk = desk.clone();
+        actix_rt::spawn(async move {
+            while let Some(news) = news.recv().await {
+                desk.hear_peer(number, news);
+            }
+        });
+    }
+    let mut for_leaving = None;
+    if let Some((gateway, secrets)) = gateway {
+        let listener = link::listen(gateway.listen)
+            .map_err(|e| format!("cannot listen for links on {}: {e}", gateway.listen))?;
+        let listen = listener.local_addr().unwrap_or(gateway.listen);
+        let terms = FarTerms {
+            name: config.name.clone(),
+            window: gateway.window,
+            window_bytes: gateway.window_bytes,
+            keep: tenths(gateway.keep),
+            most_sessions: gateway.sessions,
+            greeting: tenths(2_000),
+            silence: tenths(10_000),
+        };
+        let far = Far::new(terms, secrets, config.seed);
+        let gateway = Gateway::new(desk.clone(), carriers.clone(), far, gateway.cold_share);
+        for_leaving = Some(gateway.clone());
+        actix_rt::spawn(async move { gateway.run(&listener).await });
+        info!(%listen, "gateway");
+    }
     let work = Rc::new(Work {
         desk,
         carriers,
@@ -65,7 +120,7 @@
         gathering: Gathering { merging: RefCell::new(Rc::new(merging)), ..Gathering::default() },
         open: RefCell::default(),
     });
-    let most = config.sockets - for_replicas - OWN_DESCRIPTORS;
+    let most = config.sockets.saturating_sub(for_replicas + for_links + OWN_DESCRIPTORS).max(1);
     let front = Front::new(work.clone(), most, config.sockets / 6);
     let listen = listener.local_addr().unwrap_or(config.listen);
     let merged = work.gathering.merging.borrow().count();
@@ -85,12 +140,15 @@
                     moved.send_if_modified(|at| std::mem::replace(at, roster) != roster);
                 }
                 // Lookups under way go on by the file that they began with.
-                if let Some(new) = installation.and_then(|file| Merging::again(file, &config)) {
+                if let Some(new) = installation.and_then(|file| Own::again(file, &config)) {
                     work.gathering.merging.replace(new);
                 }
             }
         } => {}
     }
+    if let Some(gateway) = for_leaving {
+        gateway.leave(LINKS_DRAIN).await;
+    }
     front.stop(listener).await;
     Ok(())
 }
--- a/crates/linenthread-stand-ins/src/lib.rs
+++ b/crates/linenthread-stand-ins/src/lib.rs
@@ -7,7 +7,9 @@
 mod http;
 pub mod ledger;
 mod program;
+pub mod proxy;
 mod roster;
+pub mod sites;
 
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
--- a/crates/linenthread-stand-ins/src/program.rs
+++ b/crates/linenthread-stand-ins/src/program.rs
@@ -113,6 +113,11 @@
         self.folder.path().join(name)
     }
 
+    /// The next log line, if one comes in time.
+    pub fn line(&self) -> Option<String> {
+        self.lines.recv_timeout(crate::PATIENCE).ok()
+    }
+
     /// The next log line with these words.
     pub fn logged(&self, words: &str) -> String {
         loop {
