--- a/crates/linenthread-drill/src/main.rs
+++ b/crates/linenthread-drill/src/main.rs
@@ -4,6 +4,7 @@
 
 mod fleet;
 mod link;
+mod link_speed;
 mod merged;
 mod merging_speed;
 
@@ -17,6 +18,7 @@
 enum Command {
     Merged(merged::Drill),
     Link(link::Drill),
+    LinkSpeed { program: Option<PathBuf> },
     LinkBytes { program: Option<PathBuf>, step: usize, keep: u64, at_once: usize },
     MergingSpeed { rounds: usize },
 }
@@ -54,10 +56,23 @@
         .footer("Example: linenthread-drill link --schedules 100000 --seed 7")
         .command("link")
         .help("Check the link between sites");
-    let program = long("program")
-        .help("The program to run at both ends; by default linenthread beside this one")
-        .argument::<PathBuf>("FILE")
-        .optional();
+    let program = || {
+        long("program")
+            .help("The program to run at both ends; by default linenthread beside this one")
+            .argument::<PathBuf>("FILE")
+            .optional()
+    };
+    let of_speed = program();
+    let link_speed = of_speed
+        .map(|program| Command::LinkSpeed { program })
+        .to_options()
+        .descr(
+            "What the hop adds to a lookup, parts a second over one link, and what cuts cost; some minutes",
+        )
+        .footer("Example: linenthread-drill link-speed")
+        .command("link-speed")
+        .help("Measure the link");
+    let program = program();
     let step = long("step").help("Cut after every so manieth byte").argument("N").fallback(1);
     let keep = long("keep")
         .help("Milliseconds for which a session outlives its connection; 10 is without resume")
@@ -77,7 +92,7 @@
         .footer("Example: linenthread-drill merging-speed --rounds 9")
         .command("merging-speed")
         .help("Measure merging");
-    construct!([merged, link, link_bytes, speed])
+    construct!([merged, link, link_bytes, link_speed, speed])
         .to_options()
         .descr("Long checks of linenthread's subsystems")
         .footer("Example: linenthread-drill merged --lookups 100000 --seed 7")
@@ -89,6 +104,12 @@
     if breaches == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// The program to run: as told, or beside this one.
+fn beside(program: Option<PathBuf>) -> String {
+    let own = || Some(std::env::current_exe().ok()?.with_file_name("linenthread"));
+    program.or_else(own).unwrap_or_else(|| "linenthread".into()).to_string_lossy().into_owned()
+}
+
 fn main() -> ExitCode {
     match command().run() {
         Command::Merged(drill) => {
@@ -99,13 +120,12 @@
             let (checked, breaches) = drill.run();
             close(checked, breaches)
         }
+        Command::LinkSpeed { program } => {
+            let (checked, breaches) = link_speed::run(&beside(program));
+            close(checked, breaches)
+        }
         Command::LinkBytes { program, step, keep, at_once } => {
-            let beside = || Some(std::env::current_exe().ok()?.with_file_name("linenthread"));
-            let Some(program) = program.or_else(beside) else {
-                eprintln!("linenthread-drill: no program is told");
-                return ExitCode::from(2);
-            };
-            let verdict = cut_everywhere(&program.to_string_lossy(), keep, step, at_once);
+            let verdict = cut_everywhere(&beside(program), keep, step, at_once);
             verdict.breaches.iter().for_each(|why| println!("breach: {why}"));
             let Verdict { checked, answered, nacked, aborted, .. } = verdict;
             println!("{answered} answered, {nacked} nacked, {aborted} aborted");
--- a/crates/linenthread-link/src/frame.rs
+++ b/crates/linenthread-link/src/frame.rs
@@ -515,4 +515,39 @@
         let spec = Frame::Withdraw { number: 258 }.encode();
         assert_eq!(spec, [0, 0, 0, 9, 6, 0, 0, 0, 0, 0, 0, 1, 2]);
     }
+
+    /// The worked examples of `docs/link.md` are what is sent.
+    #[test]
+    fn the_page_shows_the_bytes_that_are_sent() {
+        let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/link.md");
+        let page = std::fs::read_to_string(file).unwrap();
+        let page = page.replace(' ', "");
+        let call = Call {
+            replica: "s-1".into(),
+            lookup: "9b1f".into(),
+            shard: 3,
+            round: 0,
+            text: "c41e77d0".into(),
+        };
+        let member = Member {
+            id: "s-1".into(),
+            site: "messina".into(),
+            cell: 4,
+            phase: Phase::Ready,
+            age_ms: None,
+            share: 250,
+        };
+        let frames = [
+            Frame::Challenge { least: 1, most: 1, nonce: [0x11; 16], name: "messina".into() },
+            Frame::Members { revision: 1, whole: true, members: vec![member] },
+            Frame::Credit { number: 512, bytes: 4_194_304 },
+            Frame::Call { number: 1, remaining_ms: 900, call },
+            Frame::Outcome { number: 1, ending: Ending::Answered, queue: Some(2.0), value: "v".into() },
+            Frame::Ack { numbers: vec![1] },
+        ];
+        for frame in frames {
+            let hex: String = frame.encode().iter().map(|b| format!("{b:02x}")).collect();
+            assert!(page.contains(&hex), "{frame:?}\n{hex}");
+        }
+    }
 }
--- a/crates/linenthread-service/src/first_try.rs
+++ b/crates/linenthread-service/src/first_try.rs
@@ -1,6 +1,7 @@
 //! `linenthread try`: a small fleet of stand-ins, a roster and this program on loopback, with rows to ask for.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::thread;
 use std::time::Duration;
@@ -69,8 +70,40 @@
     good
 }
 
-/// Runs until SIGINT or SIGTERM, or shows some answers and ends.
-pub fn run(seed: u64, show_only: bool) -> ExitCode {
+/// The files of one program, read as `serve` reads them.
+struct Prepared {
+    _folder: tempfile::TempDir,
+    file: PathBuf,
+    own_file: PathBuf,
+    config: Config,
+    own: Own,
+}
+
+fn prepare(config: &Value, installation: &str, seed: u64) -> Result<Prepared, String> {
+    let folder = tempfile::tempdir().map_err(|e| format!("no folder for files: {e}"))?;
+    let put = |name: &str, text: &str| {
+        let file = folder.path().join(name);
+        std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+        Ok::<_, String>(file)
+    };
+    for key in ["marks.key", "link.key"] {
+        put(key, &format!("only for a first try {seed:016x}"))?;
+    }
+    let own_file = put("installation.xml", installation)?;
+    let file = put("config.json", &config.to_string())?;
+    let config = Config::read(&file)?;
+    let own = Own::read(&own_file, &config)?;
+    Ok(Prepared { _folder: folder, file, own_file, config, own })
+}
+
+/// Runs one program; `ready` is told where it listens.
+async fn serve_one(prepared: Prepared, ready: impl FnOnce(SocketAddr)) -> Result<(), String> {
+    let Prepared { _folder, file, own_file, config, own } = prepared;
+    serve::serve(config, &file, (own, Some(&own_file)), ready).await
+}
+
+/// The programs to run: with two sites, the one that is asked reaches all replicas through the other.
+fn programs(seed: u64, two_sites: bool) -> Result<Vec<Prepared>, String> {
     let cue = |part: &Part| match (part.shard, part.text.as_str()) {
         (LATE, "pledges") => (LATE_BY, How::Answer),
         _ => (Duration::from_millis(5), How::Answer),
@@ -78,36 +111,50 @@
     let ledger = Ledger::new(&mut Rand64::new(u128::from(seed)), SHARDS, 9);
     let hosts = Hosts::start(CELLS, ledger, 50, cue);
     let entries = hosts.addresses.iter().enumerate().map(|(i, a)| entry(i, *a, "active"));
-    let known = list(1, true, entries.collect());
-    let roster = Roster::start(known.clone());
     let class = |name| Class { name, once_only: false, soft_ms: 1_000, floor: 0.5 };
     let classes = ["history", "pledges", "charities"].map(class);
-    let config = config_of(roster.address, &known, &classes, CELLS, SHARDS);
-    let prepared = || -> Result<_, String> {
-        let folder = tempfile::tempdir().map_err(|e| format!("no folder for files: {e}"))?;
-        let put = |name: &str, text: &str| {
-            let file = folder.path().join(name);
-            std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
-            Ok::<_, String>(file)
-        };
-        put("marks.key", &format!("only for a first try {seed:016x}"))?;
-        let own = put("installation.xml", INSTALLATION)?;
-        let file = put("config.json", &config.to_string())?;
-        let config = Config::read(&file)?;
-        let read = Own::read(&own, &config)?;
-        Ok((folder, file, own, config, read))
+    let config = |known: &str| {
+        let roster = Roster::start(known.to_owned());
+        let config = config_of(roster.address, known, &classes, CELLS, SHARDS);
+        // It answers from a thread of its own for as long as the program runs.
+        std::mem::forget(roster);
+        config
     };
-    let (_folder, file, own, config, read) = match prepared() {
-        Ok(prepared) => prepared,
+    let with_replicas = config(&list(1, true, entries.collect()));
+    if !two_sites {
+        return Ok(vec![prepare(&with_replicas, INSTALLATION, seed)?]);
+    }
+    let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| e.to_string())?;
+    let gateway = format!(
+        "<installation version=\"1\"><gateway listen=\"{free}\" secret=\"link.key\" cold-share=\"500\"/></installation>"
+    );
+    let peers = format!(
+        "<peers><peer name=\"messina\" address=\"{free}\" secret=\"link.key\"/></peers></installation>"
+    );
+    let near = INSTALLATION.replace("</installation>", &peers);
+    Ok(vec![
+        prepare(&config(&list(1, true, Vec::new())), &near, seed)?,
+        prepare(&with_replicas, &gateway, seed)?,
+    ])
+}
+
+/// Runs until SIGINT or SIGTERM, or shows some answers and ends.
+pub fn run(seed: u64, show_only: bool, two_sites: bool) -> ExitCode {
+    let mut programs = match programs(seed, two_sites) {
+        Ok(programs) => programs.into_iter(),
         Err(message) => {
             eprintln!("linenthread: {message}");
             return ExitCode::FAILURE;
         }
     };
+    let (Some(asked), gateway) = (programs.next(), programs.next()) else { return ExitCode::FAILURE };
     let (done, shown) = tokio::sync::oneshot::channel();
     let ready = move |address| {
+        if two_sites {
+            println!("Two sites: all replicas are reached over a link through a gateway.");
+        }
         if show_only {
-            thread::spawn(move || done.send(show(address)));
+            thread::spawn(move || done.send(reached(address) && show(address)));
         } else {
             println!("{}", commands(address));
         }
@@ -116,8 +163,14 @@
         log::start();
     }
     let ends = async {
+        let gateway = async {
+            match gateway {
+                Some(gateway) => serve_one(gateway, |_| {}).await,
+                None => Ok(()),
+            }
+        };
         tokio::select! {
-            served = serve::serve(config, &file, (read, Some(&own)), ready) => served,
+            served = async { tokio::join!(serve_one(asked, ready), gateway).0 } => served,
             Ok(good) = shown => if good { Ok(()) } else { Err("a lookup was not answered".into()) },
         }
     };
@@ -129,3 +182,17 @@
         }
     }
 }
+
+/// Waits until there are replicas to ask: a link takes a moment to come up.
+fn reached(address: SocketAddr) -> bool {
+    let ask = |n: usize| {
+        let id = format!("try-first-{n}");
+        Client::connect(address).merged("charities", &id, &[0], "charities", &Value::Null).0 == 200
+    };
+    (0..100).any(|n| {
+        ask(n) || {
+            thread::sleep(Duration::from_millis(50));
+            false
+        }
+    })
+}
--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -25,7 +25,7 @@
     Serve(Option<PathBuf>, Option<PathBuf>),
     Check(PathBuf, Option<PathBuf>),
     Schema,
-    Try { show: bool, seed: u64 },
+    Try { show: bool, seed: u64, sites: u8 },
     Version,
 }
 
@@ -70,7 +70,12 @@
         .help("Print the schema of the operators' file");
     let show = long("show").help("Ask some lookups, print their answers and end").switch();
     let seed = long("seed").help("What the rows come from").argument("S").fallback(5);
-    let first_try = construct!(Command::Try { show, seed })
+    let sites = long("sites")
+        .help("1, or 2: all replicas behind a gateway, over a link")
+        .argument::<u8>("N")
+        .guard(|n| (1..=2).contains(n), "there are 1 or 2 sites")
+        .fallback(1);
+    let first_try = construct!(Command::Try { show, seed, sites })
         .to_options()
         .descr(
             "Starts a small fleet of stand-ins, a roster and a co-ordinator with merged indexes on loopback, \
@@ -121,7 +126,7 @@
             print!("{}", linenthread_installation::SCHEMA);
             ExitCode::SUCCESS
         }
-        Command::Try { show, seed } => first_try::run(seed, show),
+        Command::Try { show, seed, sites } => first_try::run(seed, show, sites == 2),
         Command::Check(file, own) => with_files(Some(file), own.as_deref(), |config, _, read| {
             let (indexes, replicas) = (config.deployment.indexes.len(), config.remembered.replicas.len());
             let merged =
--- a/crates/linenthread-service/tests/merged.rs
+++ b/crates/linenthread-service/tests/merged.rs
@@ -269,10 +269,17 @@
 
 #[test]
 fn a_first_try_shows_pages_and_a_partial_total() {
-    let output = std::process::Command::new(EXE).args(["try", "--show"]).output().unwrap();
-    let said = String::from_utf8(output.stdout).unwrap();
-    assert!(output.status.success(), "{said}");
-    let partial = said.split("# the total").nth(1).unwrap();
-    assert!(partial.contains("\"at-least\"") && partial.contains("\"unanswered\""), "{partial}");
-    assert_eq!(said.matches("\"d000").count(), 10, "two pages of five: {said}");
+    // On one site, and with all replicas behind a gateway: the answers are the same.
+    let shows = ["1", "2"].map(|sites| {
+        let output =
+            std::process::Command::new(EXE).args(["try", "--show", "--sites", sites]).output().unwrap();
+        let said = String::from_utf8(output.stdout).unwrap();
+        assert!(output.status.success(), "{said}");
+        let partial = said.split("# the total").nth(1).unwrap();
+        assert!(partial.contains("\"at-least\"") && partial.contains("\"unanswered\""), "{partial}");
+        assert_eq!(said.matches("\"d000").count(), 10, "two pages of five: {said}");
+        let of_rows = |line: &&str| !line.contains("\"next\"") && !line.starts_with("Two sites");
+        said.lines().filter(of_rows).map(str::to_owned).collect::<Vec<_>>()
+    });
+    assert_eq!(shows[0], shows[1]);
 }
--- a/crates/linenthread-stand-ins/src/program.rs
+++ b/crates/linenthread-stand-ins/src/program.rs
@@ -154,7 +154,8 @@
 impl Drop for Service {
     fn drop(&mut self) {
         self.child.kill().ok();
-        self.lines.iter().for_each(|line| println!("{line}"));
+        // What it said is of use where a test has failed.
+        self.lines.iter().filter(|_| std::thread::panicking()).for_each(|line| println!("{line}"));
         self.child.wait().ok();
     }
 }
--- a/crates/linenthread-stand-ins/src/sites.rs
+++ b/crates/linenthread-stand-ins/src/sites.rs
@@ -2,7 +2,7 @@
 //! gateway that has all of them, with a link between that can be cut. What truly ran is on record.
 
 use std::collections::BTreeMap;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
@@ -17,6 +17,8 @@
     pub near: Service,
     pub far: Service,
     pub proxy: Proxy,
+    /// Where the gateway takes links.
+    pub links: SocketAddr,
     /// How many times each part was taken by a replica, by its id.
     ran: Arc<Mutex<BTreeMap<String, usize>>>,
     /// Replicas behind the link, as the near side last said.
@@ -79,7 +81,7 @@
         let config = config_of(near_roster.address, &none, &classes, REPLICAS, 4);
         let near = Service::start_in(folder(&peer), exe, &config, &words);
         let rosters = (far_roster, near_roster);
-        let mut sites = Sites { near, far, proxy, ran, behind: 0, asked: 0, _rosters: rosters };
+        let mut sites = Sites { near, far, proxy, links, ran, behind: 0, asked: 0, _rosters: rosters };
         sites.until(REPLICAS);
         sites
     }
@@ -102,6 +104,11 @@
         self.until(REPLICAS);
     }
 
+    /// How many times each part was taken by a replica, by its id.
+    pub fn ran(&self) -> BTreeMap<String, usize> {
+        self.ran.lock().unwrap().clone()
+    }
+
     /// Asks a lookup of one part, and holds its answer to what ran.
     pub fn ask(&mut self, index: &str, verdict: &mut Verdict, what: &str) {
         self.asked += 1;
