Several links to one replica: the quickest way, the most careful word, the most gain first

Two gateways may lead to one replica, and a link short of credit held a call until its time was up. routes.rs, free of I/O, picks the way by what is seen of each link (up, delay, how full) and keeps it while no other is better by a quarter; of what gateways say of one replica the most careful word counts, drains, starts and cold shares. A call waits for credit for 100 ms at the most, those of the most gain first, and is then given back as unsent.

--- a/crates/linenthread-drill/src/link.rs
+++ b/crates/linenthread-drill/src/link.rs
@@ -48,6 +48,8 @@
     /// Frames still get through, each way.
     to_far: bool,
     to_near: bool,
+    /// Since when frames are lost, said to nobody.
+    silent: Option<Tenths>,
     /// When the last frame of each way arrives: they keep their order.
     last: [Tenths; 2],
 }
@@ -62,6 +64,9 @@
 
 #[derive(Default)]
 pub struct Counts {
+    /// Connections given up for silence while frames got through, and how long it took where they did not.
+    false_alarms: usize,
+    detected: Vec<Tenths>,
     calls: usize,
     answered: usize,
     unsent: usize,
@@ -89,8 +94,9 @@
     slow: f64,
     doubled: f64,
     seeds: u64,
-    resume: bool,
     breach: Option<String>,
+    false_alarms: usize,
+    detected: Vec<Tenths>,
 }
 
 fn secrets() -> Secrets {
@@ -118,6 +124,7 @@
             most_out: MOST_OUT,
             keep: if resume { 1_500 * MS } else { 0 },
             beat: 100 * MS,
+            hold: 300 * MS,
             back_off: (20 * MS, 400 * MS),
         };
         let (near_seed, far_seed) = (chance.rand_u64(), chance.rand_u64());
@@ -138,8 +145,9 @@
             records: BTreeMap::new(),
             by_number: BTreeMap::new(),
             seeds: far_seed,
-            resume,
             breach: None,
+            false_alarms: 0,
+            detected: Vec::new(),
         };
         play.schedule(0, Event::NearWake);
         play.schedule(0, Event::FarWake);
@@ -190,8 +198,14 @@
                     self.schedule(after, Event::Connected(id, there));
                     self.current = Some(id);
                 }
-                NearDo::Close(_) => {
+                NearDo::Close(why) => {
                     if let Some(id) = self.current.take() {
+                        let silent = self.connections.get(&id).and_then(|c| c.silent);
+                        match silent {
+                            Some(since) => self.detected.push(self.now - since),
+                            None if why == "nothing heard" => self.false_alarms += 1,
+                            None => {}
+                        }
                         let after = self.travel();
                         self.schedule(after, Event::FarLost(id));
                     }
@@ -285,9 +299,11 @@
                     self.schedule(near_hears, Event::NearLost(id));
                     self.schedule(far_hears, Event::FarLost(id));
                 }
-                2 => connection.to_far = false,
-                3 => connection.to_near = false,
-                4 => (connection.to_far, connection.to_near) = (false, false),
+                2..=4 => {
+                    connection.to_far &= kind == 3;
+                    connection.to_near &= kind == 2;
+                    connection.silent.get_or_insert(self.now);
+                }
                 _ => {}
             }
         }
@@ -316,7 +332,7 @@
             Event::FarWake => self.far.wake(now, &mut far),
             Event::Connected(id, there) if self.current == Some(id) => {
                 if there {
-                    let new = Connection { to_far: true, to_near: true, last: [now; 2] };
+                    let new = Connection { to_far: true, to_near: true, silent: None, last: [now; 2] };
                     self.connections.insert(id, new);
                     self.near.connected(now);
                     self.far.accepted(now, id, &mut far);
@@ -365,7 +381,7 @@
                 };
                 // Its number is known before it can end.
                 let mut does = Vec::new();
-                let number = self.near.call(now, call, due, &mut does);
+                let number = self.near.call(now, call, due, (id % 3) as u32, &mut does);
                 self.by_number.insert(number, id);
                 near.append(&mut does);
                 self.schedule(due - now, Event::Due(number));
@@ -400,6 +416,8 @@
                 self.event(event, begun);
             }
         }
+        counts.false_alarms += self.false_alarms;
+        counts.detected.append(&mut self.detected);
         let settled = begun + TROUBLES + RECOVERY;
         for (id, Record { ran, ended, made, due }) in &self.records {
             counts.calls += 1;
@@ -426,7 +444,6 @@
                 self.breach = wrong;
             }
         }
-        let _ = self.resume;
         self.breach
     }
 }
@@ -445,7 +462,9 @@
                 }
             }
         }
-        let Counts { calls, answered, unsent, may_have, timed_out } = counts;
+        let Counts { calls, answered, unsent, may_have, timed_out, false_alarms, mut detected } = counts;
+        detected.sort_unstable();
+        let at = |share: f64| detected.get((detected.len() as f64 * share) as usize).map_or(0, |t| t / MS);
         let share = |n: usize| 100.0 * n as f64 / calls.max(1) as f64;
         println!(
             "{calls} calls: {:.1}% answered, {:.1}% never ran, {:.1}% may have run, {:.1}% timed out",
@@ -454,6 +473,13 @@
             share(may_have),
             share(timed_out)
         );
+        println!(
+            "{} silent links noticed after {} ms (median), {} ms (99%); {false_alarms} false alarms in {} schedules",
+            detected.len(),
+            at(0.5),
+            at(0.99),
+            self.schedules
+        );
         (self.schedules, breaches)
     }
 }
--- a/crates/linenthread-link/src/lib.rs
+++ b/crates/linenthread-link/src/lib.rs
@@ -10,6 +10,7 @@
 mod far;
 pub mod frame;
 mod near;
+pub mod routes;
 
 pub use auth::Secrets;
 pub use far::{Far, FarDo, FarTerms};
--- a/crates/linenthread-link/src/near.rs
+++ b/crates/linenthread-link/src/near.rs
@@ -14,6 +14,7 @@
 //! Named rules: *ends-once*, a call leaves the table when it is ended, and only then; *never-ran-is-proven*,
 //! endings that say so are given only to calls not written whole, or that the far side says never came.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use linenthread_core::interface::{Ending, Tenths};
@@ -21,6 +22,7 @@
 
 use crate::auth::{Secrets, Side};
 use crate::frame::{Call, Frame, Member, Nonce, VERSION};
+use crate::routes::Standing;
 
 /// What a link keeps to. All times are tenths of a millisecond.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,6 +34,8 @@
     pub keep: Tenths,
     /// A ping is sent after so long without one.
     pub beat: Tenths,
+    /// A call waits so long for credit at the most: what can't be sent soon is better sent elsewhere.
+    pub hold: Tenths,
     /// What is tried again is tried after so long, twice as long each time, up to so long; with chance.
     pub back_off: (Tenths, Tenths),
 }
@@ -98,6 +102,15 @@
     due: Tenths,
     /// Its number in the session, once it is given to a connection.
     sent: Option<u64>,
+    gain: u32,
+    /// Until then it may wait for credit.
+    holds: Tenths,
+}
+
+impl Out {
+    fn turn(&self, number: u64) -> (Reverse<u32>, u64) {
+        (Reverse(self.gain), number)
+    }
 }
 
 /// A smoothed time and its deviation.
@@ -140,7 +153,8 @@
     by_sent: BTreeMap<u64, u64>,
     /// Numbers in the session that were withdrawn while the far side could not be told.
     given_up: BTreeSet<u64>,
-    waiting: BTreeSet<u64>,
+    /// Calls that wait for credit, those of the most gain first.
+    waiting: BTreeSet<(Reverse<u32>, u64)>,
     credit: (u64, u64),
     draining: bool,
     failures: u32,
@@ -199,6 +213,13 @@
         (self.delay.mean / 2.0) as Tenths
     }
 
+    /// How the link stands, for the choice among several.
+    pub fn standing(&self) -> Standing {
+        let room = (self.credit.0.saturating_sub(self.last_sent) + self.by_sent.len() as u64)
+            .min(self.terms.most_out as u64);
+        Standing { up: self.is_up(), one_way: self.one_way(), out: self.out.len() as u64, room }
+    }
+
     /// After so long without a word the connection is taken for dead: two beats and what answers take.
     pub fn patience(&self) -> Tenths {
         2 * self.terms.beat + (self.delay.mean + 4.0 * self.delay.deviation) as Tenths
@@ -213,20 +234,23 @@
             State::Up { .. } => (self.pinged + self.terms.beat).min(self.heard + self.patience()),
         };
         let given_up = self.lost_since.map_or(Tenths::MAX, |since| since + self.terms.keep);
-        let due = self.waiting.iter().filter_map(|n| self.out.get(n)).map(|o| o.due).min();
+        let due = self.waiting.iter().filter_map(|(_, n)| self.out.get(n)).map(|o| o.holds).min();
         state.min(given_up).min(due.unwrap_or(Tenths::MAX))
     }
 
-    /// Takes a part call that must be answered by `due`; its number, by which it is ended.
-    pub fn call(&mut self, now: Tenths, call: Call, due: Tenths, to: &mut Vec<NearDo>) -> u64 {
+    /// Takes a part call that must be answered by `due`; its number, by which it is ended. Where credit is short
+    /// those of the most gain (in any unit) go first.
+    pub fn call(&mut self, now: Tenths, call: Call, due: Tenths, gain: u32, to: &mut Vec<NearDo>) -> u64 {
         self.numbers += 1;
         let number = self.numbers;
         if self.out.len() >= self.terms.most_out || !self.is_up() {
             to.push(ended(number, Ending::Unsent));
             return number;
         }
-        self.out.insert(number, Out { call: Some(call), way: Way::Waiting, due, sent: None });
-        self.waiting.insert(number);
+        let holds = due.min(now + self.terms.hold);
+        let out = Out { call: Some(call), way: Way::Waiting, due, sent: None, gain, holds };
+        self.waiting.insert(out.turn(number));
+        self.out.insert(number, out);
         self.send_waiting(now, to);
         number
     }
@@ -234,7 +258,7 @@
     /// A call is no longer waited for; nothing more is heard of it.
     pub fn withdraw(&mut self, number: u64, to: &mut Vec<NearDo>) {
         let Some(out) = self.out.remove(&number) else { return };
-        self.waiting.remove(&number);
+        self.waiting.remove(&out.turn(number));
         let Some(sent) = out.sent else { return };
         self.by_sent.remove(&sent);
         if matches!(self.state, State::Up { .. }) {
@@ -318,7 +342,8 @@
             self.begin_anew(to);
             self.session = self.chance.rand_u64();
         }
-        let late: Vec<u64> = self.waiting.iter().copied().filter(|n| self.out[n].due <= now).collect();
+        let late = |n: &u64| self.out.get(n).is_none_or(|out| out.holds <= now);
+        let late: Vec<u64> = self.waiting.iter().map(|(_, n)| *n).filter(late).collect();
         for number in late {
             self.end(number, Ending::Unsent, None, String::new(), to);
         }
@@ -463,7 +488,7 @@
     /// The one place where a call ends.
     fn end(&mut self, number: u64, ending: Ending, queue: Option<f64>, value: String, to: &mut Vec<NearDo>) {
         if let Some(out) = self.out.remove(&number) {
-            self.waiting.remove(&number);
+            self.waiting.remove(&out.turn(number));
             out.sent.map(|sent| self.by_sent.remove(&sent));
             to.push(NearDo::Ended { number, ending, queue, value });
         }
@@ -471,10 +496,11 @@
 
     /// Sends what credit allows, in the order it came; what would come too late is not sent at all.
     fn send_waiting(&mut self, now: Tenths, to: &mut Vec<NearDo>) {
-        while let (true, Some(number)) = (self.is_up(), self.waiting.first().copied()) {
+        while let (true, Some(turn)) = (self.is_up(), self.waiting.first().copied()) {
+            let number = turn.1;
             let one_way = self.one_way();
             let Some(out) = self.out.get_mut(&number) else {
-                self.waiting.remove(&number);
+                self.waiting.remove(&turn);
                 continue;
             };
             let remaining = out.due - now - one_way;
@@ -490,7 +516,7 @@
             self.last_sent += 1;
             self.sent_bytes += size;
             (out.way, out.sent) = (Way::Sending, Some(self.last_sent));
-            self.waiting.remove(&number);
+            self.waiting.remove(&turn);
             self.by_sent.insert(self.last_sent, number);
             let remaining_ms = (remaining as u64).div_ceil(10).min(u64::from(u32::MAX)) as u32;
             to.push(NearDo::Send(Frame::Call { number: self.last_sent, remaining_ms, call }));
--- a/crates/linenthread-service/src/carriers/frames.rs
+++ b/crates/linenthread-service/src/carriers/frames.rs
@@ -523,7 +523,8 @@
                 let (to, mut ended) = mpsc::unbounded_channel();
                 // More than any socket's buffers hold.
                 let text: Rc<str> = "x".repeat(60_000).into();
-                let asked = |part| Asked { part, call: 0, shard: part, round: 0, text: text.clone() };
+                let asked =
+                    |part| Asked { part, call: 0, shard: part, round: 0, text: text.clone(), gain: 0 };
                 let call = |part| replicas.call(0, "l", &[asked(part)], 9, &to);
                 let out: Vec<_> = (0..500).map(call).collect();
                 let (mut replica, _) = listener.accept().await.unwrap();
--- a/crates/linenthread-service/src/carriers/link.rs
+++ b/crates/linenthread-service/src/carriers/link.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use linenthread_core::interface::{Ending, Tenths};
+use linenthread_link::routes::Standing;
 use linenthread_link::{Call, Frame, Member, Near, NearDo, NearTerms, Secrets};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -102,6 +103,10 @@
         peer
     }
 
+    pub fn standing(&self) -> Standing {
+        self.0.near.borrow().standing()
+    }
+
     /// Lets the machine take something in, and does what it says.
     fn act(&self, take: impl FnOnce(&mut Near, Tenths, &mut Vec<NearDo>)) {
         let mut to = Vec::new();
@@ -153,7 +158,7 @@
             let mut ends = Vec::new();
             // It may end at once: its waiter stands before that is told.
             self.act(|near, now, to| {
-                number = near.call(now, call, due, &mut ends);
+                number = near.call(now, call, due, asked.gain, &mut ends);
                 let waiter = Waiter { part: asked.part, call: asked.call, to: ended_to.clone() };
                 self.0.waiters.borrow_mut().insert(number, waiter);
                 to.append(&mut ends);
--- a/crates/linenthread-service/src/carriers/mod.rs
+++ b/crates/linenthread-service/src/carriers/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use linenthread_core::interface::Ending;
+use linenthread_link::routes;
 use tokio::sync::mpsc;
 
 use frames::Replicas;
@@ -34,6 +35,8 @@
     /// How many times it was asked on before.
     pub round: u32,
     pub text: Rc<str>,
+    /// What its lookup is worth, in thousandths: where a link is short of room the most goes first.
+    pub gain: u32,
 }
 
 /// What connections may do.
@@ -55,8 +58,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Place {
     At(SocketAddr),
-    /// Behind the peer of this number, under this id.
-    Behind(usize, Rc<str>),
+    /// Behind the peers of these numbers, under this id.
+    Behind(Vec<usize>, Rc<str>),
 }
 
 /// Every replica, whichever way it is reached.
@@ -68,7 +71,14 @@
     probe: Duration,
     peers: RefCell<Vec<link::Peer>>,
     /// Replicas that are reached over a link.
-    behind: RefCell<BTreeMap<usize, (usize, Rc<str>)>>,
+    behind: RefCell<BTreeMap<usize, Behind>>,
+}
+
+struct Behind {
+    ways: Vec<usize>,
+    id: Rc<str>,
+    /// The way that was taken last.
+    last: Option<usize>,
 }
 
 /// A part out at a replica. Dropping it gives the part up, unless it has ended.
@@ -110,8 +120,8 @@
         behind.remove(&replica);
         let address = match place {
             Some(Place::At(address)) => Some(address),
-            Some(Place::Behind(peer, id)) => {
-                behind.insert(replica, (peer, id));
+            Some(Place::Behind(ways, id)) => {
+                behind.insert(replica, Behind { ways, id, last: None });
                 None
             }
             None => None,
@@ -138,9 +148,19 @@
         wait_ms: u64,
         to: &mpsc::UnboundedSender<Ended>,
     ) -> Vec<Option<PartOut>> {
-        if let Some((peer, id)) = self.behind(replica) {
-            let out = peer.call(&id, lookup, asked, Duration::from_millis(wait_ms), to);
-            return out.into_iter().map(|out| Some(PartOut::Link(out))).collect();
+        match self.behind(replica) {
+            None => {}
+            Some((Some(peer), id)) => {
+                let out = peer.call(&id, lookup, asked, Duration::from_millis(wait_ms), to);
+                return out.into_iter().map(|out| Some(PartOut::Link(out))).collect();
+            }
+            Some((None, _)) => {
+                for &Asked { part, call, .. } in asked {
+                    to.send(Ended { part, call, ending: Ending::Unsent, queue: None, value: String::new() })
+                        .ok();
+                }
+                return asked.iter().map(|_| None).collect();
+            }
         }
         let out = self.0.frames.call(replica, lookup, asked, wait_ms, to);
         out.into_iter().map(|out| out.map(PartOut::Frames)).collect()
@@ -149,13 +169,19 @@
     /// Asks a replica how it fares.
     pub async fn probe(&self, replica: usize) -> (Ending, Option<f64>) {
         match self.behind(replica) {
-            Some((peer, id)) => peer.probe(&id, self.0.probe).await,
+            Some((Some(peer), id)) => peer.probe(&id, self.0.probe).await,
+            Some((None, _)) => (Ending::Unsent, None),
             None => self.0.frames.probe(replica).await,
         }
     }
 
-    fn behind(&self, replica: usize) -> Option<(link::Peer, Rc<str>)> {
-        let (peer, id) = self.0.behind.borrow().get(&replica).cloned()?;
-        Some((self.0.peers.borrow().get(peer)?.clone(), id))
+    /// The way to a replica that is reached over a link, if one is open.
+    fn behind(&self, replica: usize) -> Option<(Option<link::Peer>, Rc<str>)> {
+        let mut behind = self.0.behind.borrow_mut();
+        let Behind { ways, id, last } = behind.get_mut(&replica)?;
+        let peers = self.0.peers.borrow();
+        let way = routes::pick(ways, |way| peers.get(way).map(link::Peer::standing), *last);
+        *last = way.or(*last);
+        Some((way.and_then(|way| peers.get(way).cloned()), id.clone()))
     }
 }
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -2,7 +2,7 @@
 //! in since the last round goes into the next, and each decision goes to its lookup's task.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -10,7 +10,7 @@
     Arrivals, Listed, NewLookup, NewPart, Phase, ProbeReturn, Return, RosterNews, Tenths,
 };
 use linenthread_core::{Coordinator, Writer};
-use linenthread_link::Member;
+use linenthread_link::{Member, routes};
 use linenthread_protocol::{number, roster};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep_until};
@@ -143,7 +143,7 @@
     /// What lies behind each peer, and whether it can be reached now.
     peers: Vec<Behind>,
     /// Replicas behind peers as the module was last told of them.
-    far: BTreeMap<String, (usize, Member)>,
+    far: BTreeMap<String, (Vec<usize>, Member)>,
 }
 
 #[derive(Default)]
@@ -397,8 +397,8 @@
         }
         if list.whole {
             // A whole list leaves out what only peers reach.
-            for (id, (peer, member)) in far.iter() {
-                let entry = self.entry(indices, sites, *handed_in, id, Some(*peer), member);
+            for (id, (ways, member)) in far.iter() {
+                let entry = self.entry(indices, sites, *handed_in, id, Some(ways), member);
                 named.resize(named.len().max(entry.replica + 1), false);
                 named[entry.replica] = true;
                 listed.push(entry);
@@ -439,18 +439,27 @@
     fn tell_far(&self) {
         let mut state = self.0.state.borrow_mut();
         let State { indices, sites, handed_in, local, peers, far, .. } = &mut *state;
-        let mut now: BTreeMap<String, (usize, Member)> = BTreeMap::new();
-        for (peer, behind) in peers.iter().enumerate().filter(|(_, behind)| behind.up) {
-            for (id, member) in &behind.members {
-                if member.phase != Phase::Gone && !local.contains_key(id) {
-                    now.entry(id.clone()).or_insert_with(|| (peer, member.clone()));
-                }
+        let up = || peers.iter().enumerate().filter(|(_, behind)| behind.up);
+        let ids: BTreeSet<&String> =
+            up().flat_map(|(_, b)| b.members.keys()).filter(|id| !local.contains_key(*id)).collect();
+        let mut now: BTreeMap<String, (Vec<usize>, Member)> = BTreeMap::new();
+        for id in ids {
+            let said = || up().filter_map(|(peer, b)| Some((peer, b.members.get(id)?)));
+            if let Some(member) = routes::most_careful(said().map(|(_, member)| member)) {
+                let ways = said().filter(|(_, m)| m.phase != Phase::Gone).map(|(peer, _)| peer).collect();
+                now.insert(id.clone(), (ways, member));
             }
         }
         let mut listed = Vec::new();
-        for (id, (peer, member)) in &now {
-            if far.get(id) != Some(&(*peer, member.clone())) {
-                listed.push(self.entry(indices, sites, *handed_in, id, Some(*peer), member));
+        for (id, (ways, member)) in &now {
+            match far.get(id) {
+                Some((known, same)) if same == member && known == ways => {}
+                // The module need not know by which way.
+                Some((_, same)) if same == member => {
+                    let replica = indices.take(id);
+                    self.0.carriers.place(replica, Some(Place::Behind(ways.clone(), id.as_str().into())));
+                }
+                _ => listed.push(self.entry(indices, sites, *handed_in, id, Some(ways), member)),
             }
         }
         for (id, (_, member)) in far.iter().filter(|(id, _)| !now.contains_key(*id)) {
@@ -473,14 +482,14 @@
         sites: &[String],
         handed_in: u64,
         id: &str,
-        peer: Option<usize>,
+        ways: Option<&Vec<usize>>,
         member: &Member,
     ) -> Listed {
         let replica = indices.take(id);
         if let Some(held) = indices.get(replica) {
-            held.gone = peer.is_none().then_some(handed_in);
+            held.gone = ways.is_none().then_some(handed_in);
         }
-        self.0.carriers.place(replica, peer.map(|peer| Place::Behind(peer, id.into())));
+        self.0.carriers.place(replica, ways.map(|ways| Place::Behind(ways.clone(), id.into())));
         Listed {
             replica,
             id: number(id),
--- a/crates/linenthread-service/src/fronts/link.rs
+++ b/crates/linenthread-service/src/fronts/link.rs
@@ -124,6 +124,7 @@
                     shard: call.shard as usize,
                     round: call.round,
                     text: call.text.as_str().into(),
+                    gain: 0,
                 };
                 let wait = desk::span(time_out.max(1));
                 let wait_ms = wait.as_micros().div_ceil(1000) as u64;
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -40,6 +40,8 @@
     pub withdraw: bool,
     pub parts_a_call: usize,
     pub gathering: Gathering,
+    /// What a lookup of each index is worth, in thousandths.
+    pub gains: Vec<u32>,
     /// The ids of open lookups, each kept by its [`OpenId`].
     pub open: RefCell<HashSet<String>>,
 }
@@ -145,6 +147,7 @@
         Err(why) => return drop(client.send(Answer::Bad(why))),
     };
     let text: Rc<str> = asked.text.as_str().into();
+    let gain = work.gains.get(new.index).copied().unwrap_or_default();
     let Some(_open) = OpenId::take(&work, &asked.id) else {
         return drop(client.send(Answer::Open));
     };
@@ -198,7 +201,7 @@
             match decision {
                 Decision::Call { part, replica, time_out } => {
                     let (shard, (round, text)) = (asked.parts[part].shard, gather.question(part, &text));
-                    let one = Asked { part, call: made[part], shard, round, text };
+                    let one = Asked { part, call: made[part], shard, round, text, gain };
                     made[part] += 1;
                     sends.entry((replica, time_out)).or_insert_with(Vec::new).push(one);
                 }
--- a/crates/linenthread-service/src/serve.rs
+++ b/crates/linenthread-service/src/serve.rs
@@ -79,6 +79,7 @@
             most_out: peer.most_out,
             keep: tenths(peer.keep),
             beat: tenths(peer.beat),
+            hold: tenths(100),
             back_off: (tenths(50), tenths(2_000)),
         };
         let seed = config.seed.wrapping_add(1 + n as u64);
@@ -117,6 +118,7 @@
         surroundings: surroundings.clone(),
         withdraw,
         parts_a_call: layout.parts_a_call,
+        gains: config.deployment.indexes.iter().map(|i| (i.gain * 1_000.0) as u32).collect(),
         gathering: Gathering { merging: RefCell::new(Rc::new(merging)), ..Gathering::default() },
         open: RefCell::default(),
     });
