What waits for a stalled link is bounded in bytes; a stalled link and a killed gateway measured

They are now held to 8 MiB, what is beyond goes back as unsent. The drill holds the count of bytes to the bound, and to none with no call out.

--- a/crates/linenthread-drill/src/link.rs
+++ b/crates/linenthread-drill/src/link.rs
@@ -15,6 +15,7 @@
 const RECOVERY: Tenths = 4_000 * MS;
 const END: Tenths = TROUBLES + RECOVERY + 3_000 * MS;
 const MOST_OUT: usize = 64;
+const MOST_WAITING: u64 = 1_000;
 const WINDOW: u64 = 16;
 const PRINTED: usize = 10;
 
@@ -122,6 +123,7 @@
         let terms = NearTerms {
             name: "near".into(),
             most_out: MOST_OUT,
+            most_waiting: MOST_WAITING,
             keep: if resume { 1_500 * MS } else { 0 },
             beat: 100 * MS,
             hold: 300 * MS,
@@ -400,7 +402,10 @@
         }
         self.near_does(near);
         self.far_does(far);
-        if self.near.out() > MOST_OUT || self.far.held() as u64 > 4 * WINDOW {
+        if self.near.out() > MOST_OUT
+            || self.near.waiting_bytes() > MOST_WAITING
+            || self.far.held() as u64 > 4 * WINDOW
+        {
             self.wrong("more is held than may be".into());
         }
     }
@@ -418,6 +423,9 @@
         }
         counts.false_alarms += self.false_alarms;
         counts.detected.append(&mut self.detected);
+        if self.near.out() == 0 && self.near.waiting_bytes() > 0 {
+            self.wrong("bytes are counted of calls that have ended".into());
+        }
         let settled = begun + TROUBLES + RECOVERY;
         for (id, Record { ran, ended, made, due }) in &self.records {
             counts.calls += 1;
--- a/crates/linenthread-drill/src/link_speed.rs
+++ b/crates/linenthread-drill/src/link_speed.rs
@@ -5,8 +5,10 @@
 use std::thread::{scope, sleep};
 use std::time::{Duration, Instant};
 
-use linenthread_stand_ins::Client;
-use linenthread_stand_ins::sites::{Sites, Told, Verdict, asked_through};
+use linenthread_stand_ins::proxy::Way;
+use linenthread_stand_ins::sites::{Sites, Terms, Told, Verdict, asked_through};
+use linenthread_stand_ins::{Client, request_with};
+use serde_json::Value;
 
 /// Lookups asked one after another, each way.
 const ALTERNATING: usize = 1_000;
@@ -15,6 +17,9 @@
 /// A once-only lookup is asked this often around a cut.
 const EVERY: Duration = Duration::from_millis(10);
 
+/// The operators' defaults, but for outcomes that are waited for longer than any cut, and slow replicas.
+const SLOW: Terms = Terms { keep: 15_000, hold: 250, after: Duration::from_millis(40), second: false };
+
 fn at(times: &mut [f64], share: f64) -> f64 {
     times.sort_by(f64::total_cmp);
     times[((times.len() - 1) as f64 * share) as usize]
@@ -125,7 +130,7 @@
 
 /// Two gateways to the same replicas, and one is killed under load.
 fn one_of_two(exe: &str) -> (usize, usize) {
-    let mut sites = Sites::start_with(exe, 15_000, Duration::from_millis(40), true);
+    let mut sites = Sites::start(exe, Terms { second: true, ..SLOW });
     let before = Duration::from_millis(1_000);
     let (verdict, told) = asked_through(&mut sites, "two", &["order"], EVERY, 4 * before, |sites| {
         sleep(before);
@@ -142,17 +147,57 @@
     tell("one of two gateways killed", &verdict, again(&told, before))
 }
 
+/// Megabytes that a process holds.
+fn held(id: u32) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<f64>().ok()).unwrap_or_default() / 1024.0
+}
+
+/// Long lookups asked of a link that takes nothing any more.
+fn stalled(exe: &str) {
+    let sites = Sites::start(exe, Terms { after: Duration::ZERO, ..SLOW });
+    let near = sites.near.child.id();
+    let before = held(near);
+    sites.proxy.silence(Way::There, true);
+    let (most, over) = (std::sync::Mutex::new(0.0_f64), AtomicBool::new(false));
+    scope(|threads| {
+        for one in 0..100 {
+            let (over, address) = (&over, sites.near.address);
+            threads.spawn(move || {
+                let text = "x".repeat(50_000);
+                let mut n = 0;
+                while !over.load(Ordering::Relaxed) {
+                    n += 1;
+                    let mut client = Client::connect(address);
+                    client.send(&request_with("find", &format!("st{one}-{n}"), &[1], &text, &Value::Null));
+                    client.answer();
+                }
+            });
+        }
+        for _ in 0..30 {
+            sleep(Duration::from_millis(100));
+            let mut most = most.lock().expect("not poisoned");
+            *most = most.max(held(near));
+        }
+        over.store(true, Ordering::Relaxed);
+    });
+    let most = most.into_inner().unwrap_or_default();
+    println!("stalled link, 100 clients with 50 kB each: {before:.0} MB before, {most:.0} MB at the most");
+}
+
 pub fn run(exe: &str) -> (usize, usize) {
-    let sites = Sites::start(exe, 3_000, Duration::ZERO);
+    let sites = Sites::start(exe, Terms { after: Duration::ZERO, ..SLOW });
     latency(&sites);
     let (near, far) = (sites.near.child.id(), sites.far.child.id());
     for at_once in [1, 10, 100] {
         throughput(sites.far.address, at_once, &[far], "direct");
         throughput(sites.near.address, at_once, &[near, far], "across");
     }
+    stalled(exe);
     let (mut checked, mut breaches) = (0, 0);
     for (keep, what) in [(15_000, "resumed"), (10, "not resumed")] {
-        let mut sites = Sites::start(exe, keep, Duration::from_millis(40));
+        let mut sites = Sites::start(exe, Terms { keep, ..SLOW });
         for ms in [50, 200, 1_000, 5_000, 10_000] {
             let (n, b) = cut(&mut sites, Duration::from_millis(ms), what);
             (checked, breaches) = (checked + n, breaches + b);
--- a/crates/linenthread-link/src/near.rs
+++ b/crates/linenthread-link/src/near.rs
@@ -31,6 +31,8 @@
     pub name: String,
     /// Calls that wait for their outcome at the most; more are not sent.
     pub most_out: usize,
+    /// Bytes of calls that wait to be sent at the most: a stalled link must not fill the memory.
+    pub most_waiting: u64,
     /// How long a session outlives its connection: until then outcomes may still come.
     pub keep: Tenths,
     /// A ping is sent after so long without one.
@@ -157,6 +159,7 @@
     given_up: BTreeSet<u64>,
     /// Calls that wait for credit, those of the most gain first.
     waiting: BTreeSet<(Reverse<u32>, u64)>,
+    waiting_bytes: u64,
     credit: (u64, u64),
     draining: bool,
     /// What was last said of it, and since when that is no longer so.
@@ -192,6 +195,7 @@
             by_sent: BTreeMap::new(),
             given_up: BTreeSet::new(),
             waiting: BTreeSet::new(),
+            waiting_bytes: 0,
             credit: (0, 0),
             draining: false,
             said_up: false,
@@ -206,6 +210,11 @@
         }
     }
 
+    /// Bytes of calls that wait to be sent.
+    pub fn waiting_bytes(&self) -> u64 {
+        self.waiting_bytes
+    }
+
     pub fn is_up(&self) -> bool {
         matches!(self.state, State::Up { .. }) && !self.draining
     }
@@ -268,11 +277,14 @@
     pub fn call(&mut self, now: Tenths, call: Call, due: Tenths, gain: u32, to: &mut Vec<NearDo>) -> u64 {
         self.numbers += 1;
         let number = self.numbers;
-        if self.out.len() >= self.terms.most_out || !self.is_usable() {
+        let full = self.out.len() >= self.terms.most_out
+            || self.waiting_bytes + call.size() > self.terms.most_waiting;
+        if full || !self.is_usable() {
             to.push(ended(number, Ending::Unsent));
             return number;
         }
         let holds = due.min(now + self.terms.hold);
+        self.waiting_bytes += call.size();
         let out = Out { call: Some(call), way: Way::Waiting, due, sent: None, gain, holds };
         self.waiting.insert(out.turn(number));
         self.out.insert(number, out);
@@ -284,6 +296,7 @@
     pub fn withdraw(&mut self, number: u64, to: &mut Vec<NearDo>) {
         let Some(out) = self.out.remove(&number) else { return };
         self.waiting.remove(&out.turn(number));
+        self.waiting_bytes -= out.call.as_ref().map_or(0, Call::size);
         let Some(sent) = out.sent else { return };
         self.by_sent.remove(&sent);
         if matches!(self.state, State::Up { .. }) {
@@ -519,6 +532,7 @@
     fn end(&mut self, number: u64, ending: Ending, queue: Option<f64>, value: String, to: &mut Vec<NearDo>) {
         if let Some(out) = self.out.remove(&number) {
             self.waiting.remove(&out.turn(number));
+            self.waiting_bytes -= out.call.as_ref().map_or(0, Call::size);
             out.sent.map(|sent| self.by_sent.remove(&sent));
             to.push(NearDo::Ended { number, ending, queue, value });
         }
@@ -543,6 +557,7 @@
                 return;
             }
             let Some(call) = out.call.take() else { return };
+            self.waiting_bytes -= size;
             self.last_sent += 1;
             self.sent_bytes += size;
             (out.way, out.sent) = (Way::Sending, Some(self.last_sent));
--- a/crates/linenthread-service/src/serve.rs
+++ b/crates/linenthread-service/src/serve.rs
@@ -26,6 +26,8 @@
 /// the runtime's own.
 const OWN_DESCRIPTORS: usize = 24;
 
+/// Bytes of calls that wait for one link at the most.
+const MOST_WAITING: u64 = 8 * 1024 * 1024;
 /// After the word to stop, what runs for links may go on for so long.
 const LINKS_DRAIN: Duration = Duration::from_millis(1_500);
 
@@ -77,6 +79,7 @@
         let near = NearTerms {
             name: config.name.clone(),
             most_out: peer.most_out,
+            most_waiting: MOST_WAITING,
             keep: tenths(peer.keep),
             beat: tenths(peer.beat),
             hold: tenths(peer.hold),
--- a/crates/linenthread-service/tests/link.rs
+++ b/crates/linenthread-service/tests/link.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use linenthread_stand_ins::proxy::Way;
-use linenthread_stand_ins::sites::{Sites, Verdict, asked_through, cut_everywhere};
+use linenthread_stand_ins::sites::{Sites, Terms, Verdict, asked_through, cut_everywhere};
 use linenthread_stand_ins::{entry, list};
 use oorandom::Rand64;
 
@@ -12,7 +12,7 @@
 
 #[test]
 fn lookups_cross_the_link_and_go_on_after_it_was_cut() {
-    let mut sites = Sites::start(EXE, 3_000, Duration::from_millis(3));
+    let mut sites = Sites::start(EXE, Terms::default());
     let mut verdict = Verdict::default();
     for _ in 0..3 {
         sites.ask("find", &mut verdict, "whole");
@@ -39,7 +39,10 @@
 
 /// Cuts, silence, slowness and a gateway that is killed and never comes back, by seed.
 fn through_troubles(seed: u64) {
-    let mut sites = Sites::start_with(EXE, 3_000, Duration::from_millis(10), seed.is_multiple_of(2));
+    let mut sites = Sites::start(
+        EXE,
+        Terms { after: Duration::from_millis(10), second: seed.is_multiple_of(2), ..Terms::default() },
+    );
     let mut chance = Rand64::new(u128::from(seed));
     let every = Duration::from_millis(15);
     let lasting = Duration::from_secs(4);
@@ -82,7 +85,7 @@
 
 #[test]
 fn what_drains_behind_the_link_gets_nothing_new() {
-    let mut sites = Sites::start(EXE, 3_000, Duration::ZERO);
+    let mut sites = Sites::start(EXE, Terms { after: Duration::ZERO, ..Terms::default() });
     let mut verdict = Verdict::default();
     for _ in 0..20 {
         sites.ask("find", &mut verdict, "before");
@@ -111,7 +114,7 @@
 
 #[test]
 fn where_two_gateways_lead_to_the_same_replicas_one_may_die() {
-    let mut sites = Sites::start_with(EXE, 3_000, Duration::from_millis(5), true);
+    let mut sites = Sites::start(EXE, Terms { second: true, ..Terms::default() });
     let every = Duration::from_millis(10);
     let (verdict, told) =
         asked_through(&mut sites, "two", &["order"], every, Duration::from_secs(2), |sites| {
--- a/crates/linenthread-stand-ins/src/sites.rs
+++ b/crates/linenthread-stand-ins/src/sites.rs
@@ -24,6 +24,25 @@
     _roster: Roster,
 }
 
+/// How two sites are set up.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Milliseconds for which the near side waits for outcomes after the link is lost.
+    pub keep: u64,
+    /// Milliseconds for which a lost link is not yet said to be down.
+    pub hold: u64,
+    /// Replicas answer after so long.
+    pub after: Duration,
+    /// There is a second gateway to the same replicas, over a link of its own.
+    pub second: bool,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms { keep: 3_000, hold: 50, after: Duration::from_millis(3), second: false }
+    }
+}
+
 pub struct Sites {
     pub near: Service,
     pub far: Service,
@@ -54,16 +73,8 @@
 }
 
 impl Sites {
-    /// `keep` is how long the near side waits for outcomes after the link is lost, in milliseconds; replicas
-    /// answer after a while.
-    pub fn start(exe: &str, keep: u64, after: Duration) -> Sites {
-        Sites::start_with(exe, keep, after, false)
-    }
-
-    /// With a second gateway to the same replicas, over a link of its own.
-    pub fn start_with(exe: &str, keep: u64, after: Duration, second: bool) -> Sites {
-        // Without resume a short flap is to be seen as well.
-        let hold = if keep < 100 { 10 } else { 50 };
+    pub fn start(exe: &str, terms: Terms) -> Sites {
+        let Terms { keep, hold, after, second } = terms;
         let fleet = Fleet::start(REPLICAS);
         let addresses = fleet.addresses.clone();
         let ran: Arc<Mutex<Vec<(String, usize)>>> = Arc::default();
@@ -289,7 +300,9 @@
 
 /// Cuts a once-only exchange after every so manieth byte both ways, with several pairs of sites at once.
 pub fn cut_everywhere(exe: &str, keep: u64, step: usize, at_once: usize) -> Verdict {
-    let [there, back] = Sites::start(exe, keep, Duration::from_millis(3)).exchange();
+    // Without resume a short flap is to be seen as well.
+    let terms = Terms { keep, hold: if keep < 100 { 10 } else { 50 }, ..Terms::default() };
+    let [there, back] = Sites::start(exe, terms).exchange();
     // A cut beyond the exchange meets the beats after it, which is no cut of the exchange.
     let all: Vec<(Way, usize)> = (0..=there)
         .map(|n| (Way::There, n))
@@ -301,7 +314,7 @@
         .map(|cuts| {
             let (cuts, exe) = (cuts.to_vec(), exe.to_owned());
             spawn(move || {
-                let mut sites = Sites::start(&exe, keep, Duration::from_millis(3));
+                let mut sites = Sites::start(&exe, terms);
                 let mut verdict = Verdict::default();
                 for (way, after) in cuts {
                     sites.cut_at(way, std::iter::once(after), &mut verdict);
