--- a/crates/linenthread-link/src/auth.rs
+++ b/crates/linenthread-link/src/auth.rs
@@ -50,16 +50,18 @@
         }
     }
 
-    /// Proves to the other side, which made up `nonce`, that what is said comes from one that knows the secret.
-    pub(crate) fn prove(&self, side: Side, nonce: &Nonce, said: &[u8]) -> Proof {
-        let proof = self.0.first().and_then(|secret| mac(secret, side, &[nonce, said]));
+    /// Proves to the other side, which made up `nonce`, that what is said comes from one that knows the secret:
+    /// the first, or the one by which the other side has proven itself.
+    pub(crate) fn prove(&self, with: usize, side: Side, nonce: &Nonce, said: &[u8]) -> Proof {
+        let proof = self.0.get(with).and_then(|secret| mac(secret, side, &[nonce, said]));
         proof.map(|mac| mac.finalize().into_bytes().into()).unwrap_or_default()
     }
 
-    pub(crate) fn holds(&self, side: Side, nonce: &Nonce, said: &[u8], proof: &Proof) -> bool {
+    /// Which of the secrets proves what is said, if one does.
+    pub(crate) fn proven_by(&self, side: Side, nonce: &Nonce, said: &[u8], proof: &Proof) -> Option<usize> {
         let proves = |secret: &Vec<u8>| {
             mac(secret, side, &[nonce, said]).is_some_and(|m| m.verify_slice(proof).is_ok())
         };
-        self.0.iter().any(proves)
+        self.0.iter().position(proves)
     }
 }
--- a/crates/linenthread-link/src/far.rs
+++ b/crates/linenthread-link/src/far.rs
@@ -201,9 +201,9 @@
         if *version != VERSION {
             return self.close(now, connection, "no such version is spoken here", to);
         }
-        if !self.secrets.holds(Side::Near, nonce, &frame.said(), proof) {
+        let Some(secret) = self.secrets.proven_by(Side::Near, nonce, &frame.said(), proof) else {
             return self.close(now, connection, "the hello does not prove that it knows the secret", to);
-        }
+        };
         if self.sessions.get(session).is_some_and(|known| *attempt <= known.attempt) {
             // It was long on its way, and would take the session from a newer connection.
             return self.close(now, connection, "the session has said a newer hello", to);
@@ -248,7 +248,7 @@
             .collect();
         self.connections.insert(connection, Connection::Welcomed { session: *session, heard: now });
         let mut welcome = Frame::Welcome { epoch, resumed, received, bytes, proof: [0; 32] };
-        let proven = self.secrets.prove(Side::Far, theirs, &welcome.said());
+        let proven = self.secrets.prove(secret, Side::Far, theirs, &welcome.said());
         if let Frame::Welcome { proof, .. } = &mut welcome {
             *proof = proven;
         }
--- a/crates/linenthread-link/src/frame.rs
+++ b/crates/linenthread-link/src/frame.rs
@@ -8,6 +8,8 @@
 pub const VERSION: u8 = 1;
 /// Longer frames end the connection.
 pub const LONGEST: usize = 128 * 1024;
+/// Bytes of a replica's id or its site's name.
+const LONGEST_NAME: usize = 128;
 /// Replicas in one list.
 pub const MOST_MEMBERS: usize = 4_096;
 
@@ -46,6 +48,14 @@
     pub share: u16,
 }
 
+impl Member {
+    /// Whether it can be a replica here: it has a name of some length, and a cell of the layout's so many.
+    pub fn is_sound(&self, cells: usize) -> bool {
+        let id = 1..=LONGEST_NAME;
+        id.contains(&self.id.len()) && self.site.len() <= LONGEST_NAME && (self.cell as usize) < cells
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Frame {
     /// Far, first: the versions it speaks, and what the hello must prove itself over.
@@ -358,6 +368,27 @@
         Ok(Some((Frame::fields(bytes)?, 4 + length)))
     }
 
+    /// Takes all whole frames off what was read, in their order; what is not all there stays.
+    ///
+    /// # Errors
+    ///
+    /// What can be no frame; those before it were taken.
+    pub fn take_all(read: &mut Vec<u8>, mut take: impl FnMut(Frame)) -> Res<()> {
+        let mut at = 0;
+        let all = loop {
+            match Frame::decode(&read[at..]) {
+                Ok(None) => break Ok(()),
+                Ok(Some((frame, took))) => {
+                    at += took;
+                    take(frame);
+                }
+                Err(why) => break Err(why),
+            }
+        };
+        read.drain(..at);
+        all
+    }
+
     fn fields(bytes: &[u8]) -> Res<Frame> {
         let mut take = Take(bytes);
         let frame = match take.u8()? {
@@ -466,6 +497,7 @@
             age_ms: Some(7),
             share: 500,
         };
+        let sound = member.clone();
         let frames = [
             Frame::Challenge { least: 1, most: 1, nonce: [7; 16], name: "g".into() },
             Frame::Hello {
@@ -510,6 +542,13 @@
             more[..4].copy_from_slice(&length.to_be_bytes());
             assert_eq!(Frame::decode(&more), Ok(Some((frame, more.len()))));
         }
+        let bad = Member { cell: 4, ..sound.clone() };
+        assert!(
+            sound.is_sound(5)
+                && !bad.is_sound(4)
+                && !Member { id: String::new(), ..sound.clone() }.is_sound(5)
+        );
+        assert!(!Member { site: "x".repeat(129), ..sound }.is_sound(5));
         assert!(Frame::decode(&[0, 0, 0, 0]).is_err() && Frame::decode(&[0, 0, 0, 1, 99]).is_err());
         assert!(Frame::decode(&[0x7f, 0, 0, 0]).is_err());
         let spec = Frame::Withdraw { number: 258 }.encode();
--- a/crates/linenthread-link/src/near.rs
+++ b/crates/linenthread-link/src/near.rs
@@ -434,7 +434,7 @@
                     epoch: self.epoch,
                     proof: [0; 32],
                 };
-                let proven = self.secrets.prove(Side::Near, &nonce, &hello.said());
+                let proven = self.secrets.prove(0, Side::Near, &nonce, &hello.said());
                 if let Frame::Hello { proof, .. } = &mut hello {
                     *proof = proven;
                 }
@@ -486,7 +486,7 @@
 
     fn welcome(&mut self, now: Tenths, since: Tenths, welcome: &Frame, to: &mut Vec<NearDo>) {
         let Frame::Welcome { epoch, resumed, received, bytes, proof } = welcome else { return };
-        if !self.secrets.holds(Side::Far, &self.nonce, &welcome.said(), proof) {
+        if self.secrets.proven_by(Side::Far, &self.nonce, &welcome.said(), proof).is_none() {
             return self.break_off(now, "it does not prove that it knows the secret".into(), to);
         }
         let resumed = *resumed && *epoch == self.epoch && *received <= self.last_sent;
--- a/crates/linenthread-service/src/carriers/frames.rs
+++ b/crates/linenthread-service/src/carriers/frames.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{info, warn};
 
-use crate::carriers::{Asked, Ended, Limits};
+use crate::carriers::{Asked, Ended, Limits, unsent};
 use crate::log::Sparing;
 
 /// Parts go one a connection while a replica has fewer than this: what one spoils, breaks or silences fails
@@ -214,13 +214,7 @@
             let parts = link.parts.borrow();
             ids.iter().all(|id| !parts.contains_key(id))
         });
-        let Some(link) = link else {
-            for &Asked { part, call, .. } in asked {
-                let unsent = Ended { part, call, ending: Ending::Unsent, queue: None, value: String::new() };
-                to.send(unsent).ok();
-            }
-            return asked.iter().map(|_| None).collect();
-        };
+        let Some(link) = link else { return unsent(asked, to) };
         let parts = ids.iter().zip(asked).map(|(id, a)| (id.as_str(), a.shard, &*a.text));
         let bytes = frame::call(parts, wait_ms);
         let mut frame = Frame { bytes, parts: Vec::new(), probe: false };
--- a/crates/linenthread-service/src/carriers/link.rs
+++ b/crates/linenthread-service/src/carriers/link.rs
@@ -233,18 +233,10 @@
                     Ok(0) => return "closed by the gateway".into(),
                     Ok(n) => {
                         read.extend_from_slice(&buffer[..n]);
-                        let mut at = 0;
-                        loop {
-                            match Frame::decode(&read[at..]) {
-                                Ok(None) => break,
-                                Ok(Some((frame, took))) => {
-                                    at += took;
-                                    self.act(|near, now, to| near.received(now, frame, to));
-                                }
-                                Err(why) => return why,
-                            }
+                        let take = |frame| self.act(|near, now, to| near.received(now, frame, to));
+                        if let Err(why) = Frame::take_all(&mut read, take) {
+                            return why;
                         }
-                        read.drain(..at);
                     }
                     Err(e) => return e.to_string(),
                 },
--- a/crates/linenthread-service/src/carriers/mod.rs
+++ b/crates/linenthread-service/src/carriers/mod.rs
@@ -26,6 +26,20 @@
     pub value: String,
 }
 
+impl Ended {
+    pub fn without_value(part: usize, call: usize, ending: Ending) -> Ended {
+        Ended { part, call, ending, queue: None, value: String::new() }
+    }
+}
+
+/// Ends parts that never left this side.
+pub fn unsent<T>(asked: &[Asked], to: &mpsc::UnboundedSender<Ended>) -> Vec<Option<T>> {
+    for Asked { part, call, .. } in asked {
+        to.send(Ended::without_value(*part, *call, Ending::Unsent)).ok();
+    }
+    asked.iter().map(|_| None).collect()
+}
+
 /// One part of a part call.
 #[derive(Clone, Debug)]
 pub struct Asked {
@@ -154,13 +168,7 @@
                 let out = peer.call(&id, lookup, asked, Duration::from_millis(wait_ms), to);
                 return out.into_iter().map(|out| Some(PartOut::Link(out))).collect();
             }
-            Some((None, _)) => {
-                for &Asked { part, call, .. } in asked {
-                    to.send(Ended { part, call, ending: Ending::Unsent, queue: None, value: String::new() })
-                        .ok();
-                }
-                return asked.iter().map(|_| None).collect();
-            }
+            Some((None, _)) => return unsent(asked, to),
         }
         let out = self.0.frames.call(replica, lookup, asked, wait_ms, to);
         out.into_iter().map(|out| out.map(PartOut::Frames)).collect()
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -14,7 +14,7 @@
 use linenthread_protocol::{number, roster};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep_until};
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::carriers::link::News;
 use crate::carriers::{Carriers, Place};
@@ -160,6 +160,8 @@
     /// The roster's list has changed.
     listed: Notify,
     carriers: Carriers,
+    /// Cells of the layout.
+    cells: usize,
 }
 
 #[derive(Clone)]
@@ -250,6 +252,7 @@
             roster_wanted: Notify::new(),
             listed: Notify::new(),
             carriers,
+            cells: config.deployment.layout.cells,
         }));
         let listed = desk.listed(&config.remembered);
         desk.hear_roster(RosterNews::Remembered(listed));
@@ -427,7 +430,16 @@
             match news {
                 News::Up(up) => behind.up = up,
                 News::Members(members) => {
-                    behind.members = members.into_iter().map(|m| (m.id.clone(), m)).collect();
+                    let (sound, bad): (Vec<_>, Vec<_>) =
+                        members.into_iter().partition(|m| m.is_sound(self.0.cells));
+                    if let Some(bad) = bad.first() {
+                        warn!(
+                            replica = bad.id,
+                            cell = bad.cell,
+                            "a gateway lists what can be no replica here"
+                        );
+                    }
+                    behind.members = sound.into_iter().map(|m| (m.id.clone(), m)).collect();
                 }
             }
         }
--- a/crates/linenthread-service/src/fronts/link.rs
+++ b/crates/linenthread-service/src/fronts/link.rs
@@ -114,9 +114,8 @@
     /// One call's way to its replica and back.
     async fn start(self, at: (u64, u64), time_out: Tenths, call: Call, stop: Rc<Notify>) {
         let (to, mut ended) = mpsc::unbounded_channel::<Ended>();
-        let unsent = Ended { part: 0, call: 0, ending: Ending::Unsent, queue: None, value: String::new() };
         let end = match self.0.desk.direct(&call.replica) {
-            None => unsent,
+            None => Ended::without_value(0, 0, Ending::Unsent),
             Some(replica) => {
                 let asked = Asked {
                     part: 0,
@@ -129,7 +128,7 @@
                 let wait = desk::span(time_out.max(1));
                 let wait_ms = wait.as_micros().div_ceil(1000) as u64;
                 let out = self.0.carriers.call(replica, &call.lookup, &[asked], wait_ms, &to);
-                let given_up = |ending| Ended { ending, part: 0, call: 0, queue: None, value: String::new() };
+                let given_up = |ending| Ended::without_value(0, 0, ending);
                 let end = tokio::select! {
                     Some(end) = ended.recv() => end,
                     _ = sleep(wait) => {
@@ -242,22 +241,11 @@
                     Ok(0) => return "closed by the other side".into(),
                     Ok(n) => {
                         read.extend_from_slice(&buffer[..n]);
-                        let mut at = 0;
-                        loop {
-                            match Frame::decode(&read[at..]) {
-                                Ok(None) => break,
-                                Ok(Some((frame, took))) => {
-                                    at += took;
-                                    self.act(|far, now, to| far.received(now, id, frame, to));
-                                }
-                                Err(why) => {
-                                    self.send(id, &Frame::Refuse { why: why.clone() });
-                                    connection.close.replace(Some(why));
-                                    break;
-                                }
-                            }
+                        let take = |frame| self.act(|far, now, to| far.received(now, id, frame, to));
+                        if let Err(why) = Frame::take_all(&mut read, take) {
+                            self.send(id, &Frame::Refuse { why: why.clone() });
+                            connection.close.replace(Some(why));
                         }
-                        read.drain(..at);
                     }
                     Err(e) => return e.to_string(),
                 },
