A full list of a gateway still takes drains; nothing is told where no part is asked on

With as many replicas listed as may be, a change list was cut to its first entry, and drains or departures behind it were lost: what is known always counts now, only new ids are held to the bound.

--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -442,12 +442,15 @@
                     if whole {
                         behind.members.clear();
                     }
-                    // No gateway has more to list than a roster may.
-                    let room = roster::MOST_REPLICAS.saturating_sub(behind.members.len());
-                    for member in sound.into_iter().take(room.max(1)) {
+                    // No gateway has more to list than a roster may; what is known of those listed always counts.
+                    for member in sound {
+                        let fits = behind.members.len() < roster::MOST_REPLICAS;
                         match member.phase {
                             Phase::Gone => drop(behind.members.remove(&member.id)),
-                            _ => drop(behind.members.insert(member.id.clone(), member)),
+                            _ if fits || behind.members.contains_key(&member.id) => {
+                                behind.members.insert(member.id.clone(), member);
+                            }
+                            _ => {}
                         }
                     }
                 }
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -170,7 +170,10 @@
                     let of = || (work.desk.name(replica), asked.parts[part].shard);
                     let ending = gather.take((part, round), ending, value, of);
                     calls.end(part, call, ending, queue);
-                    work.desk.ask_on(lookup, &gather.onward());
+                    let onward = gather.onward();
+                    if !onward.is_empty() {
+                        work.desk.ask_on(lookup, &onward);
+                    }
                 }
                 continue;
             }
