A shard slower than the rest has its lookups refused by what its quickest holder lets expect

A print of each lookup given up at one co-ordinator named the same three replicas, 18, 19 and 31, one set: two of the three slow, the sound one full; each lookup that needed the set had three to four calls turned away or timed out. Ruled out: admission by the whole fleet's delays (one set of thirteen hardly moves it), replicas hidden by resets (their scores were 5 to 14 against 0.4).

At fault: admits() knew delays of the whole fleet only, and a jam by parts out from here, of which twelve co-ordinators have one each. Now a lookup's slowest part is expected so many times later as the quickest holder of the shards it needs is slower than the mean; cubed where no replica tells its queue (new setting: load reports name a queue). A part turned away counts in its replica's times as a whole soft deadline, as it did in the fleet's.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -68,6 +68,9 @@
 /// a lookup's slowest part is expected to take.
 const UNTOLD: f64 = 6.0;
 const USUAL: (f64, f64) = (0.2, 0.6);
+/// How often it counts that a shard is slower than the rest where no replica tells what waits there: a queue
+/// shows by its delay alone then, and late.
+const UNSEEN: i32 = 3;
 /// A client's answer must leave this long before the moment that it must be there.
 const MARGIN: Tenths = 150;
 /// The module asks to be woken at least this often.
@@ -275,6 +278,7 @@
             Ending::TurnedAway => {
                 replica.last_call = now;
                 delays.add(now, RECENT, self.soft.ln());
+                replica.seen.times.add(now, span, self.soft.ln());
             }
             Ending::Answered | Ending::TimedOut | Ending::Withdrawn => delays.add(now, RECENT, took.ln()),
             _ => {}
@@ -386,14 +390,16 @@
         // An unheard replica counts as its site's average, and one of few answers leans on it, as the site
         // does on the fleet's: a slow or lossy way to a site shows there first.
         let lean = |s: &Fading, weight: f64, mean: f64| (s.sum + weight * mean) / (s.weight + weight);
-        let median = |s: &Seen, site: &Seen| lean(&s.times, LEAN, lean(&site.times, SITE_LEAN, mean)).exp();
+        let median =
+            |r: &Replica, site: &Seen| lean(&r.seen.times, LEAN, lean(&site.times, SITE_LEAN, mean)).exp();
         let ready = || self.replicas.iter().filter(|r| r.ready());
         let usual_out = ready().map(|r| f64::from(r.out)).sum::<f64>() / ready_count;
-        let largest = ready().map(|r| median(&r.seen, &sites[r.listed.site])).fold(1.0, f64::max);
+        let largest = ready().map(|r| median(r, &sites[r.listed.site])).fold(1.0, f64::max);
         for replica in self.replicas.iter_mut().filter(|r| r.ready()) {
             let site = &sites[replica.listed.site];
             let load = (f64::from(replica.out) - usual_out).max(0.0) + TOLD * replica.told(now, FRESH, quick);
-            let median = median(&replica.seen, site) * (1.0 + LOAD * load);
+            replica.expected = median(replica, site);
+            let median = replica.expected * (1.0 + LOAD * load);
             // Lost parts count as failures before their time-outs say so: that meets a replica which hangs.
             let (lost, failures) = (f64::from(replica.lost), &replica.seen.failures);
             let severity =
@@ -698,6 +704,14 @@
         // About the mean of the largest of n normal values. All co-ordinators see much the same delays: by
         // chance, growing slowly, they turn away no more than it takes.
         let slowest = (mean + (1.25 * n.ln()).sqrt() * deviation).exp();
+        // Where a shard is slower than the rest, all that need it meet in the queue of its quickest holder.
+        let quickest =
+            |p: &Part| self.holders(p.shard).map(|r| self.replicas[r].expected).min_by(f64::total_cmp);
+        let mut expected: Vec<f64> = lookup.parts.iter().filter_map(quickest).collect();
+        expected.sort_by(f64::total_cmp);
+        let needed = (indexes[lookup.index].floor * expected.len() as f64).ceil() as usize;
+        let slower = expected.get(needed.saturating_sub(1)).map_or(1.0, |e| (e / mean.exp()).max(1.0));
+        let slowest = slowest * slower.powi(if self.deployment.queue_told { 1 } else { UNSEEN });
         if self.chance.rand_float() > (horizon / slowest).powi(3) {
             return false;
         }
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -86,6 +86,8 @@
     pub layout: Layout,
     pub allowance: Allowance,
     pub cold: ColdStart,
+    /// Replicas tell how many parts wait at them, in answers or to probes.
+    pub queue_told: bool,
     /// Nothing new may go to a replica later than this after it was told as draining or gone.
     pub drain_grace: Tenths,
     pub further_calls: Option<FurtherCalls>,
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -104,6 +104,8 @@
     /// A probe is out since then.
     pub asked: Option<Tenths>,
     pub score: f64,
+    /// How long a part there takes by now.
+    pub expected: f64,
     pub cold_sends: Counts,
 }
 
