Falls of replicas make all lookups send one part first; one that fell unannounced returns cold

Ruled out: the count by index at each co-ordinator (at 31 co-ordinators most meet no such lookup at all, yet each loses replicas to them).

At fault: breaks were counted by index and by own proof only, and a replica that answered again was held for warm until the roster's word. Now a fall counts for all lookups, by own proof (a connection broke, a probe found nobody) or by the roster (gone without having drained), and fades in 20 s; and a replica proven gone is cold from its first answer on.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -55,7 +55,7 @@
 const URGENT: f64 = 2.5;
 /// How much of the cold budget is used.
 const COLD_USE: f64 = 0.8;
-/// Breaks under an index's parts keep its lookups to one part first for about so long.
+/// Replicas that go down unannounced keep lookups to one part first for about so long.
 const WARY: f64 = 200_000.0;
 /// An index whose late answers earn no more than this is given up at its soft deadline.
 const LATE_PAYS: f64 = 0.15;
@@ -113,8 +113,8 @@
     open: Vec<usize>,
     /// Lookups that came from each customer.
     customers: Vec<Fading>,
-    /// Replicas that broke off under parts of each index.
-    breaks: Vec<Fading>,
+    /// Replicas that went down unannounced.
+    falls: Fading,
     /// Lookups and parts taken, and further part calls made.
     taken: Counts,
     further: Counts,
@@ -131,7 +131,7 @@
         Coordinator {
             soft: deployment.indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0).max(1) as f64,
             customers: vec![Fading::default(); deployment.customer_quotas.len()],
-            breaks: vec![Fading::default(); deployment.indexes.len()],
+            falls: Fading::default(),
             deployment,
             chance: Rand64::new(u128::from(seed)),
             now: 0,
@@ -220,7 +220,10 @@
             }
             if replica.listed.started != entry.started {
                 // A new process: nothing seen of the old one counts against it.
-                (replica.seen, replica.down) = (Seen::default(), None);
+                (replica.seen, replica.down, replica.returned) = (Seen::default(), None, None);
+            }
+            if !whole && replica.ready() && entry.phase == Phase::Gone {
+                self.falls.add(self.now, WARY, 1.0);
             }
             if replica.ready() {
                 replica.last_call = self.now + grace;
@@ -265,7 +268,6 @@
     fn hear(&mut self, back: &Return, writer: &mut impl Writer) {
         let (now, slow, span) = (self.now, self.time_of_most(2.0), self.fleet.span);
         let Some(Some(lookup)) = self.lookups.get_mut(back.lookup) else { return };
-        let first = lookup.broke.is_empty() && lookup.unanswered();
         let Some(part) = lookup.parts.get_mut(back.part) else { return };
         let Some(call) = part.calls.get_mut(back.call) else { return };
         call.ending = Some(back.ending);
@@ -289,9 +291,6 @@
             Ending::Answered => {
                 part.answered |= !lookup.over;
                 part.onward = part.onward.filter(|from| back.call < *from);
-                if first {
-                    self.breaks[lookup.index].sum *= 0.7;
-                }
                 replica.heard = now;
                 replica.answers(now, back.queue);
                 for seen in [&mut replica.seen, site] {
@@ -319,7 +318,7 @@
         let broken = back.ending == Ending::Broken;
         if broken && !lookup.broke.contains(&r) {
             lookup.broke.push(r);
-            replica.broke_under = self.deployment.allowance.probes.then_some(lookup.index);
+            replica.broke_under = self.deployment.allowance.probes;
         }
         if broken || back.ending == Ending::Unconnected {
             replica.down.get_or_insert((now, now));
@@ -332,10 +331,10 @@
         let Some(replica) = self.replicas.get_mut(back.replica) else { return };
         let since = replica.asked.take().unwrap_or(now);
         // A replica that broke off and is gone may have been brought down; one that answers was not.
-        if let Some(index) = replica.broke_under.take_if(|_| back.ending != Ending::TurnedAway)
-            && back.ending != Ending::Answered
-        {
-            self.breaks[index].add(now, WARY, 1.0);
+        if replica.broke_under && back.ending != Ending::TurnedAway {
+            replica.broke_under = false;
+            replica.died = back.ending != Ending::Answered;
+            self.falls.add(now, WARY, f64::from(u8::from(replica.died)));
         }
         match back.ending {
             Ending::Answered => replica.answers(now, back.queue),
@@ -551,7 +550,7 @@
     /// What share of its full work a replica can do at least, while it is cold.
     fn cold_share(&self, r: usize) -> Option<f64> {
         let cold = &self.deployment.cold;
-        let age = self.now - self.replicas[r].listed.started?;
+        let age = self.now - self.replicas[r].listed.started.max(self.replicas[r].returned)?;
         (age < cold.warm_up)
             .then(|| cold.share + (1.0 - cold.share) * age.max(0) as f64 / cold.warm_up as f64)
     }
@@ -568,7 +567,8 @@
             return (sent + 1) as f64 <= room;
         }
         // Less than one in each window: the co-ordinators take turns, window by window since its start.
-        let age = self.now - self.replicas[r].listed.started.unwrap_or(0);
+        let replica = &self.replicas[r];
+        let age = self.now - replica.listed.started.max(replica.returned).unwrap_or(0);
         let turn = (age / cold.window.max(1)) as u64
             + self.deployment.own_number as u64
             + self.replicas[r].listed.id;
@@ -673,7 +673,7 @@
 
     /// It may be what brings replicas down: two broke off under it, or are proven gone by probes, unanswered.
     fn fells(&self, lookup: &Lookup, proven: bool) -> bool {
-        let felled = |r: &Replica| r.down.is_some() && (!proven || r.broke_under.is_none());
+        let felled = |r: &Replica| r.down.is_some() && (!proven || !r.broke_under);
         lookup.unanswered() && lookup.broke.iter().filter(|&&r| felled(&self.replicas[r])).count() > 1
     }
 
@@ -774,10 +774,9 @@
         let (now, slow) = (self.now, self.time_of_most(2.0));
         self.fleet.copies.fade(now, RECENT);
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
-        // Breaks at several replicas may be the work of what an index asks for: one part goes first then.
-        let breaks = &mut self.breaks[lookup.index];
-        breaks.fade(now, WARY);
-        let alone = lookup.unanswered() && breaks.sum > 1.0;
+        // Several replicas that fall may be the work of what lookups ask for: one part goes first then.
+        self.falls.fade(now, WARY);
+        let alone = lookup.unanswered() && self.falls.sum > 1.0;
         if self.fells(lookup, false) || alone && lookup.out() {
             return;
         }
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -91,8 +91,11 @@
     /// Its connections fail or broke: since when, and when it is next probed. It gets no parts until a probe
     /// or a part is answered.
     pub down: Option<(Tenths, Tenths)>,
-    /// Its connection broke under a part of this index, and no probe has told more yet.
-    pub broke_under: Option<usize>,
+    /// Its connection broke under a part, and no probe has told more yet.
+    pub broke_under: bool,
+    /// Its process is gone, as a probe found after that; and when a new one first answered.
+    pub died: bool,
+    pub returned: Option<Tenths>,
     /// When it last answered, or was sent a part with none out.
     pub heard: Tenths,
     /// When it last told anything, by an answer or a probe.
@@ -139,6 +142,9 @@
     /// It answered a part or a probe; one without a report tells nothing of what waits there.
     pub fn answers(&mut self, now: Tenths, queue: Option<f64>) {
         self.down = None;
+        if std::mem::take(&mut self.died) {
+            self.returned = Some(now);
+        }
         self.tell(now, queue.unwrap_or(self.queue));
     }
 }
