Replicas are probed ahead of lookups as seldom as late probes are, where no queue is told

At fault: asks() probed every holder not heard of for a second, for the sake of a queue. Where load reports name no queue, lookups are asked for by chance now: twelve times the share of late probes among those of late, a tenth at least.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -39,6 +39,8 @@
 /// So long probes are waited for; up to this share of a soft deadline while all holders of a shard owe one.
 const ASK: Tenths = 250;
 const ASK_MOST: f64 = 0.05;
+/// Where no queue is told: the least share of lookups that are asked for, and how often that of late probes.
+const PROBING: (f64, f64) = (0.1, 12.0);
 /// What a probe that is not answered by then adds to a score.
 const UNSURE: f64 = 4.0;
 /// What is down is probed after so long, and as much again by chance, times a quarter of the co-ordinators.
@@ -86,6 +88,8 @@
     delays: Fading,
     /// 1 for each second copy, 0 for each first part call.
     copies: Fading,
+    /// 1 for each probe that was not answered when it was waited for no longer, 0 for the others.
+    unsure: Fading,
     /// How many answers are of late, smoothed, and for how long replicas are remembered then.
     pace: f64,
     span: f64,
@@ -330,6 +334,7 @@
         self.due.tick = now;
         let Some(replica) = self.replicas.get_mut(back.replica) else { return };
         let since = replica.asked.take().unwrap_or(now);
+        self.fleet.unsure.add(now, SHARES, f64::from(u8::from(now - since >= ASK)));
         // A replica that broke off and is gone may have been brought down; one that answers was not.
         if replica.broke_under && back.ending != Ending::TurnedAway {
             replica.broke_under = false;
@@ -747,8 +752,12 @@
         let (now, most) = (self.now, (ASK_MOST * self.soft) as Tenths);
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
         let seldom = self.fleet.span > 1.5 * RECENT && self.deployment.allowance.probes;
+        // Where no queue is told a probe tells by its delay alone, if at all: few go while all are quick.
+        let late = self.fleet.unsure.shape(HEARD).map_or(1.0, |s| s.0);
+        let worth =
+            self.deployment.queue_told || self.chance.rand_float() < (PROBING.1 * late).max(PROBING.0);
         let settled = lookup.admitted || lookup.over || now + 2 * most > lookup.hard;
-        if !seldom || settled || lookup.parts.is_empty() {
+        if !seldom || settled || lookup.parts.is_empty() || lookup.asked.is_none() && !worth {
             return false;
         }
         if let Some(since) = lookup.asked {
