Copies for one late part in 200; rested connections closed first where calls on them fail

Cause: a withdrawal stops neither waiting nor running work there, so each copy is whole work more in the queues that made the first late. At fault: COPIES 0.05, and lost parts copied beyond it in send(). Now 0.005 and no exception.

Rested connections. Ruled out: sick replicas (the same ones answered fresh calls). At fault: call() trusted any kept connection. The program closes the replica's empty connections on the same word.

--- a/crates/linenthread-adapter/src/host.rs
+++ b/crates/linenthread-adapter/src/host.rs
@@ -137,6 +137,11 @@
         self.reply.record(13, self.who).put(&id.to_be_bytes());
     }
 
+    fn close(&mut self, replica: usize) {
+        let id = self.names.replicas[replica];
+        self.reply.record(10, self.who).put(&id.to_be_bytes());
+    }
+
     fn watch_roster(&mut self) {
         self.reply.record(11, self.who).put(&[1]);
     }
--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -49,10 +49,8 @@
 const GIVEN_UP: Tenths = 30_000;
 /// How long to wait before a replica that failed a part is asked for the same part again.
 const PAUSE: Tenths = 1_000;
-/// A part is late when it takes so many times what half of its lookup's parts took.
-const STRAGGLES: f64 = 3.0;
 /// Share of parts that may have a second copy sent because the first is late ...
-const COPIES: f64 = 0.05;
+const COPIES: f64 = 0.005;
 /// ... when no more than so many slow answers' time is left.
 const URGENT: f64 = 2.5;
 /// How much of the cold budget is used.
@@ -73,6 +71,10 @@
 /// How often it counts that a shard is slower than the rest where no replica tells what waits there: a queue
 /// shows by its delay alone then, and late.
 const UNSEEN: i32 = 3;
+/// A connection has rested when nothing went or came on it for so long. Where calls on rested ones come to nothing
+/// more often than others, by so much of all, they are closed first, for a new one.
+const REST: Tenths = 7_500;
+const REAPED: f64 = 0.08;
 /// A client's answer must leave this long before the moment that it must be there.
 const MARGIN: Tenths = 150;
 /// The module asks to be woken at least this often.
@@ -90,6 +92,10 @@
     copies: Fading,
     /// 1 for each probe that was not answered when it was waited for no longer, 0 for the others.
     unsure: Fading,
+    /// 1 for each part call that came to nothing, 0 for each answered: those on connections that had rested, and
+    /// the others.
+    rested: Fading,
+    fresh: Fading,
     /// How many answers are of late, smoothed, and for how long replicas are remembered then.
     pace: f64,
     span: f64,
@@ -242,7 +248,6 @@
             index: new.index,
             customer: new.customer,
             key: new.key.unwrap_or_else(|| mix([new.number, 0, 1])),
-            began: self.now,
             soft: self.now + self.deployment.indexes[new.index].soft_deadline - MARGIN,
             hard: new.hard_deadline - MARGIN,
             ..Lookup::default()
@@ -276,9 +281,20 @@
         let Some(call) = part.calls.get_mut(back.call) else { return };
         call.ending = Some(back.ending);
         let (r, took) = (call.replica, back.took.max(1) as f64);
+        let came_to = match back.ending {
+            Ending::Answered => Some(0.0),
+            Ending::Broken if call.rested == Some(true) => Some(1.0),
+            Ending::Unconnected if call.rested == Some(false) => Some(1.0),
+            Ending::TimedOut | Ending::Withdrawn if took >= slow => Some(1.0),
+            _ => None,
+        };
+        if let (Some(nothing), Some(rested)) = (came_to, call.rested) {
+            let sort = if rested { &mut self.fleet.rested } else { &mut self.fleet.fresh };
+            sort.add(now, WARY, nothing);
+        }
         let replica = &mut self.replicas[r];
         let site = &mut self.sites[replica.listed.site];
-        replica.out -= 1;
+        (replica.out, replica.used) = (replica.out - 1, now);
         let delays = &mut self.fleet.delays;
         match back.ending {
             Ending::TurnedAway => {
@@ -597,8 +613,21 @@
         let part = &mut lookup.parts[p];
         let further = !part.calls.is_empty();
         self.fleet.copies.add(now, RECENT, if part.out() > 0 { 1.0 } else { 0.0 });
-        part.calls.push(Call { replica: r, sent: now, ending: None });
         let replica = &mut self.replicas[r];
+        let alone = replica.out == 0;
+        let rested = alone && now - replica.used > REST;
+        let (old, new) = (self.fleet.rested.shape(ENOUGH), self.fleet.fresh.shape(ENOUGH));
+        let reaped = rested && old.zip(new).is_some_and(|(old, new)| old.0 > new.0 + REAPED);
+        if reaped {
+            writer.close(r);
+        }
+        part.calls.push(Call {
+            replica: r,
+            sent: now,
+            rested: alone.then_some(rested && !reaped),
+            ending: None,
+        });
+        replica.used = now;
         if replica.out == 0 {
             replica.heard = now;
         }
@@ -658,7 +687,6 @@
             lookup.over = ends;
             lookup.first_whole = Some(marked_whole);
             lookup.step = lookup.parts.len();
-            (lookup.began, lookup.half) = (self.now, None);
         } else if self.now >= end
             || self.fells(lookup, true) && !lookup.out()
             || !enough(1.0 - lost, floor)
@@ -666,12 +694,7 @@
         {
             self.give_up(l, writer);
         } else {
-            let now = self.now;
-            let lookup = self.lookups[l].as_mut().expect("open");
-            lookup.admitted = true;
-            if got >= 0.5 {
-                lookup.half.get_or_insert(now - lookup.began);
-            }
+            self.lookups[l].as_mut().expect("open").admitted = true;
             self.send(l, writer);
         }
     }
@@ -791,15 +814,11 @@
         }
         // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
         let urgent = (lookup.soft - now) as f64 <= URGENT * slow;
-        // Where further calls have a budget, they are kept for parts that failed or are slow.
-        let half = lookup.half.filter(|_| self.deployment.further_calls.is_none());
-        let straggles = half.map_or(slow, |half| slow.min(STRAGGLES * half as f64));
         for p in lookup.step..lookup.parts.len() {
             let part = &self.lookups[l].as_ref().expect("open").parts[p];
-            let late = part.calls.last().is_some_and(|c| (now - c.sent) as f64 > straggles);
-            let lost = part.calls.last().is_some_and(|c| self.is_lost(c, slow));
+            let late = part.calls.last().is_some_and(|c| (now - c.sent) as f64 > slow);
             let spare = urgent && self.fleet.copies.sum < COPIES * self.fleet.copies.weight + 1.0;
-            if part.is_wanted() && (part.out() == 0 || part.out() == 1 && (late && spare || lost)) {
+            if part.is_wanted() && (part.out() == 0 || part.out() == 1 && late && spare) {
                 self.call(l, p, writer);
                 if alone {
                     return;
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -221,6 +221,8 @@
     /// The lookup has ended and nothing of it is out: its index may be used again.
     fn release(&mut self, lookup: usize);
     fn probe(&mut self, replica: usize);
+    /// Close the connections to this replica on which nothing is out.
+    fn close(&mut self, replica: usize);
     fn watch_roster(&mut self);
     fn wake_at(&mut self, at: Tenths);
 }
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -98,6 +98,8 @@
     pub returned: Option<Tenths>,
     /// When it last answered, or was sent a part with none out.
     pub heard: Tenths,
+    /// When a part last went there or came back.
+    pub used: Tenths,
     /// When it last told anything, by an answer or a probe.
     pub told_at: Tenths,
     /// The parts it said were waiting, and when it first said just that: a report that is told again is no
@@ -152,6 +154,8 @@
 pub struct Call {
     pub replica: usize,
     pub sent: Tenths,
+    /// It went on a connection that had rested, or not; `None` where others were out on it.
+    pub rested: Option<bool>,
     pub ending: Option<Ending>,
 }
 
@@ -200,10 +204,8 @@
     /// When its replicas were probed before its first parts.
     pub asked: Option<Tenths>,
     pub parts: Vec<Part>,
-    /// Where the parts of the step under way begin, when it began, and how long half of them took.
+    /// Where the parts of the step under way begin.
     pub step: usize,
-    pub began: Tenths,
-    pub half: Option<Tenths>,
     /// The first step is answered, and its answer was whole.
     pub first_whole: Option<bool>,
     /// Replicas that broke off under a part of it.
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -61,6 +61,9 @@
     fn probe(&mut self, replica: usize) {
         self.add(format!("probe {}", self.replicas[replica]));
     }
+    fn close(&mut self, replica: usize) {
+        self.add(format!("close {}", self.replicas[replica]));
+    }
     fn watch_roster(&mut self) {
         self.add("watch".into());
     }
--- a/crates/linenthread-drill/src/fleet.rs
+++ b/crates/linenthread-drill/src/fleet.rs
@@ -99,6 +99,7 @@
     fn release(&mut self, lookup: usize) {
         self.decisions.push(Decision::Release { lookup });
     }
+    fn close(&mut self, _: usize) {}
     fn probe(&mut self, replica: usize) {
         self.probes.push(replica);
     }
--- a/crates/linenthread-service/src/carriers/frames.rs
+++ b/crates/linenthread-service/src/carriers/frames.rs
@@ -232,6 +232,15 @@
         out
     }
 
+    /// Closes the connections to a replica on which nothing is out.
+    pub fn close(&self, replica: usize) {
+        let places = self.0.places.borrow();
+        for link in places.get(replica).iter().flat_map(|place| &place.links).filter(|l| l.out() == 0) {
+            link.retired.set(true);
+            link.news.notify_one();
+        }
+    }
+
     /// Asks a replica how it fares.
     pub async fn probe(&self, replica: usize) -> (Ending, Option<f64>) {
         let Some(link) = self.link(replica, 1, |_| true) else { return (Ending::Unsent, None) };
--- a/crates/linenthread-service/src/carriers/mod.rs
+++ b/crates/linenthread-service/src/carriers/mod.rs
@@ -128,6 +128,11 @@
         self.0.peers.borrow().len() - 1
     }
 
+    /// Closes the connections to a replica on which nothing is out. A link judges its own by beats.
+    pub fn close(&self, replica: usize) {
+        self.0.frames.close(replica);
+    }
+
     /// Where a replica is found from now on.
     pub fn place(&self, replica: usize, place: Option<Place>) {
         let mut behind = self.0.behind.borrow_mut();
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -222,6 +222,10 @@
         });
     }
 
+    fn close(&mut self, replica: usize) {
+        self.desk.0.carriers.close(replica);
+    }
+
     fn watch_roster(&mut self) {
         self.desk.0.roster_wanted.notify_one();
     }
