linenthread migrate: a configuration for sets of replicas that report no load

The module now reads whether replicas tell their queues; the program's configuration says so by telemetry.source and telemetry.names, held to their words (one line naming the field, exit 2); a file without telemetry gives the settings it gave. migrate parts a ring into sets of the same number of holders, writes the new file whole or not at all, over nothing, and lists what each replica must load and what was left out (exit 3).

--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -8,6 +8,7 @@
 mod gather;
 mod log;
 mod lookup;
+mod migrate;
 mod own;
 mod roster;
 mod serve;
@@ -25,6 +26,7 @@
     Serve(Option<PathBuf>, Option<PathBuf>),
     Check(PathBuf, Option<PathBuf>),
     Schema,
+    Migrate { dry_run: bool, output: Option<PathBuf>, old: PathBuf },
     Try { show: bool, seed: u64, sites: u8 },
     Version,
 }
@@ -68,6 +70,20 @@
         .footer("Example: linenthread schema > installation.xsd")
         .command("schema")
         .help("Print the schema of the operators' file");
+    let dry_run = long("dry-run").help("Say what would be written and left out, and write nothing").switch();
+    let output = long("output").help("The new file; it must not exist").argument::<PathBuf>("NEW").optional();
+    let old = positional::<PathBuf>("OLD").help("The configuration to carry over; it is not changed");
+    let migrate = construct!(Command::Migrate { dry_run, output, old })
+        .to_options()
+        .descr(
+            "Writes the counterpart of a configuration for replicas in sets that report no load: the sets are \
+             made of neighbouring cells. Lists what each replica must hold besides and what could not be \
+             carried over. Exits with 0, with 3 where something was left out, with 2 where nothing can be \
+             written",
+        )
+        .footer("Example: linenthread migrate --dry-run config.json, then --output new.json in its place")
+        .command("migrate")
+        .help("Carry a configuration over to sets of replicas");
     let show = long("show").help("Ask some lookups, print their answers and end").switch();
     let seed = long("seed").help("What the rows come from").argument("S").fallback(5);
     let sites = long("sites")
@@ -89,7 +105,7 @@
         .descr("Prints the version")
         .command("version")
         .help("Print the version");
-    construct!([serve, check, schema, first_try, version])
+    construct!([serve, check, migrate, schema, first_try, version])
         .to_options()
         .descr("linenthread co-ordinates lookups over replicated shards")
         .footer("Start with: EDGE_CONFIG=/run/balancer/config.json linenthread serve")
@@ -126,6 +142,7 @@
             print!("{}", linenthread_installation::SCHEMA);
             ExitCode::SUCCESS
         }
+        Command::Migrate { dry_run, output, old } => migrate::run(&old, output.as_deref(), dry_run),
         Command::Try { show, seed, sites } => first_try::run(seed, show, sites == 2),
         Command::Check(file, own) => with_files(Some(file), own.as_deref(), |config, _, read| {
             let (indexes, replicas) = (config.deployment.indexes.len(), config.remembered.replicas.len());
--- /dev/null
+++ b/crates/linenthread-service/src/migrate.rs
@@ -0,0 +1,119 @@
+//! `linenthread migrate`: a configuration of the old shape (a ring of cells, replicas that report their load) becomes its
+//! counterpart for the new one (sets of replicas that hold the same shards and report nothing).
+
+use std::fs;
+use std::io::Write;
+use std::path::Path;
+use std::process::ExitCode;
+
+use serde_json::{Value, json};
+
+use crate::config::Config;
+
+/// Something was left out; the lists say what.
+const LEFT_OUT: u8 = 3;
+
+/// What became of a configuration.
+pub enum Carried {
+    /// It is of the new shape already.
+    Already,
+    Over(Box<Over>),
+}
+
+pub struct Over {
+    pub new: Value,
+    /// What the operator has to move before the new file can serve.
+    pub moves: Vec<String>,
+    pub left_out: Vec<String>,
+}
+
+/// Cells in a row become one set: cell c of a ring of shards r in a row goes to set c / r, so that each shard keeps
+/// as many holders as it had.
+pub fn carry(text: &[u8]) -> Result<Carried, String> {
+    let old = Config::parse(text)?;
+    let layout = &old.deployment.layout;
+    let (cells, row, shards) = (layout.cells, layout.in_a_row.max(1), old.surroundings.shards);
+    if row == 1 && !old.deployment.queue_told {
+        return Ok(Carried::Already);
+    }
+    if cells % row != 0 {
+        return Err(format!(
+            "settings: family-info.cells: {cells} cells cannot be parted into sets of {row} in a row"
+        ));
+    }
+    let sets = cells / row;
+    let mut new: Value = serde_json::from_slice(text).map_err(|e| format!("does not parse: {e}"))?;
+    let (mut moves, mut left_out) = (Vec::new(), Vec::new());
+    for name in new["settings"]["telemetry"]["names"].as_array().into_iter().flatten() {
+        left_out.push(format!("settings: telemetry.names: {name}: replicas report no load there"));
+    }
+    new["settings"]["telemetry"] = json!({"names": [], "source": "none"});
+    (new["settings"]["family-info"]["cells"], new["settings"]["family-info"]["in-a-row"]) =
+        (json!(sets), json!(1));
+    for (replica, member) in old.remembered.replicas.iter().zip(members(&mut new)) {
+        let set = replica.cell / row;
+        member["cell"] = json!(set);
+        let held = |s: &usize| (replica.cell + cells - s % cells) % cells < row;
+        let (mut lacks, mut drops) = (Vec::new(), Vec::new());
+        for s in 0..shards {
+            match (held(&s), s % sets == set) {
+                (false, true) => lacks.push(s.to_string()),
+                (true, false) => drops.push(s.to_string()),
+                _ => {}
+            }
+        }
+        let (lacks, drops) = (lacks.join(" "), drops.join(" "));
+        moves.push(format!("{}: set {set}; loads [{lacks}], may then drop [{drops}]", replica.id));
+    }
+    let written = serde_json::to_vec(&new).map_err(|e| e.to_string())?;
+    Config::parse(&written).map_err(|e| format!("what would be written is no configuration: {e}"))?;
+    Ok(Carried::Over(Box::new(Over { new, moves, left_out })))
+}
+
+fn members(root: &mut Value) -> impl Iterator<Item = &mut Value> {
+    root["known"]["members"].as_array_mut().into_iter().flatten()
+}
+
+/// Writes a new file whole or not at all; one that exists stays as it is.
+fn write(file: &Path, value: &Value) -> Result<(), String> {
+    let failed = |e: std::io::Error| format!("{}: {e}", file.display());
+    let folder = file.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let mut draft = tempfile::NamedTempFile::new_in(folder).map_err(failed)?;
+    serde_json::to_writer_pretty(&mut draft, value).map_err(|e| failed(e.into()))?;
+    draft.write_all(b"\n").and_then(|()| draft.as_file().sync_all()).map_err(failed)?;
+    draft.persist_noclobber(file).map(drop).map_err(|e| failed(e.error))
+}
+
+pub fn run(old: &Path, output: Option<&Path>, dry_run: bool) -> ExitCode {
+    let read = || -> Result<Carried, String> {
+        if output.is_none() && !dry_run {
+            return Err("say --output NEW, or --dry-run".into());
+        }
+        let text = fs::read(old).map_err(|e| format!("{}: {e}", old.display()))?;
+        carry(&text).map_err(|e| format!("{}: {e}", old.display()))
+    };
+    let told = read().and_then(|carried| match carried {
+        Carried::Already => {
+            println!("{}: already of the new shape, nothing is written", old.display());
+            Ok(false)
+        }
+        Carried::Over(over) => {
+            if let Some(file) = output.filter(|_| !dry_run) {
+                write(file, &over.new)?;
+                println!("written: {}", file.display());
+            } else {
+                println!("nothing is written; it would be:\n{:#}", over.new);
+            }
+            over.moves.iter().for_each(|line| println!("to move: {line}"));
+            over.left_out.iter().for_each(|line| println!("left out: {line}"));
+            Ok(!over.left_out.is_empty())
+        }
+    });
+    match told {
+        Ok(left_out) => ExitCode::from(if left_out { LEFT_OUT } else { 0 }),
+        Err(message) => {
+            eprintln!("linenthread: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/linenthread-terms/src/lib.rs
+++ b/crates/linenthread-terms/src/lib.rs
@@ -85,6 +85,22 @@
     find(root, "telemetry.names")?.as_array()?.iter().position(|name| name == "queue")
 }
 
+/// Whether replicas tell how many parts wait at them. Settings that say nothing of load reports are taken as those
+/// of before this was asked, where they always did.
+fn queue_told(root: &Value) -> Result<bool, String> {
+    if find(root, "telemetry").is_none() {
+        return Ok(true);
+    }
+    let names = need(root, "telemetry.names", |v| {
+        v.as_array()?.iter().map(Value::as_str).collect::<Option<Vec<_>>>()
+    })?;
+    match need(root, "telemetry.source", Value::as_str)? {
+        "none" => Ok(false),
+        "answers" | "probe" => Ok(names.contains(&"queue")),
+        other => Err(format!("settings: telemetry.source cannot be {other}")),
+    }
+}
+
 /// The things listed at a path; there may be no such list.
 fn listed<'a>(root: &'a Value, path: &str) -> &'a [Value] {
     find(root, path).and_then(Value::as_array).map_or(&[], Vec::as_slice)
@@ -149,7 +165,7 @@
             multiple: number(root, "safety.fall-multiple")?,
             window: time(root, "safety.tip-after-ms")?,
         },
-        queue_told: queue_at(root).is_some(),
+        queue_told: queue_told(root)?,
         drain_grace: find(root, "safety.drain-grace-ms").and_then(Value::as_f64).map_or(0, tenths),
         further_calls,
         watch_roster: need(root, "membership-mode", Value::as_str)? == "on_request",
--- /dev/null
+++ b/crates/linenthread-terms/tests/settings.rs
@@ -0,0 +1,79 @@
+//! What settings of the old shape give, and those of the new one.
+
+use linenthread_core::interface::{Allowance, ColdStart, Deployment, Effect, FurtherCalls, Index, Layout};
+use linenthread_terms::deployment;
+use serde_json::{Value, json};
+
+fn old() -> Value {
+    json!({
+        "me": 1, "balancers": 3, "membership-mode": "pushed", "over-share-worth": 0.2, "kinds": ["x"],
+        "classes": [{"name": "a", "idempotency": "keyed", "window-ms": 700.0, "promise-ms": 900.0, "worth": 2.0,
+                     "late-share": 0.3}],
+        "accounts": [{"name": "c", "quota-rps": 7.5}],
+        "family-info": {"cells": 6, "in-a-row": 2, "ranges": 12, "parts-a-call": 1, "need-by-class": [1.0],
+                        "floor-by-class": [0.8], "incomplete-worth": [0.7], "fetch-parts": [0]},
+        "allowed": {"max-attempts": 3, "second-copies": true, "cancel": true, "probes": true, "retry-after": true,
+                    "max-retry-after-ms": 400.0, "streams-per-conn": 9, "connect-timeout-ms": 80.0,
+                    "conn-idle-ms": 5000.0},
+        "safety": {"cold-share": 0.3, "warm-up-ms": 6000.0, "fall-multiple": 2.5, "tip-after-ms": 800.0,
+                   "drain-grace-ms": 600.0, "free-resends": 4, "repeat-ratio": 0.1, "budget-span-ms": 3000.0},
+        "telemetry": {"names": ["util", "queue"], "source": "probe"}
+    })
+}
+
+#[test]
+fn old_settings_give_what_they_gave() {
+    let told = Deployment {
+        own_number: 1,
+        co_ordinators: 3,
+        indexes: vec![Index {
+            effect: Effect::Fingerprinted(7_000),
+            soft_deadline: 9_000,
+            gain: 2.0,
+            late_share: 0.3,
+            need: 1.0,
+            floor: 0.8,
+            partial_gain: 0.7,
+            second_step: 0,
+        }],
+        customer_quotas: vec![7.5],
+        over_share_gain: 0.2,
+        layout: Layout { cells: 6, in_a_row: 2, parts_a_call: 1 },
+        allowance: Allowance {
+            calls_a_part: 3,
+            second_copies: true,
+            withdraw: true,
+            probes: true,
+            retry_advice: Some(4_000),
+        },
+        cold: ColdStart { share: 0.3, warm_up: 60_000, multiple: 2.5, window: 8_000 },
+        queue_told: true,
+        drain_grace: 6_000,
+        further_calls: Some(FurtherCalls { free: 4.0, share: 0.1, window: 30_000 }),
+        watch_roster: false,
+    };
+    assert_eq!(deployment(&old()), Ok(told.clone()));
+    // Settings from before load reports were looked at say nothing of them: all is as it was.
+    let mut silent = old();
+    silent.as_object_mut().unwrap().remove("telemetry");
+    assert_eq!(deployment(&silent), Ok(told));
+}
+
+#[test]
+fn how_load_is_told_is_read_and_held_to_its_words() {
+    let with = |telemetry: Value| {
+        let mut settings = old();
+        settings["telemetry"] = telemetry;
+        deployment(&settings).map(|d| d.queue_told)
+    };
+    assert_eq!(with(json!({"names": [], "source": "none"})), Ok(false));
+    assert_eq!(with(json!({"names": ["util"], "source": "answers"})), Ok(false));
+    for (field, bad) in [
+        ("telemetry.source", json!({"names": [], "source": "perhaps"})),
+        ("telemetry.source", json!({"names": []})),
+        ("telemetry.names", json!({"names": [1], "source": "none"})),
+    ] {
+        let said = with(bad).unwrap_err();
+        assert!(said.contains(field) && said.lines().count() == 1, "{said}");
+    }
+}
