No further call that comes too late; a margin at admission; one fall ends a lookup while others fall

Seen: on both new sites a fifth to a third of lookups at full size were answered or given up late, with parts called again when less time was left than any holder takes (a further call is whole work: no withdrawal stops it), and lookups admitted to end just at their soft deadline.

Change: may_call and is_hopeless know that no holder can be expected back in time, so such a part is not sent again and its lookup is given up in the same round; the slowest part has to be expected within three quarters of the time left; while replicas fall, one proven fall under an unanswered lookup ends it.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -68,6 +68,8 @@
 /// a lookup's slowest part is expected to take.
 const UNTOLD: f64 = 6.0;
 const USUAL: (f64, f64) = (0.2, 0.6);
+/// Share of the time left within which a lookup's slowest part is to be expected.
+const IN_TIME: f64 = 0.75;
 /// How often it counts that a shard is slower than the rest where no replica tells what waits there: a queue
 /// shows by its delay alone then, and late.
 const UNSEEN: i32 = 3;
@@ -554,7 +556,13 @@
             && (out == 0 || allowance.second_copies && out == 1)
             && part.calls.iter().all(|c| c.ending.is_some() || c.replica != r)
             && self.cold_room(r)
-            && (part.calls.is_empty() || self.further_room())
+            && (part.calls.is_empty() || self.further_room() && !self.too_late(lookup, r))
+    }
+
+    /// A further call there would come too late, and may be work that no withdrawal stops.
+    fn too_late(&self, lookup: &Lookup, r: usize) -> bool {
+        let end = given_up_at(lookup, &self.deployment.indexes[lookup.index]);
+        self.replicas[r].expected > (end - self.now) as f64
     }
 
     /// Whether the effect of its index lets a part be sent, after what became of its calls so far.
@@ -702,7 +710,8 @@
     /// It may be what brings replicas down: two broke off under it, or are proven gone by probes, unanswered.
     fn fells(&self, lookup: &Lookup, proven: bool) -> bool {
         let felled = |r: &Replica| r.down.is_some() && (!proven || !r.broke_under);
-        lookup.unanswered() && lookup.broke.iter().filter(|&&r| felled(&self.replicas[r])).count() > 1
+        let most = usize::from(self.falls.sum <= 1.0);
+        lookup.unanswered() && lookup.broke.iter().filter(|&&r| felled(&self.replicas[r])).count() > most
     }
 
     /// No further part call can bring this part's answer.
@@ -711,7 +720,7 @@
             && part.out() == 0
             && (!self.may_run_again(lookup, part)
                 || part.calls.len() >= self.deployment.allowance.calls_a_part
-                || self.holders(part.shard).next().is_none())
+                || self.holders(part.shard).all(|r| !part.calls.is_empty() && self.too_late(lookup, r)))
     }
 
     /// Whether a new lookup is taken on: not when its slowest part can be expected after its client wants it,
@@ -740,7 +749,7 @@
         let needed = (indexes[lookup.index].floor * expected.len() as f64).ceil() as usize;
         let slower = expected.get(needed.saturating_sub(1)).map_or(1.0, |e| (e / mean.exp()).max(1.0));
         let slowest = slowest * slower.powi(if self.deployment.queue_told { 1 } else { UNSEEN });
-        if self.chance.rand_float() > (horizon / slowest).powi(3) {
+        if self.chance.rand_float() > (IN_TIME * horizon / slowest).powi(3) {
             return false;
         }
         // Of what came here of late a customer is owed its share of the quotas, wherever traffic has moved.
