--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -495,14 +495,7 @@
     fn choose(&self, l: usize, p: usize) -> Option<usize> {
         let lookup = self.lookups[l].as_ref()?;
         let part = &lookup.parts[p];
-        let layout = &self.deployment.layout;
-        // Where a call carries several parts at a cost of its own, a key has every so manieth cell for its
-        // home, so that neighbouring shards travel together; the hash decides among the rest.
-        let together = layout.parts_a_call > 1;
-        let (turn, row) = (mix([lookup.key, 0, 0]) as usize, layout.in_a_row.max(1));
-        let home = |r: usize| together && self.replicas[r].listed.cell % row == turn % row;
-        let spread = if together { 0 } else { part.shard as u64 + 1 };
-        let order = |&r: &usize| (home(r), mix([lookup.key, spread, self.replicas[r].listed.id]));
+        let order = |&r: &usize| mix([lookup.key, part.shard as u64 + 1, self.replicas[r].listed.id]);
         let fit: Vec<usize> = self.holders(part.shard).filter(|&r| self.may_call(l, p, r)).collect();
         // One that answered is no worse for being asked on.
         let fail = |c: &Call| c.ending != Some(Ending::Answered);
@@ -515,8 +508,7 @@
         }
         let up = |r: usize| self.replicas[r].down.is_none_or(|(since, _)| self.now > since + GIVEN_UP);
         let (score, waiting) = (|r: usize| self.replicas[r].score, |r: usize| self.replicas[r].waiting());
-        // A part also leaves for a good twin that has fewer of ours waiting, by half a call or by two.
-        let pile = (layout.parts_a_call as f64 / 2.0).max(1.0);
+        // A part also leaves for a good twin that has two fewer of ours waiting.
         (0..3).find_map(|level| {
             let allowed = |r: &usize| match level {
                 0 => up(*r) && !tried(*r) && waiting(*r) <= self.fleet.jam,
@@ -527,7 +519,7 @@
             let best = allowed().map(score).min_by(f64::total_cmp)?;
             let good = || allowed().filter(|&r| score(r) <= best * (1.0 + BADNESS));
             let least = good().map(waiting).fold(f64::INFINITY, f64::min);
-            good().filter(|&r| waiting(r) <= least + pile).max_by_key(order)
+            good().filter(|&r| waiting(r) <= least + 1.0).max_by_key(order)
         })
     }
 
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -36,13 +36,12 @@
     pub second_step: usize,
 }
 
-/// Where the shards lie and what one call carries.
+/// Where the shards lie.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Layout {
     pub cells: usize,
     /// Shard s lies in cells s, s + 1, ... (so many, round the ring).
     pub in_a_row: usize,
-    pub parts_a_call: usize,
 }
 
 /// What the deployment permits.
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -133,7 +133,7 @@
             indexes: vec![INDEX],
             customer_quotas: Vec::new(),
             over_share_gain: 0.1,
-            layout: Layout { cells: 4, in_a_row: 4, parts_a_call: 1 },
+            layout: Layout { cells: 4, in_a_row: 4 },
             allowance: Allowance {
                 calls_a_part: 3,
                 second_copies: true,
@@ -235,7 +235,6 @@
             match (pair[0], value) {
                 ("cells", _) => self.deployment.layout.cells = number(value)?,
                 ("row", _) => self.deployment.layout.in_a_row = number(value)?,
-                ("a-call", _) => self.deployment.layout.parts_a_call = number(value)?,
                 ("calls", _) => allowance.calls_a_part = number(value)?,
                 ("queues", Some(&"untold")) => self.deployment.queue_told = false,
                 ("probes", Some(&"on")) => allowance.probes = true,
--- a/crates/linenthread-drill/src/fleet.rs
+++ b/crates/linenthread-drill/src/fleet.rs
@@ -133,7 +133,7 @@
         indexes,
         customer_quotas: Vec::new(),
         over_share_gain: 1.0,
-        layout: Layout { cells: CELLS, in_a_row: 2, parts_a_call: 1 },
+        layout: Layout { cells: CELLS, in_a_row: 2 },
         allowance: Allowance {
             calls_a_part: CALLS_A_PART,
             second_copies: true,
--- a/crates/linenthread-terms/src/lib.rs
+++ b/crates/linenthread-terms/src/lib.rs
@@ -69,6 +69,8 @@
     pub customers: Vec<String>,
     pub sites: Vec<String>,
     pub shards: usize,
+    /// Parts that one call to a replica carries at most.
+    pub parts_a_call: usize,
     /// Calls that one connection carries at once.
     pub streams: usize,
     pub connect_time_out: Tenths,
@@ -119,6 +121,7 @@
         customers: names(root, "accounts", |v| v.get("name")?.as_str())?,
         sites: names(root, "dcs", Value::as_str)?,
         shards: count(root, "family-info.ranges")?,
+        parts_a_call: count(root, "family-info.parts-a-call")?,
         streams: count(root, "allowed.streams-per-conn")?.max(1),
         connect_time_out: time(root, "allowed.connect-timeout-ms")?,
         idle: time(root, "allowed.conn-idle-ms")?,
@@ -147,7 +150,6 @@
         layout: Layout {
             cells: count(root, "family-info.cells")?.max(1),
             in_a_row: count(root, "family-info.in-a-row")?,
-            parts_a_call: count(root, "family-info.parts-a-call")?,
         },
         allowance: Allowance {
             calls_a_part: count(root, "allowed.max-attempts")?,
