All parts out from one co-ordinator are held to its share of three a replica

At fault: learn_capacity() let each co-ordinator have two parts a replica out whatever came back in time: 33 of them 66 a replica. Now three over the root of their number.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -64,6 +64,9 @@
 const JAM: f64 = 0.45;
 const QUICK: f64 = 0.3;
 const FEW: f64 = 5.0;
+/// In all, a lone co-ordinator may always have so many out a replica; of many, each its part of that, and more by
+/// the root of their number since they are not all at it at once.
+const ROOM: f64 = 3.0;
 /// How many parts of usual delay, as a share of the shortest soft deadline and as its spread, weigh in what
 /// a lookup's slowest part is expected to take.
 const UNTOLD: f64 = 6.0;
@@ -462,7 +465,8 @@
             let ease = (QUICK * self.soft / median).clamp(1.0, 2.0);
             let back_in_time = fleet.times.weight / seen * self.soft * ease;
             fleet.jam = (back_in_time * JAM / ready).max(FEW);
-            fleet.room = (back_in_time * JAM).max(ready * 2.0);
+            fleet.room =
+                (back_in_time * JAM).max(ready * ROOM / (self.deployment.co_ordinators as f64).sqrt());
         }
     }
 
