--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -64,8 +64,8 @@
 const JAM: f64 = 0.45;
 const QUICK: f64 = 0.3;
 const FEW: f64 = 5.0;
-/// In all, a lone co-ordinator may always have so many out a replica; of many, each its part of that, and more by
-/// the root of their number since they are not all at it at once.
+/// In all, a lone co-ordinator may always have so many out a replica; of many, each its part of that, and
+/// more by the root of their number since they are not all at it at once.
 const ROOM: f64 = 3.0;
 /// How many parts of usual delay, as a share of the shortest soft deadline and as its spread, weigh in what
 /// a lookup's slowest part is expected to take.
@@ -76,8 +76,8 @@
 /// How often it counts that a shard is slower than the rest where no replica tells what waits there: a queue
 /// shows by its delay alone then, and late.
 const UNSEEN: i32 = 3;
-/// A connection has rested when nothing went or came on it for so long. Where calls on rested ones come to nothing
-/// more often than others, by so much of all, they are closed first, for a new one.
+/// A connection has rested when nothing went or came on it for so long. Where calls on rested ones come to
+/// nothing more often than others, by so much of all, they are closed first, for a new one.
 const REST: Tenths = 7_500;
 const REAPED: f64 = 0.08;
 /// A client's answer must leave this long before the moment that it must be there.
@@ -97,8 +97,8 @@
     copies: Fading,
     /// 1 for each probe that was not answered when it was waited for no longer, 0 for the others.
     unsure: Fading,
-    /// 1 for each part call that came to nothing, 0 for each answered: those on connections that had rested, and
-    /// the others.
+    /// 1 for each part call that came to nothing, 0 for each answered: those on connections that had rested,
+    /// and the others.
     rested: Fading,
     fresh: Fading,
     /// How many answers are of late, smoothed, and for how long replicas are remembered then.
--- a/crates/linenthread-service/src/migrate.rs
+++ b/crates/linenthread-service/src/migrate.rs
@@ -1,5 +1,5 @@
-//! `linenthread migrate`: a configuration of the old shape (a ring of cells, replicas that report their load) becomes its
-//! counterpart for the new one (sets of replicas that hold the same shards and report nothing).
+//! `linenthread migrate`: a configuration of the old shape (a ring of cells, replicas that report their load)
+//! becomes its counterpart for the new one (sets of replicas that hold the same shards and report nothing).
 
 use std::fs;
 use std::io::Write;
@@ -27,8 +27,8 @@
     pub left_out: Vec<String>,
 }
 
-/// Cells in a row become one set: cell c of a ring of shards r in a row goes to set c / r, so that each shard keeps
-/// as many holders as it had.
+/// Cells in a row become one set: cell c of a ring of shards r in a row goes to set c / r, so that each shard
+/// keeps as many holders as it had.
 pub fn carry(text: &[u8]) -> Result<Carried, String> {
     let old = Config::parse(text)?;
     let layout = &old.deployment.layout;
--- a/crates/linenthread-terms/src/lib.rs
+++ b/crates/linenthread-terms/src/lib.rs
@@ -87,8 +87,8 @@
     find(root, "telemetry.names")?.as_array()?.iter().position(|name| name == "queue")
 }
 
-/// Whether replicas tell how many parts wait at them. Settings that say nothing of load reports are taken as those
-/// of before this was asked, where they always did.
+/// Whether replicas tell how many parts wait at them. Settings that say nothing of load reports are taken as
+/// those of before this was asked, where they always did.
 fn queue_told(root: &Value) -> Result<bool, String> {
     if find(root, "telemetry").is_none() {
         return Ok(true);
