Stand-ins: a gateway's port is picked on a loopback address of the test's own

Seen: the test of a link's troubles failed once in a whole-workspace run and once in nine with ten programs side by side: 'serving did not come'. Cause: two sites picked a port on 127.0.0.1, let it go and handed it to the gateway; any connection of another test could take it in between. Each pick is on an address of its own now.

--- a/crates/linenthread-stand-ins/src/sites.rs
+++ b/crates/linenthread-stand-ins/src/sites.rs
@@ -2,7 +2,8 @@
 //! gateway that has all of them, with a link between that can be cut. What truly ran is on record.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
@@ -74,6 +75,13 @@
     pub breaches: Vec<String>,
 }
 
+/// A loopback address that no other process and no earlier call here has.
+fn own_loopback() -> Ipv4Addr {
+    static GIVEN: AtomicU8 = AtomicU8::new(2);
+    let [.., middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, middle, low, GIVEN.fetch_add(1, Ordering::Relaxed).max(2))
+}
+
 impl Sites {
     pub fn start(exe: &str, terms: Terms) -> Sites {
         let Terms { keep, hold, after, second } = terms;
@@ -105,8 +113,9 @@
         };
         let words = ["--installation", "installation.xml"];
         let gateway = |roster: &Roster| {
-            // A port that was free a moment ago.
-            let links = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+            // A port that was free a moment ago, on an address that nothing else here binds: on 127.0.0.1 any
+            // connection of another test may have taken it meanwhile, and the gateway fails to start.
+            let links = TcpListener::bind((own_loopback(), 0)).unwrap().local_addr().unwrap();
             let own = format!("<gateway listen=\"{links}\" secret=\"link.key\"/>");
             let mut config = config_of(roster.address, &all, &classes, REPLICAS, 4);
             config["limits"]["sockets"] = SOCKETS.into();
