Read over: what was written twice is called, chance is drawn only where it decides

Which cell holds which shard stood in the module and again in migrate: Layout::holds serves both, for the old layout and the new. When a replica's process began stood twice in the cold budget: Replica::began. Retiring a connection stood twice: Link::retire. Work kept a copy of the settings' parts a call; migrate an enum and a box where an Option says it. A further call's being one is asked inside too_late, for both callers.

asks() drew a chance and a mean for every open lookup in each round, whether or not it could still be asked for; now only for those.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -299,7 +299,8 @@
         }
         let replica = &mut self.replicas[r];
         let site = &mut self.sites[replica.listed.site];
-        (replica.out, replica.used) = (replica.out - 1, now);
+        replica.out -= 1;
+        replica.used = now;
         let delays = &mut self.fleet.delays;
         match back.ending {
             Ending::TurnedAway => {
@@ -355,12 +356,12 @@
         self.due.tick = now;
         let Some(replica) = self.replicas.get_mut(back.replica) else { return };
         let since = replica.asked.take().unwrap_or(now);
-        self.fleet.unsure.add(now, SHARES, f64::from(u8::from(now - since >= ASK)));
+        self.fleet.unsure.add(now, SHARES, f64::from(now - since >= ASK));
         // A replica that broke off and is gone may have been brought down; one that answers was not.
         if replica.broke_under && back.ending != Ending::TurnedAway {
             replica.broke_under = false;
             replica.died = back.ending != Ending::Answered;
-            self.falls.add(now, WARY, f64::from(u8::from(replica.died)));
+            self.falls.add(now, WARY, f64::from(replica.died));
         }
         match back.ending {
             Ending::Answered => replica.answers(now, back.queue),
@@ -415,15 +416,14 @@
         // An unheard replica counts as its site's average, and one of few answers leans on it, as the site
         // does on the fleet's: a slow or lossy way to a site shows there first.
         let lean = |s: &Fading, weight: f64, mean: f64| (s.sum + weight * mean) / (s.weight + weight);
-        let median =
-            |r: &Replica, site: &Seen| lean(&r.seen.times, LEAN, lean(&site.times, SITE_LEAN, mean)).exp();
+        let median = |s: &Seen, site: &Seen| lean(&s.times, LEAN, lean(&site.times, SITE_LEAN, mean)).exp();
         let ready = || self.replicas.iter().filter(|r| r.ready());
         let usual_out = ready().map(|r| f64::from(r.out)).sum::<f64>() / ready_count;
-        let largest = ready().map(|r| median(r, &sites[r.listed.site])).fold(1.0, f64::max);
+        let largest = ready().map(|r| median(&r.seen, &sites[r.listed.site])).fold(1.0, f64::max);
         for replica in self.replicas.iter_mut().filter(|r| r.ready()) {
             let site = &sites[replica.listed.site];
             let load = (f64::from(replica.out) - usual_out).max(0.0) + TOLD * replica.told(now, FRESH, quick);
-            replica.expected = median(replica, site);
+            replica.expected = median(&replica.seen, site);
             let median = replica.expected * (1.0 + LOAD * load);
             // Lost parts count as failures before their time-outs say so: that meets a replica which hangs.
             let (lost, failures) = (f64::from(replica.lost), &replica.seen.failures);
@@ -528,8 +528,7 @@
     }
 
     fn holders(&self, shard: usize) -> impl Iterator<Item = usize> {
-        let Layout { cells, in_a_row, .. } = self.deployment.layout;
-        let cell = move |r: &Replica| (r.listed.cell + cells - shard % cells) % cells < in_a_row;
+        let cell = move |r: &Replica| self.deployment.layout.holds(r.listed.cell, shard);
         // Where none is ready, one that drains serves as the last resort, until it turns a part away.
         let (now, any) = (self.now, self.replicas.iter().any(|r| r.ready() && cell(r)));
         let holds = move |r: &Replica| cell(r) && (r.ready() || !any && r.still_takes(now));
@@ -552,13 +551,14 @@
             && (out == 0 || allowance.second_copies && out == 1)
             && part.calls.iter().all(|c| c.ending.is_some() || c.replica != r)
             && self.cold_room(r)
-            && (part.calls.is_empty() || self.further_room() && !self.too_late(lookup, r))
+            && (part.calls.is_empty() || self.further_room())
+            && !self.too_late(lookup, part, r)
     }
 
-    /// A further call there would come too late, and may be work that no withdrawal stops.
-    fn too_late(&self, lookup: &Lookup, r: usize) -> bool {
+    /// The part's next call is a further one and would come too late: work that no withdrawal may stop.
+    fn too_late(&self, lookup: &Lookup, part: &Part, r: usize) -> bool {
         let end = given_up_at(lookup, &self.deployment.indexes[lookup.index]);
-        self.replicas[r].expected > (end - self.now) as f64
+        !part.calls.is_empty() && self.replicas[r].expected > (end - self.now) as f64
     }
 
     /// Whether the effect of its index lets a part be sent, after what became of its calls so far.
@@ -575,7 +575,7 @@
     /// What share of its full work a replica can do at least, while it is cold.
     fn cold_share(&self, r: usize) -> Option<f64> {
         let cold = &self.deployment.cold;
-        let age = self.now - self.replicas[r].listed.started.max(self.replicas[r].returned)?;
+        let age = self.now - self.replicas[r].began()?;
         (age < cold.warm_up)
             .then(|| cold.share + (1.0 - cold.share) * age.max(0) as f64 / cold.warm_up as f64)
     }
@@ -592,8 +592,7 @@
             return (sent + 1) as f64 <= room;
         }
         // Less than one in each window: the co-ordinators take turns, window by window since its start.
-        let replica = &self.replicas[r];
-        let age = self.now - replica.listed.started.max(replica.returned).unwrap_or(0);
+        let age = self.now - self.replicas[r].began().unwrap_or(0);
         let turn = (age / cold.window.max(1)) as u64
             + self.deployment.own_number as u64
             + self.replicas[r].listed.id;
@@ -632,7 +631,7 @@
             ending: None,
         });
         replica.used = now;
-        if replica.out == 0 {
+        if alone {
             replica.heard = now;
         }
         replica.out += 1;
@@ -703,7 +702,8 @@
         }
     }
 
-    /// It may be what brings replicas down: two broke off under it, or are proven gone by probes, unanswered.
+    /// It may be what brings replicas down: two broke off under it, or are proven gone by probes, unanswered;
+    /// while others fall, one.
     fn fells(&self, lookup: &Lookup, proven: bool) -> bool {
         let felled = |r: &Replica| r.down.is_some() && (!proven || !r.broke_under);
         let most = usize::from(self.falls.sum <= 1.0);
@@ -716,7 +716,7 @@
             && part.out() == 0
             && (!self.may_run_again(lookup, part)
                 || part.calls.len() >= self.deployment.allowance.calls_a_part
-                || self.holders(part.shard).all(|r| !part.calls.is_empty() && self.too_late(lookup, r)))
+                || self.holders(part.shard).all(|r| self.too_late(lookup, part, r)))
     }
 
     /// Whether a new lookup is taken on: not when its slowest part can be expected after its client wants it,
@@ -780,12 +780,8 @@
         let (now, most) = (self.now, (ASK_MOST * self.soft) as Tenths);
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
         let seldom = self.fleet.span > 1.5 * RECENT && self.deployment.allowance.probes;
-        // Where no queue is told a probe tells by its delay alone, if at all: few go while all are quick.
-        let late = self.fleet.unsure.shape(HEARD).map_or(1.0, |s| s.0);
-        let worth =
-            self.deployment.queue_told || self.chance.rand_float() < (PROBING.1 * late).max(PROBING.0);
         let settled = lookup.admitted || lookup.over || now + 2 * most > lookup.hard;
-        if !seldom || settled || lookup.parts.is_empty() || lookup.asked.is_none() && !worth {
+        if !seldom || settled || lookup.parts.is_empty() {
             return false;
         }
         if let Some(since) = lookup.asked {
@@ -795,6 +791,11 @@
             return now - since < ASK && lookup.parts.iter().any(waits)
                 || now - since < most && lookup.parts.iter().any(unheard);
         }
+        // Where no queue is told a probe tells by its delay alone, if at all: few go while all are quick.
+        let late = self.fleet.unsure.shape(HEARD).map_or(1.0, |s| s.0);
+        if !self.deployment.queue_told && self.chance.rand_float() >= (PROBING.1 * late).max(PROBING.0) {
+            return false;
+        }
         let mut old: Vec<usize> = lookup.parts.iter().flat_map(|p| self.holders(p.shard)).collect();
         old.retain(|&r| {
             let replica = &mut self.replicas[r];
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -44,6 +44,13 @@
     pub in_a_row: usize,
 }
 
+impl Layout {
+    /// Whether the replicas of a cell hold a shard.
+    pub fn holds(&self, cell: usize, shard: usize) -> bool {
+        (cell + self.cells - shard % self.cells) % self.cells < self.in_a_row
+    }
+}
+
 /// What the deployment permits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Allowance {
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -119,6 +119,11 @@
         self.listed.phase == Phase::Ready
     }
 
+    /// When its process began, by the roster's word or by its first answer after it was gone.
+    pub fn began(&self) -> Option<Tenths> {
+        self.listed.started.max(self.returned)
+    }
+
     pub fn still_takes(&self, now: Tenths) -> bool {
         self.listed.phase == Phase::Draining && now < self.last_call
     }
--- a/crates/linenthread-service/src/carriers/frames.rs
+++ b/crates/linenthread-service/src/carriers/frames.rs
@@ -187,10 +187,7 @@
         let place = &mut places[replica];
         if place.address != address {
             (place.address, place.unreached) = (address, false);
-            for link in &place.links {
-                link.retired.set(true);
-                link.news.notify_one();
-            }
+            place.links.iter().for_each(|link| link.retire());
         }
     }
 
@@ -235,10 +232,8 @@
     /// Closes the connections to a replica on which nothing is out.
     pub fn close(&self, replica: usize) {
         let places = self.0.places.borrow();
-        for link in places.get(replica).iter().flat_map(|place| &place.links).filter(|l| l.out() == 0) {
-            link.retired.set(true);
-            link.news.notify_one();
-        }
+        let links = places.get(replica).into_iter().flat_map(|place| &place.links);
+        links.filter(|l| l.out() == 0).for_each(|link| link.retire());
     }
 
     /// Asks a replica how it fares.
@@ -346,6 +341,12 @@
 }
 
 impl Link {
+    /// It takes nothing more and ends once nothing is out.
+    fn retire(&self) {
+        self.retired.set(true);
+        self.news.notify_one();
+    }
+
     fn unheard_since(&self, sent: Instant) {
         if self.last_read.get() < sent && !self.silent.replace(true) {
             info!(address = %self.address, "replica connection is silent; no more goes on it");
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -38,7 +38,6 @@
     pub surroundings: Surroundings,
     /// Part calls may be given up.
     pub withdraw: bool,
-    pub parts_a_call: usize,
     pub gathering: Gathering,
     /// What a lookup of each index is worth, in thousandths.
     pub gains: Vec<u32>,
@@ -106,7 +105,7 @@
         for ((replica, time_out), parts) in std::mem::take(sends) {
             let wait = desk::span(time_out.max(1));
             let wait_ms = wait.as_micros().div_ceil(1000) as u64;
-            for parts in parts.chunks(self.work.parts_a_call.max(1)) {
+            for parts in parts.chunks(self.work.surroundings.parts_a_call) {
                 let at = self.work.carriers.call(replica, id, parts, wait_ms, to);
                 for (Asked { part, call, round, .. }, at) in parts.iter().zip(at) {
                     let out = Out { sent, due: now + wait, replica, round: *round, at };
--- a/crates/linenthread-service/src/migrate.rs
+++ b/crates/linenthread-service/src/migrate.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use linenthread_core::interface::Layout;
 use serde_json::{Value, json};
 
 use crate::config::Config;
@@ -13,35 +14,29 @@
 /// Something was left out; the lists say what.
 const LEFT_OUT: u8 = 3;
 
-/// What became of a configuration.
-pub enum Carried {
-    /// It is of the new shape already.
-    Already,
-    Over(Box<Over>),
-}
-
-pub struct Over {
-    pub new: Value,
+/// A configuration carried over.
+struct Carried {
+    new: Value,
     /// What the operator has to move before the new file can serve.
-    pub moves: Vec<String>,
-    pub left_out: Vec<String>,
+    moves: Vec<String>,
+    left_out: Vec<String>,
 }
 
 /// Cells in a row become one set: cell c of a ring of shards r in a row goes to set c / r, so that each shard
-/// keeps as many holders as it had.
-pub fn carry(text: &[u8]) -> Result<Carried, String> {
+/// keeps as many holders as it had. `None` for a configuration that is of the new shape already.
+fn carry(text: &[u8]) -> Result<Option<Carried>, String> {
     let old = Config::parse(text)?;
     let layout = &old.deployment.layout;
     let (cells, row, shards) = (layout.cells, layout.in_a_row.max(1), old.surroundings.shards);
     if row == 1 && !old.deployment.queue_told {
-        return Ok(Carried::Already);
+        return Ok(None);
     }
     if cells % row != 0 {
         return Err(format!(
             "settings: family-info.cells: {cells} cells cannot be parted into sets of {row} in a row"
         ));
     }
-    let sets = cells / row;
+    let sets = Layout { cells: cells / row, in_a_row: 1 };
     let mut new: Value = serde_json::from_slice(text).map_err(|e| format!("does not parse: {e}"))?;
     let (mut moves, mut left_out) = (Vec::new(), Vec::new());
     for name in new["settings"]["telemetry"]["names"].as_array().into_iter().flatten() {
@@ -49,14 +44,14 @@
     }
     new["settings"]["telemetry"] = json!({"names": [], "source": "none"});
     (new["settings"]["family-info"]["cells"], new["settings"]["family-info"]["in-a-row"]) =
-        (json!(sets), json!(1));
-    for (replica, member) in old.remembered.replicas.iter().zip(members(&mut new)) {
+        (json!(sets.cells), json!(sets.in_a_row));
+    let members = new["known"]["members"].as_array_mut().into_iter().flatten();
+    for (replica, member) in old.remembered.replicas.iter().zip(members) {
         let set = replica.cell / row;
         member["cell"] = json!(set);
-        let held = |s: &usize| (replica.cell + cells - s % cells) % cells < row;
         let (mut lacks, mut drops) = (Vec::new(), Vec::new());
         for s in 0..shards {
-            match (held(&s), s % sets == set) {
+            match (layout.holds(replica.cell, s), sets.holds(set, s)) {
                 (false, true) => lacks.push(s.to_string()),
                 (true, false) => drops.push(s.to_string()),
                 _ => {}
@@ -67,11 +62,7 @@
     }
     let written = serde_json::to_vec(&new).map_err(|e| e.to_string())?;
     Config::parse(&written).map_err(|e| format!("what would be written is no configuration: {e}"))?;
-    Ok(Carried::Over(Box::new(Over { new, moves, left_out })))
-}
-
-fn members(root: &mut Value) -> impl Iterator<Item = &mut Value> {
-    root["known"]["members"].as_array_mut().into_iter().flatten()
+    Ok(Some(Carried { new, moves, left_out }))
 }
 
 /// Writes a new file whole or not at all; one that exists stays as it is.
@@ -85,7 +76,7 @@
 }
 
 pub fn run(old: &Path, output: Option<&Path>, dry_run: bool) -> ExitCode {
-    let read = || -> Result<Carried, String> {
+    let read = || -> Result<Option<Carried>, String> {
         if output.is_none() && !dry_run {
             return Err("say --output NEW, or --dry-run".into());
         }
@@ -93,20 +84,20 @@
         carry(&text).map_err(|e| format!("{}: {e}", old.display()))
     };
     let told = read().and_then(|carried| match carried {
-        Carried::Already => {
+        None => {
             println!("{}: already of the new shape, nothing is written", old.display());
             Ok(false)
         }
-        Carried::Over(over) => {
+        Some(carried) => {
             if let Some(file) = output.filter(|_| !dry_run) {
-                write(file, &over.new)?;
+                write(file, &carried.new)?;
                 println!("written: {}", file.display());
             } else {
-                println!("nothing is written; it would be:\n{:#}", over.new);
+                println!("nothing is written; it would be:\n{:#}", carried.new);
             }
-            over.moves.iter().for_each(|line| println!("to move: {line}"));
-            over.left_out.iter().for_each(|line| println!("left out: {line}"));
-            Ok(!over.left_out.is_empty())
+            carried.moves.iter().for_each(|line| println!("to move: {line}"));
+            carried.left_out.iter().for_each(|line| println!("left out: {line}"));
+            Ok(!carried.left_out.is_empty())
         }
     });
     match told {
--- a/crates/linenthread-service/src/serve.rs
+++ b/crates/linenthread-service/src/serve.rs
@@ -120,7 +120,6 @@
         carriers,
         surroundings: surroundings.clone(),
         withdraw,
-        parts_a_call: surroundings.parts_a_call,
         gains: config.deployment.indexes.iter().map(|i| (i.gain * 1_000.0) as u32).collect(),
         gathering: Gathering { merging: RefCell::new(Rc::new(merging)), ..Gathering::default() },
         open: RefCell::default(),
--- a/crates/linenthread-service/tests/migrate.rs
+++ b/crates/linenthread-service/tests/migrate.rs
@@ -102,12 +102,12 @@
         assert_eq!((code, said.lines().count()), (Some(2), 1), "{field}: {said}");
         assert!(said.contains(field) && said.contains("bad.json"), "{field}: {said}");
     }
+    fs::write(folder.path().join("old.json"), good.to_string()).unwrap();
     for words in [
         vec!["--output", "new.json", "none.json"],
         vec!["bad.json"],
         vec!["--output", "no/new.json", "old.json"],
     ] {
-        fs::write(folder.path().join("old.json"), good.to_string()).unwrap();
         let (code, _, said) = migrate(folder.path(), &words);
         assert_eq!((code, said.lines().count()), (Some(2), 1), "{words:?}: {said}");
     }
--- a/crates/linenthread-stand-ins/src/sites.rs
+++ b/crates/linenthread-stand-ins/src/sites.rs
@@ -75,7 +75,7 @@
     pub breaches: Vec<String>,
 }
 
-/// A loopback address that no other process and no earlier call here has.
+/// A loopback address by process and call: hardly any other process, and no recent call here, has it.
 fn own_loopback() -> Ipv4Addr {
     static GIVEN: AtomicU8 = AtomicU8::new(2);
     let [.., middle, low] = std::process::id().to_be_bytes();
--- a/crates/linenthread-terms/src/lib.rs
+++ b/crates/linenthread-terms/src/lib.rs
@@ -121,7 +121,7 @@
         customers: names(root, "accounts", |v| v.get("name")?.as_str())?,
         sites: names(root, "dcs", Value::as_str)?,
         shards: count(root, "family-info.ranges")?,
-        parts_a_call: count(root, "family-info.parts-a-call")?,
+        parts_a_call: count(root, "family-info.parts-a-call")?.max(1),
         streams: count(root, "allowed.streams-per-conn")?.max(1),
         connect_time_out: time(root, "allowed.connect-timeout-ms")?,
         idle: time(root, "allowed.conn-idle-ms")?,
