Frames' fields and the proof of a secret stand in a package that links and fleet share

Need: the fleet's connections prove themselves as links do, and are framed alike; a second copy is not wanted.

Change: linenthread-frames holds Put, Take, lengths and the HMAC proof, moved out of linenthread-link; each protocol names its sides by 16 bytes. The link's bytes are the same: docs/link.md's examples are held by its tests, unchanged.

--- a/crates/linenthread-link/src/auth.rs
+++ b/crates/linenthread-frames/src/proof.rs
@@ -4,12 +4,13 @@
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::Sha256;
 
-use crate::frame::{Nonce, Proof};
+pub type Nonce = [u8; 16];
+pub type Proof = [u8; 32];
 
 /// A shorter secret could be guessed.
 pub const SHORTEST: usize = 16;
 
-/// The secrets of a link: the first is used, all are taken, so that two can be valid while one is changed.
+/// The secrets between programs: the first is used, all are taken, so that two can be valid while one is changed.
 #[derive(Clone, PartialEq)]
 pub struct Secrets(Vec<Vec<u8>>);
 
@@ -19,19 +20,12 @@
     }
 }
 
-/// Which side proves: one side's proof is none for the other.
-#[derive(Clone, Copy)]
-pub enum Side {
-    Near,
-    Far,
-}
+/// Which side of which protocol proves: the proof of one is none for another. 16 bytes.
+pub type Side = [u8; 16];
 
 fn mac(secret: &[u8], side: Side, parts: &[&[u8]]) -> Option<Hmac<Sha256>> {
     let mut mac = <Hmac<Sha256> as KeyInit>::new_from_slice(secret).ok()?;
-    mac.update(match side {
-        Side::Near => b"linenthread near",
-        Side::Far => b"linenthread far ",
-    });
+    mac.update(&side);
     for part in parts {
         mac.update(&(part.len() as u64).to_be_bytes());
         mac.update(part);
@@ -52,13 +46,13 @@
 
     /// Proves to the other side, which made up `nonce`, that what is said comes from one that knows the secret:
     /// the first, or the one by which the other side has proven itself.
-    pub(crate) fn prove(&self, with: usize, side: Side, nonce: &Nonce, said: &[u8]) -> Proof {
+    pub fn prove(&self, with: usize, side: Side, nonce: &[u8], said: &[u8]) -> Proof {
         let proof = self.0.get(with).and_then(|secret| mac(secret, side, &[nonce, said]));
         proof.map(|mac| mac.finalize().into_bytes().into()).unwrap_or_default()
     }
 
     /// Which of the secrets proves what is said, if one does.
-    pub(crate) fn proven_by(&self, side: Side, nonce: &Nonce, said: &[u8], proof: &Proof) -> Option<usize> {
+    pub fn proven_by(&self, side: Side, nonce: &[u8], said: &[u8], proof: &Proof) -> Option<usize> {
         let proves = |secret: &Vec<u8>| {
             mac(secret, side, &[nonce, said]).is_some_and(|m| m.verify_slice(proof).is_ok())
         };
--- a/crates/linenthread-link/src/far.rs
+++ b/crates/linenthread-link/src/far.rs
@@ -20,10 +20,10 @@
 use std::collections::BTreeMap;
 
 use linenthread_core::interface::{Ending, Phase, Tenths};
+use linenthread_frames::{Nonce, Secrets};
 use oorandom::Rand64;
 
-use crate::auth::{Secrets, Side};
-use crate::frame::{Call, Frame, Member, Nonce, VERSION};
+use crate::frame::{Call, FAR, Frame, Member, NEAR, VERSION};
 
 /// What a gateway keeps to. All times are tenths of a millisecond.
 #[derive(Clone, Debug, PartialEq)]
@@ -211,7 +211,7 @@
         if *version != VERSION {
             return self.close(now, connection, "no such version is spoken here", to);
         }
-        let Some(secret) = self.secrets.proven_by(Side::Near, nonce, &frame.said(), proof) else {
+        let Some(secret) = self.secrets.proven_by(NEAR, nonce, &frame.said(), proof) else {
             return self.close(now, connection, "the hello does not prove that it knows the secret", to);
         };
         if self.sessions.get(session).is_some_and(|known| *attempt <= known.attempt) {
@@ -258,7 +258,7 @@
             .collect();
         self.connections.insert(connection, Connection::Welcomed { session: *session, heard: now });
         let mut welcome = Frame::Welcome { epoch, resumed, received, bytes, proof: [0; 32] };
-        let proven = self.secrets.prove(secret, Side::Far, theirs, &welcome.said());
+        let proven = self.secrets.prove(secret, FAR, theirs, &welcome.said());
         if let Frame::Welcome { proof, .. } = &mut welcome {
             *proof = proven;
         }
--- a/crates/linenthread-link/src/frame.rs
+++ b/crates/linenthread-link/src/frame.rs
@@ -3,9 +3,13 @@
 //! may stand options, each a byte for its kind and two for its length: those that are not known are skipped.
 
 use linenthread_core::interface::{Ending, Phase};
+use linenthread_frames::{self as frames, Nonce, Proof, Put, Res, Side, Take};
 
 /// The version spoken here.
 pub const VERSION: u8 = 1;
+/// By which side one proves itself: the proof of one is none for the other.
+pub(crate) const NEAR: Side = *b"linenthread near";
+pub(crate) const FAR: Side = *b"linenthread far ";
 /// Longer frames end the connection.
 pub const LONGEST: usize = 128 * 1024;
 /// Bytes of a replica's id or its site's name.
@@ -13,9 +17,6 @@
 /// Replicas in one list.
 pub const MOST_MEMBERS: usize = 4_096;
 
-pub type Nonce = [u8; 16];
-pub type Proof = [u8; 32];
-
 /// A part call on its way over the link.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Call {
@@ -135,91 +136,6 @@
     Goodbye,
 }
 
-struct Put(Vec<u8>);
-
-impl Put {
-    fn text(&mut self, text: &str) {
-        // Longer ones are cut: none that goes on a link is.
-        let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
-        self.0.extend((bytes.len() as u16).to_be_bytes());
-        self.0.extend(bytes);
-    }
-
-    fn value(&mut self, text: &str) {
-        self.0.extend((text.len() as u32).to_be_bytes());
-        self.0.extend(text.as_bytes());
-    }
-
-    fn queue(&mut self, queue: Option<f64>) {
-        self.0.extend(queue.unwrap_or(f64::NAN).to_be_bytes());
-    }
-}
-
-struct Take<'a>(&'a [u8]);
-
-type Res<T> = Result<T, String>;
-
-impl<'a> Take<'a> {
-    fn bytes(&mut self, n: usize) -> Res<&'a [u8]> {
-        let (taken, rest) = self.0.split_at_checked(n).ok_or("a frame ends within a field")?;
-        self.0 = rest;
-        Ok(taken)
-    }
-
-    fn array<const N: usize>(&mut self) -> Res<[u8; N]> {
-        self.bytes(N)?.try_into().map_err(|_| "a frame ends within a field".into())
-    }
-
-    fn u8(&mut self) -> Res<u8> {
-        Ok(self.array::<1>()?[0])
-    }
-
-    fn u16(&mut self) -> Res<u16> {
-        self.array().map(u16::from_be_bytes)
-    }
-
-    fn u32(&mut self) -> Res<u32> {
-        self.array().map(u32::from_be_bytes)
-    }
-
-    fn u64(&mut self) -> Res<u64> {
-        self.array().map(u64::from_be_bytes)
-    }
-
-    fn words(&mut self, n: usize) -> Res<String> {
-        let text = std::str::from_utf8(self.bytes(n)?).map_err(|_| "a text is not UTF-8")?;
-        Ok(text.to_owned())
-    }
-
-    fn text(&mut self) -> Res<String> {
-        let n = self.u16()?;
-        self.words(n.into())
-    }
-
-    fn value(&mut self) -> Res<String> {
-        let n = self.u32()?;
-        self.words(n as usize)
-    }
-
-    fn queue(&mut self) -> Res<Option<f64>> {
-        let queue = f64::from_be_bytes(self.array()?);
-        Ok(queue.is_finite().then_some(queue.max(0.0)))
-    }
-
-    fn flag(&mut self) -> Res<bool> {
-        match self.u8()? {
-            0 => Ok(false),
-            1 => Ok(true),
-            other => Err(format!("a flag cannot be {other}")),
-        }
-    }
-
-    fn ending(&mut self) -> Res<Ending> {
-        let at = usize::from(self.u8()?);
-        ENDINGS.get(at).copied().ok_or_else(|| format!("an ending cannot be {at}"))
-    }
-}
-
 /// Endings by their number on the link.
 const ENDINGS: [Ending; 8] = [
     Ending::Answered,
@@ -236,6 +152,11 @@
     ENDINGS.iter().position(|e| *e == ending).unwrap_or_default() as u8
 }
 
+fn take_ending(take: &mut Take) -> Res<Ending> {
+    let at = usize::from(take.u8()?);
+    ENDINGS.get(at).copied().ok_or_else(|| format!("an ending cannot be {at}"))
+}
+
 const PHASES: [Phase; 3] = [Phase::Ready, Phase::Draining, Phase::Gone];
 
 impl Frame {
@@ -248,7 +169,7 @@
 
     /// The whole frame, its length first.
     pub fn encode(&self) -> Vec<u8> {
-        let mut put = Put(vec![0; 5]);
+        let mut put = Put::frame();
         let kind = match self {
             Frame::Challenge { least, most, nonce, name } => {
                 put.0.extend([*least, *most]);
@@ -295,7 +216,7 @@
             Frame::Outcome { number, ending: how, queue, value } => {
                 put.0.extend(number.to_be_bytes());
                 put.0.push(ending(*how));
-                put.queue(*queue);
+                put.maybe(*queue);
                 put.value(value);
                 7
             }
@@ -341,15 +262,12 @@
             Frame::Probed { number, ending: how, queue } => {
                 put.0.extend(number.to_be_bytes());
                 put.0.push(ending(*how));
-                put.queue(*queue);
+                put.maybe(*queue);
                 14
             }
             Frame::Goodbye => 15,
         };
-        put.0[4] = kind;
-        let length = (put.0.len() - 4) as u32;
-        put.0[..4].copy_from_slice(&length.to_be_bytes());
-        put.0
+        put.finish(kind)
     }
 
     /// The first whole frame in what was read, and how many bytes it took; `None` while it is not all there.
@@ -358,14 +276,10 @@
     ///
     /// What can be no frame; the connection is of no more use then.
     pub fn decode(read: &[u8]) -> Res<Option<(Frame, usize)>> {
-        let Some(length) = read.first_chunk::<4>().map(|l| u32::from_be_bytes(*l) as usize) else {
-            return Ok(None);
-        };
-        if length == 0 || length > LONGEST {
-            return Err(format!("a frame cannot be of {length} bytes"));
-        }
-        let Some(bytes) = read.get(4..4 + length) else { return Ok(None) };
-        Ok(Some((Frame::fields(bytes)?, 4 + length)))
+        Ok(match frames::whole(read, LONGEST)? {
+            Some((bytes, took)) => Some((Frame::fields(bytes)?, took)),
+            None => None,
+        })
     }
 
     /// Takes all whole frames off what was read, in their order; what is not all there stays.
@@ -374,19 +288,10 @@
     ///
     /// What can be no frame; those before it were taken.
     pub fn take_all(read: &mut Vec<u8>, mut take: impl FnMut(Frame)) -> Res<()> {
-        let mut at = 0;
-        let all = loop {
-            match Frame::decode(&read[at..]) {
-                Ok(None) => break Ok(()),
-                Ok(Some((frame, took))) => {
-                    at += took;
-                    take(frame);
-                }
-                Err(why) => break Err(why),
-            }
-        };
-        read.drain(..at);
-        all
+        frames::take_all(read, LONGEST, |bytes| {
+            take(Frame::fields(bytes)?);
+            Ok(())
+        })
     }
 
     fn fields(bytes: &[u8]) -> Res<Frame> {
@@ -429,8 +334,8 @@
             6 => Frame::Withdraw { number: take.u64()? },
             7 => Frame::Outcome {
                 number: take.u64()?,
-                ending: take.ending()?,
-                queue: take.queue()?,
+                ending: take_ending(&mut take)?,
+                queue: take.maybe()?,
                 value: take.value()?,
             },
             8 => {
@@ -462,7 +367,9 @@
                 Frame::Members { revision, whole, members }
             }
             13 => Frame::Probe { number: take.u64()?, replica: take.text()? },
-            14 => Frame::Probed { number: take.u64()?, ending: take.ending()?, queue: take.queue()? },
+            14 => {
+                Frame::Probed { number: take.u64()?, ending: take_ending(&mut take)?, queue: take.maybe()? }
+            }
             15 => Frame::Goodbye,
             other => return Err(format!("a frame cannot have the kind {other}")),
         };
--- a/crates/linenthread-link/src/lib.rs
+++ b/crates/linenthread-link/src/lib.rs
@@ -6,13 +6,12 @@
 //! byte in `docs/link.md`. What may have run is never said not to have: a call never ran only if its frame was
 //! never written whole, or the far side says that it never came or was never sent on.
 
-mod auth;
 mod far;
 pub mod frame;
 mod near;
 pub mod routes;
 
-pub use auth::Secrets;
 pub use far::{Far, FarDo, FarTerms};
 pub use frame::{Call, Frame, Member};
+pub use linenthread_frames::Secrets;
 pub use near::{Near, NearDo, NearTerms};
--- a/crates/linenthread-link/src/near.rs
+++ b/crates/linenthread-link/src/near.rs
@@ -19,10 +19,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use linenthread_core::interface::{Ending, Tenths};
+use linenthread_frames::{Nonce, Secrets};
 use oorandom::Rand64;
 
-use crate::auth::{Secrets, Side};
-use crate::frame::{Call, Frame, Member, Nonce, VERSION};
+use crate::frame::{Call, FAR, Frame, Member, NEAR, VERSION};
 use crate::routes::Standing;
 
 /// What a link keeps to. All times are tenths of a millisecond.
@@ -437,7 +437,7 @@
                     epoch: self.epoch,
                     proof: [0; 32],
                 };
-                let proven = self.secrets.prove(0, Side::Near, &nonce, &hello.said());
+                let proven = self.secrets.prove(0, NEAR, &nonce, &hello.said());
                 if let Frame::Hello { proof, .. } = &mut hello {
                     *proof = proven;
                 }
@@ -497,7 +497,7 @@
 
     fn welcome(&mut self, now: Tenths, since: Tenths, welcome: &Frame, to: &mut Vec<NearDo>) {
         let Frame::Welcome { epoch, resumed, received, bytes, proof } = welcome else { return };
-        if self.secrets.proven_by(Side::Far, &self.nonce, &welcome.said(), proof).is_none() {
+        if self.secrets.proven_by(FAR, &self.nonce, &welcome.said(), proof).is_none() {
             return self.break_off(now, "it does not prove that it knows the secret".into(), to);
         }
         let resumed = *resumed && *epoch == self.epoch && *received <= self.last_sent;
