The module takes a table of ways: near sites first, ways closed to a share of keys

Need: all co-ordinators are to act on one table of which zone serves whose keys; the module stays the one place that chooses.

Change: Arrivals.ways, by site how near it is and to how many keys of a thousand it is open, by a hash of key and site. Among the good replicas of the design the nearest are taken before their load is looked at; holders whose way is closed are none. Without a table nothing is different.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -123,6 +123,7 @@
     fleet: Fleet,
     replicas: Vec<Replica>,
     sites: Vec<Seen>,
+    ways: Vec<WayTo>, // By site, while all act on a table.
     lookups: Vec<Option<Lookup>>,
     /// Lookups not yet released, oldest first.
     open: Vec<usize>,
@@ -159,6 +160,7 @@
             },
             replicas: Vec::new(),
             sites: Vec::new(),
+            ways: Vec::new(),
             lookups: Vec::new(),
             open: Vec::new(),
             taken: Counts::default(),
@@ -174,6 +176,7 @@
             (self.due.began, self.due.reset) = (self.now, self.now + RESET);
         }
         arrivals.roster.iter().for_each(|news| self.hear_roster(news));
+        self.ways = arrivals.ways.clone().unwrap_or(std::mem::take(&mut self.ways));
         if let Some(budget) = &self.deployment.further_calls {
             self.taken.add(self.now, budget.window, arrivals.lookups.len() + arrivals.parts.len());
         }
@@ -418,11 +421,15 @@
         let lean = |s: &Fading, weight: f64, mean: f64| (s.sum + weight * mean) / (s.weight + weight);
         let median = |s: &Seen, site: &Seen| lean(&s.times, LEAN, lean(&site.times, SITE_LEAN, mean)).exp();
         let ready = || self.replicas.iter().filter(|r| r.ready());
-        let usual_out = ready().map(|r| f64::from(r.out)).sum::<f64>() / ready_count;
+        // Where a table keeps parts near, a replica has more out than others only beside those of its site.
+        let apart = !self.ways.is_empty();
+        let out = |s: usize| ready().filter(move |r| !apart || r.listed.site == s).map(|r| f64::from(r.out));
+        let usual: Vec<_> = (0..sites.len()).map(|s| out(s).sum::<f64>() / out(s).count() as f64).collect();
         let largest = ready().map(|r| median(&r.seen, &sites[r.listed.site])).fold(1.0, f64::max);
         for replica in self.replicas.iter_mut().filter(|r| r.ready()) {
             let site = &sites[replica.listed.site];
-            let load = (f64::from(replica.out) - usual_out).max(0.0) + TOLD * replica.told(now, FRESH, quick);
+            let load = (f64::from(replica.out) - usual[replica.listed.site]).max(0.0)
+                + TOLD * replica.told(now, FRESH, quick);
             replica.expected = median(&replica.seen, site);
             let median = replica.expected * (1.0 + LOAD * load);
             // Lost parts count as failures before their time-outs say so: that meets a replica which hangs.
@@ -499,8 +506,9 @@
     fn choose(&self, l: usize, p: usize) -> Option<usize> {
         let lookup = self.lookups[l].as_ref()?;
         let part = &lookup.parts[p];
+        let near = |r: usize| self.near(lookup.key, &self.replicas[r]);
         let order = |&r: &usize| mix([lookup.key, part.shard as u64 + 1, self.replicas[r].listed.id]);
-        let fit: Vec<usize> = self.holders(part.shard).filter(|&r| self.may_call(l, p, r)).collect();
+        let fit: Vec<usize> = self.holders(lookup, part).filter(|&r| self.may_call(l, p, r)).collect();
         // One that answered is no worse for being asked on.
         let fail = |c: &Call| c.ending != Some(Ending::Answered);
         let tried = |r: usize| part.calls.iter().any(|c| c.replica == r && fail(c));
@@ -522,13 +530,22 @@
             let allowed = || fit.iter().copied().filter(allowed);
             let best = allowed().map(score).min_by(f64::total_cmp)?;
             let good = || allowed().filter(|&r| score(r) <= best * (1.0 + BADNESS));
+            let nearest = good().filter_map(near).min(); // By the table, before their load is looked at.
+            let good = || good().filter(|&r| near(r) == nearest);
             let least = good().map(waiting).fold(f64::INFINITY, f64::min);
             good().filter(|&r| waiting(r) <= least + 1.0).max_by_key(order)
         })
     }
 
-    fn holders(&self, shard: usize) -> impl Iterator<Item = usize> {
-        let cell = move |r: &Replica| self.deployment.layout.holds(r.listed.cell, shard);
+    /// How near a replica is by the table, if its way is open to this key; without a table all are alike.
+    fn near(&self, key: u64, r: &Replica) -> Option<u8> {
+        let Some(way) = self.ways.get(r.listed.site) else { return Some(u8::MAX) };
+        (mix([key, way.id, 0]) % 1_000 < way.open.into()).then_some(way.distance)
+    }
+
+    fn holders(&self, lookup: &Lookup, part: &Part) -> impl Iterator<Item = usize> {
+        let (layout, key) = (&self.deployment.layout, lookup.key);
+        let cell = move |r: &Replica| layout.holds(r.listed.cell, part.shard) && self.near(key, r).is_some();
         // Where none is ready, one that drains serves as the last resort, until it turns a part away.
         let (now, any) = (self.now, self.replicas.iter().any(|r| r.ready() && cell(r)));
         let holds = move |r: &Replica| cell(r) && (r.ready() || !any && r.still_takes(now));
@@ -716,7 +733,7 @@
             && part.out() == 0
             && (!self.may_run_again(lookup, part)
                 || part.calls.len() >= self.deployment.allowance.calls_a_part
-                || self.holders(part.shard).all(|r| self.too_late(lookup, part, r)))
+                || self.holders(lookup, part).all(|r| self.too_late(lookup, part, r)))
     }
 
     /// Whether a new lookup is taken on: not when its slowest part can be expected after its client wants it,
@@ -739,7 +756,7 @@
         let slowest = (mean + (1.25 * n.ln()).sqrt() * deviation).exp();
         // Where a shard is slower than the rest, all that need it meet in the queue of its quickest holder.
         let quickest =
-            |p: &Part| self.holders(p.shard).map(|r| self.replicas[r].expected).min_by(f64::total_cmp);
+            |p: &Part| self.holders(lookup, p).map(|r| self.replicas[r].expected).min_by(f64::total_cmp);
         let mut expected: Vec<f64> = lookup.parts.iter().filter_map(quickest).collect();
         expected.sort_by(f64::total_cmp);
         let needed = (indexes[lookup.index].floor * expected.len() as f64).ceil() as usize;
@@ -764,7 +781,7 @@
         };
         let jammed = |p: &Part| {
             let (mut out, mut told) = (0.0, f64::INFINITY);
-            for r in self.holders(p.shard) {
+            for r in self.holders(lookup, p) {
                 out += self.replicas[r].waiting() - favour * self.fleet.jam;
                 told = self.replicas[r].told(self.now, FRESH, self.fleet.quick).min(told);
             }
@@ -786,8 +803,8 @@
         }
         if let Some(since) = lookup.asked {
             let asked = |r: usize| self.replicas[r].asked.is_some();
-            let unheard = |p: &Part| self.holders(p.shard).all(asked);
-            let waits = |p: &Part| self.holders(p.shard).any(asked);
+            let unheard = |p: &Part| self.holders(lookup, p).all(asked);
+            let waits = |p: &Part| self.holders(lookup, p).any(asked);
             return now - since < ASK && lookup.parts.iter().any(waits)
                 || now - since < most && lookup.parts.iter().any(unheard);
         }
@@ -796,7 +813,7 @@
         if !self.deployment.queue_told && self.chance.rand_float() >= (PROBING.1 * late).max(PROBING.0) {
             return false;
         }
-        let mut old: Vec<usize> = lookup.parts.iter().flat_map(|p| self.holders(p.shard)).collect();
+        let mut old: Vec<usize> = lookup.parts.iter().flat_map(|p| self.holders(lookup, p)).collect();
         old.retain(|&r| {
             let replica = &mut self.replicas[r];
             let ask = replica.down.is_none() && (now - replica.told_at) as f64 > FRESH;
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -198,11 +198,24 @@
     pub queue: Option<f64>,
 }
 
+/// How a site is to be used from here, by the table that all co-ordinators act on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WayTo {
+    /// What stands for the site in hashes, the same at every co-ordinator.
+    pub id: u64,
+    /// 0 is nearest.
+    pub distance: u8,
+    /// To how many keys of a thousand it is open; as the number falls or grows the same ones go and come back.
+    pub open: u16,
+}
+
 /// All that came in for one co-ordinator since its last round.
 #[derive(Clone, Debug, Default)]
 pub struct Arrivals {
     pub now: Tenths,
     pub roster: Vec<RosterNews>,
+    /// A new table, by site; an empty one where there is none any more. A site it does not have is farthest.
+    pub ways: Option<Vec<WayTo>>,
     pub lookups: Vec<NewLookup>,
     pub parts: Vec<NewPart>,
     pub returns: Vec<Return>,
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -5,6 +5,8 @@
 //!   of its cold budget), `remember a:0`,
 //!   `unheard`; `change c=a:0 ready` lists c under the index that a had;
 //! - `lookup L key 7 hard 4000 shards 0 1`, `more L 0 1` (a second step), `lapsed L`;
+//! - `table 0/1000 1/500 1/0` is a table: by site (a's, b's, c's), how near it is and to how many keys of a
+//!   thousand it is open; `table` alone ends it;
 //! - `onward L.0` asks an answered part once more;
 //! - `L.0 errored` ends the oldest call out of a part, `L.0#1 answered` a certain one;
 //! - `serve 100 a b` answers all calls to these after 100 ms, `serve errored a` fails them, `serve never a`
@@ -345,6 +347,14 @@
                 let asked = (self.named(name)?, number(Some(&part))?);
                 self.arrivals.onward.push(asked);
             }
+            "table" => {
+                let way = |(site, word): (usize, &&str)| {
+                    let (distance, open) = word.split_once('/').ok_or("table NEAR/OPEN ...")?;
+                    let (distance, open) = (number(Some(&distance))?, number(Some(&open))?);
+                    Ok(WayTo { id: site as u64 + 500, distance, open })
+                };
+                self.arrivals.ways = Some(rest.iter().enumerate().map(way).collect::<Res<_>>()?);
+            }
             "lapsed" => self.arrivals.lapsed.push(self.named(rest[0])?),
             "serve" => {
                 let (how, names) = rest.split_first().ok_or("serve HOW REPLICA ...")?;
--- a/crates/linenthread-fleet/tests/fleets.rs
+++ b/crates/linenthread-fleet/tests/fleets.rs
@@ -243,7 +243,7 @@
         let others: Vec<&str> = NAMES.into_iter().filter(|n| *n != leader).collect();
         room.cut = vec![(leader.clone(), others[0].to_owned())];
         room.steps(160 + 2 * offset);
-        assert_eq!(room.leaders(), [leader.clone()]);
+        assert_eq!(room.leaders(), [leader.as_str()]);
         room.stop(others[1]);
         room.start(others[1]).unwrap();
         room.cut_off(&leader);
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -252,8 +252,9 @@
         let State { coordinator, arrivals, lookups, free, indices, wake_at, .. } = &mut *state;
         arrivals.now = self.0.clock.now();
         coordinator.round(arrivals, &mut Routes { desk: self, lookups, free, indices, wake_at });
-        let Arrivals { now: _, roster, lookups, parts, returns, onward, probes, lapsed } = arrivals;
+        let Arrivals { now: _, roster, ways, lookups, parts, returns, onward, probes, lapsed } = arrivals;
         onward.clear();
+        *ways = None;
         roster.clear();
         lookups.clear();
         parts.clear();
--- /dev/null
+++ b/crates/linenthread-zones/src/decide.rs
@@ -0,0 +1,447 @@
+//! What is decided from what all see: who leads the record asks it once a second.
+//!
+//! | a zone is | what that does to the ways there | goes on when |
+//! | --- | --- | --- |
+//! | sound | open | most who see it take it for down, two spans in a row: left. Most take it for slow: slow |
+//! | slow | open as far as its room by its times goes | nobody takes it for slow for a hold |
+//! | left | closed | its hold is over: returning; a hold is twice the one before, up to a longest |
+//! | returning | open to 5, 15, 40 keys of a hundred, a step's time each | all steps done: sound. Taken for down: left |
+//! | drained | closed, by order | the order to return: returning |
+//!
+//! A pair of zones is cut while the far one is not left and most in the near one take it for down: its way goes
+//! through the same edges by itself. So an observer that is itself cut off is outvoted in its own zone, and a zone
+//! that only one other cannot reach is not left by all.
+
+use std::collections::BTreeMap;
+
+use linenthread_core::interface::Tenths;
+
+use crate::report::{Report, Way};
+use crate::solve::{Pattern, fit, loads};
+use crate::table::{Reason, Row, Table};
+use crate::{ALL, MOST_ZONES};
+
+/// Evidence is gathered for so long before it is judged.
+pub const SPAN: Tenths = 10_000;
+/// So many spans in a row must say the same.
+const AGAIN: u32 = 2;
+/// Keys of a thousand that a zone which returns gets, step by step.
+const STEPS: [u16; 3] = [50, 150, 400];
+/// Ways are opened further at the most so often in a row, and once more with each minute that passes.
+const MOST_OPENINGS: f64 = 20.0;
+const MINUTE: Tenths = 600_000;
+/// Shares that differ by less than this are not worth a table.
+const WORTH: f64 = 0.05;
+/// What was answered at the most is kept so much of, span by span: half of it in ten minutes.
+const KEEP: f64 = 0.998_845;
+/// What is asked for is smoothed over about so many spans.
+const SMOOTH: f64 = 0.3;
+
+/// A zone, as the operators' file has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Zone {
+    pub name: String,
+    pub region: String,
+    /// Parts a second that one of its replicas takes; measured where it is not told.
+    pub room: Option<f64>,
+}
+
+/// What there is: zones, replicas that take parts in each, and how shards lie.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ground {
+    pub zones: Vec<Zone>,
+    pub replicas: Vec<u32>,
+    pub patterns: Vec<Pattern>,
+}
+
+/// How it is decided.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// What is moved to a zone may fill this share of its room, beside its own.
+    pub margin: f64,
+    /// How long a zone is left at first, and at the longest.
+    pub hold: Tenths,
+    pub longest_hold: Tenths,
+    /// How long each step of a return takes: no less than a cold replica needs to become warmer.
+    pub step: Tenths,
+}
+
+/// An operator's order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    Drain,
+    Return,
+}
+
+/// What a zone, or the way between a pair of them, goes through.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Sound,
+    Slow { until: Tenths },
+    Left { until: Tenths },
+    Returning { step: usize, until: Tenths },
+    Drained,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    state: State,
+    /// Spans in a row that spoke against it.
+    against: u32,
+    /// How often it was left of late, and since when it is sound.
+    flaps: u32,
+    sound_since: Tenths,
+}
+
+/// Decides for the whole fleet.
+#[derive(Clone, Debug)]
+pub struct Decider {
+    terms: Terms,
+    zones: Vec<Zone>,
+    standings: Vec<Standing>,
+    pairs: BTreeMap<(usize, usize), Standing>,
+    span: Report,
+    span_began: Tenths,
+    asked: Vec<f64>,
+    /// By zone: the most that it answered in a second, and what its answers take, now and at their usual.
+    peak: Vec<f64>,
+    quick: f64,
+    usual: Vec<f64>,
+    now_takes: Vec<f64>,
+    rows: Vec<Row>,
+    openings: f64,
+    refilled: Tenths,
+    opened: Tenths,
+}
+
+impl Standing {
+    fn new(state: State, now: Tenths) -> Standing {
+        Standing { state, against: 0, flaps: 0, sound_since: now }
+    }
+
+    fn leave(&mut self, now: Tenths, terms: &Terms) {
+        let hold = (terms.hold << self.flaps.min(16)).min(terms.longest_hold);
+        self.flaps += 1;
+        self.against = 0;
+        self.state = State::Left { until: now + hold };
+    }
+
+    /// One span's evidence, and what the time brings.
+    fn go_on(&mut self, now: Tenths, against: bool, terms: &Terms) {
+        self.against = if against { self.against + 1 } else { 0 };
+        match self.state {
+            State::Sound | State::Slow { .. } if self.against >= AGAIN => self.leave(now, terms),
+            State::Sound => {
+                if self.flaps > 0 && now - self.sound_since >= terms.longest_hold {
+                    (self.flaps, self.sound_since) = (self.flaps - 1, now);
+                }
+            }
+            State::Left { until } if now >= until => {
+                self.against = 0;
+                self.state = State::Returning { step: 0, until: now + terms.step };
+            }
+            // Few keys go there now: what they meet is word enough.
+            State::Returning { .. } if against => self.leave(now, terms),
+            State::Returning { step, until } if now >= until => {
+                self.state = match step + 1 < STEPS.len() {
+                    true => State::Returning { step: step + 1, until: now + terms.step },
+                    false => {
+                        self.sound_since = now;
+                        State::Sound
+                    }
+                };
+            }
+            _ => {}
+        }
+    }
+
+    fn share(&self) -> u16 {
+        match self.state {
+            State::Sound | State::Slow { .. } => ALL,
+            State::Left { .. } | State::Drained => 0,
+            State::Returning { step, .. } => STEPS[step],
+        }
+    }
+}
+
+fn most(of: u32, all: u32) -> bool {
+    all > 0 && 2 * of > all
+}
+
+impl Decider {
+    /// Takes over from whoever led before: what the last table left is left, for a hold from now on, and what was on
+    /// its way back goes on from its step.
+    pub fn new(terms: Terms, zones: Vec<Zone>, before: Option<&Table>, now: Tenths) -> Decider {
+        let zones: Vec<Zone> = zones.into_iter().take(MOST_ZONES).collect();
+        let count = zones.len();
+        let names: Vec<String> = zones.iter().map(|z| z.name.clone()).collect();
+        let before = before.filter(|t| t.zones == names && t.rows.len() == count);
+        let rows = before.map_or_else(|| Table::sound(names).rows, |t| t.rows.clone());
+        let again = |(share, reason): (u16, Reason)| {
+            let returning = |step| State::Returning { step, until: now + terms.step };
+            let state = match reason {
+                Reason::Down | Reason::Cut => State::Left { until: now + terms.hold },
+                Reason::Drained => State::Drained,
+                Reason::Returning => {
+                    returning(STEPS.iter().position(|s| *s >= share).unwrap_or(STEPS.len() - 1))
+                }
+                Reason::Sound | Reason::Room | Reason::Slow => State::Sound,
+            };
+            let flaps = u32::from(matches!(reason, Reason::Down | Reason::Cut | Reason::Returning));
+            Standing { flaps, ..Standing::new(state, now) }
+        };
+        let mut standings = vec![Standing::new(State::Sound, now); count];
+        let mut pairs = BTreeMap::new();
+        for from in 0..count {
+            for to in 0..count {
+                let cell = rows[from].open[to];
+                // What is the same for all who ask there is the zone's own.
+                let of_zone = (0..count).all(|f| rows[f].open[to].1 == cell.1);
+                if of_zone && cell.1 != Reason::Cut {
+                    standings[to] = again(cell);
+                } else if cell.1 == Reason::Cut || cell.1 == Reason::Returning {
+                    pairs.insert((from, to), again(cell));
+                }
+            }
+        }
+        Decider {
+            standings,
+            pairs,
+            span: Report::default(),
+            span_began: now,
+            asked: vec![0.0; count],
+            peak: vec![0.0; count],
+            quick: f64::INFINITY,
+            usual: vec![0.0; count],
+            now_takes: vec![0.0; count],
+            rows,
+            openings: MOST_OPENINGS,
+            refilled: now,
+            opened: now,
+            terms,
+            zones,
+        }
+    }
+
+    /// Takes in what others saw.
+    pub fn hear(&mut self, report: &Report) {
+        self.span.add(report);
+    }
+
+    /// When it is next to be asked.
+    pub fn wake_at(&self) -> Tenths {
+        self.span_began + SPAN
+    }
+
+    /// What stands now: by zone of clients.
+    pub fn rows(&self) -> &[Row] {
+        &self.rows
+    }
+
+    /// An operator's order to leave a zone or to take it back.
+    ///
+    /// # Errors
+    ///
+    /// There is no such zone, or some shards lie nowhere else.
+    pub fn order(&mut self, zone: &str, order: Order, ground: &Ground, now: Tenths) -> Result<(), String> {
+        let at = self.zones.iter().position(|z| z.name == zone).ok_or(format!("there is no zone {zone}"))?;
+        match order {
+            Order::Drain => {
+                let only = |p: &&Pattern| p.holders.iter().enumerate().all(|(w, n)| (*n > 0) == (w == at));
+                let alone: f64 = ground.patterns.iter().filter(only).map(|p| p.share).sum();
+                if alone > 0.0 {
+                    let share = (alone * 100.0).ceil();
+                    return Err(format!("{share}% of parts lie in zone {zone} alone and would be refused"));
+                }
+                self.standings[at].state = State::Drained;
+            }
+            Order::Return => {
+                if self.standings[at].state == State::Drained {
+                    self.standings[at].state = State::Returning { step: 0, until: now + self.terms.step };
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Judges the span that is over, if one is, and gives the table to be agreed on where it moves anything.
+    pub fn decide(&mut self, now: Tenths, from_ms: u64, ground: &Ground) -> Option<Table> {
+        if now < self.wake_at() || ground.zones.len() != self.zones.len() {
+            return None;
+        }
+        let span = std::mem::take(&mut self.span);
+        let seconds = (now - self.span_began) as f64 / 10_000.0;
+        self.span_began = now;
+        self.measure(&span, seconds);
+        self.judge(&span, now);
+        let rows = self.solve(ground);
+        self.adopt(rows, now).then(|| self.table(from_ms))
+    }
+
+    /// What stands, as a table.
+    pub fn table(&self, from_ms: u64) -> Table {
+        let zones = self.zones.iter().map(|z| z.name.clone()).collect();
+        Table { from_ms, zones, rows: self.rows.clone() }
+    }
+
+    fn measure(&mut self, span: &Report, seconds: f64) {
+        for zone in 0..self.zones.len() {
+            let asked = span.asked.get(&(zone as u8)).map_or(0.0, |(_, parts)| f64::from(*parts) / seconds);
+            self.asked[zone] += SMOOTH * (asked - self.asked[zone]);
+            let to = || span.ways.iter().filter(|((_, w), _)| usize::from(*w) == zone).map(|(_, way)| way);
+            let answered: f64 = to().map(|way| f64::from(way.answered)).sum();
+            let time: f64 = to().map(|way| way.time_ms as f64).sum();
+            self.peak[zone] *= KEEP;
+            if answered < 20.0 {
+                continue;
+            }
+            let takes = (time / answered).max(0.1);
+            self.now_takes[zone] = takes;
+            if self.usual[zone] == 0.0 {
+                self.usual[zone] = takes;
+            }
+            if takes <= 1.5 * self.usual[zone] {
+                self.usual[zone] += 0.02 * (takes - self.usual[zone]);
+                self.peak[zone] = self.peak[zone].max(answered / seconds);
+                self.quick = self.quick.min(takes);
+            }
+        }
+        self.quick *= 1.0 / KEEP;
+    }
+
+    fn judge(&mut self, span: &Report, now: Tenths) {
+        let count = self.zones.len();
+        let way =
+            |from: usize, to: usize| span.ways.get(&(from as u8, to as u8)).copied().unwrap_or_default();
+        let bad = |w: Way| most(w.down, w.voices);
+        let good = |w: Way| w.voices > 0 && !bad(w);
+        for to in 0..count {
+            let others = || (0..count).filter(move |f| *f != to).map(move |from| way(from, to));
+            let (against, with) =
+                (others().filter(|w| bad(*w)).count(), others().filter(|w| good(*w)).count());
+            let own = way(to, to);
+            // Its own co-ordinators reach it: then it is not down, however many others can't.
+            let down = !good(own) && (against > with || bad(own) && with == 0);
+            let (slow, voices) =
+                (0..count).map(|f| way(f, to)).fold((0, 0), |(s, v), w| (s + w.slow, v + w.voices - w.down));
+            let standing = &mut self.standings[to];
+            standing.go_on(now, down, &self.terms);
+            if most(slow, voices) && matches!(standing.state, State::Sound | State::Slow { .. }) {
+                standing.state = State::Slow { until: now + self.terms.hold };
+            } else if matches!(standing.state, State::Slow { until } if now >= until) {
+                standing.state = State::Sound;
+            }
+            let reachable = matches!(standing.state, State::Sound | State::Slow { .. }) && !down;
+            for from in 0..count {
+                let against = reachable && bad(way(from, to)) && (from != to || with > against);
+                if against || self.pairs.contains_key(&(from, to)) {
+                    let fresh = Standing::new(State::Sound, now);
+                    let pair = self.pairs.entry((from, to)).or_insert(fresh);
+                    pair.go_on(now, against, &self.terms);
+                    let forgotten = pair.state == State::Sound && pair.flaps == 0 && pair.against == 0;
+                    if forgotten {
+                        self.pairs.remove(&(from, to));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Parts a second that a zone takes: as told, or what it has shown to answer, or what its replicas do if each
+    /// does one part at a time in the quickest time seen. For one that is slow, less by as much.
+    fn room(&self, ground: &Ground, zone: usize) -> f64 {
+        let replicas = f64::from(ground.replicas[zone]);
+        let room = match ground.zones[zone].room {
+            Some(told) => told * replicas * self.terms.margin,
+            None => {
+                let each = if self.quick.is_finite() { 1_000.0 / self.quick } else { 0.0 };
+                self.peak[zone].max(replicas * each * self.terms.margin)
+            }
+        };
+        match self.standings[zone].state {
+            State::Slow { .. } => room * (self.usual[zone] / self.now_takes[zone].max(0.1)).clamp(0.1, 1.0),
+            _ => room,
+        }
+    }
+
+    /// The ways as the states have them, and then as far closed as room asks for. While all is sound none is: what
+    /// comes and goes then each co-ordinator bears by itself.
+    fn solve(&self, ground: &Ground) -> Vec<Row> {
+        let count = self.zones.len();
+        let mut rows = Table::sound(Vec::new()).rows;
+        for from in 0..count {
+            let cell = |to: usize| {
+                let zone = &self.standings[to];
+                let pair = self.pairs.get(&(from, to)).filter(|p| p.share() < ALL);
+                match (zone.state, pair) {
+                    (State::Drained, _) => (0, Reason::Drained),
+                    (State::Left { .. }, _) => (0, Reason::Down),
+                    (State::Returning { .. }, _) => (zone.share(), Reason::Returning),
+                    (_, Some(pair)) if pair.share() == 0 => (0, Reason::Cut),
+                    (_, Some(pair)) => (pair.share(), Reason::Returning),
+                    (State::Slow { .. }, None) => (ALL, Reason::Slow),
+                    (State::Sound, None) => (ALL, Reason::Sound),
+                }
+            };
+            rows.push(Row { open: (0..count).map(cell).collect() });
+        }
+        let troubled = rows.iter().flat_map(|r| &r.open).any(|(_, reason)| *reason != Reason::Sound);
+        if troubled {
+            let sound = Table::sound(vec![String::new(); count]).rows;
+            let usual = loads(ground, &self.asked, &sound);
+            let room: Vec<f64> = (0..count)
+                .map(|zone| {
+                    let room = self.room(ground, zone);
+                    // What it bears when all is sound it bears now, unless it is slow.
+                    let bears: f64 = usual.iter().map(|from| from[zone]).sum();
+                    let slow = matches!(self.standings[zone].state, State::Slow { .. });
+                    if slow || ground.zones[zone].room.is_some() { room } else { room.max(bears) }
+                })
+                .collect();
+            fit(ground, &self.asked, &room, &mut rows);
+        }
+        rows
+    }
+
+    /// Whether these rows are to stand from now on. Closing is done at once; opening further no more often than the
+    /// bound allows, and what only wavers is left.
+    fn adopt(&mut self, rows: Vec<Row>, now: Tenths) -> bool {
+        self.openings += (now - self.refilled) as f64 / MINUTE as f64;
+        self.openings = self.openings.min(MOST_OPENINGS);
+        self.refilled = now;
+        let cells = || rows.iter().flat_map(|r| &r.open).zip(self.rows.iter().flat_map(|r| &r.open));
+        let differs = |a: u16, b: u16| {
+            let (a, b) = (f64::from(a), f64::from(b));
+            (a - b).abs() > WORTH * a.max(b)
+        };
+        let closes = cells().any(|(new, old)| new.0 < old.0 && differs(new.0, old.0));
+        let opens = cells().any(|(new, old)| new.0 > old.0 && differs(new.0, old.0));
+        let states = cells().any(|(new, old)| new.1 != old.1);
+        // Room that comes and goes is followed upwards no faster than a zone returns.
+        let only_room = cells().all(|(new, old)| new.1 == old.1);
+        let may_open = self.openings >= 1.0 && (!only_room || now >= self.opened + self.terms.step);
+        if opens && !may_open {
+            if !closes {
+                return false;
+            }
+            // What closes is closed, what would open stays as it is.
+            for (row, old) in rows.iter().zip(&mut self.rows) {
+                for (new, old) in row.open.iter().zip(&mut old.open) {
+                    if new.0 < old.0 {
+                        *old = *new;
+                    }
+                }
+            }
+            return true;
+        }
+        if !(opens || closes || states) {
+            return false;
+        }
+        if opens {
+            self.openings -= 1.0;
+            self.opened = now;
+        }
+        self.rows = rows;
+        true
+    }
+}
--- /dev/null
+++ b/crates/linenthread-zones/src/report.rs
@@ -0,0 +1,173 @@
+//! What one co-ordinator sees of each zone, and what many saw together.
+
+use std::collections::BTreeMap;
+
+use linenthread_core::interface::{Ending, Tenths};
+use linenthread_frames::{Put, Res, Take};
+
+use crate::MOST_ZONES;
+
+/// With fewer parts than this since its last report an observer has no opinion of a zone.
+const FEW: u32 = 5;
+/// It takes a zone for down when so much of what it sent there came to nothing ...
+const DOWN: f64 = 0.6;
+/// ... and for slow when answers take so many times what they took on the whole.
+const SLOW: f64 = 3.0;
+/// How much of its usual time an observer keeps with each report.
+const KEEP: f64 = 0.98;
+/// Reports that are added up to one at the most: a thousand co-ordinators, some of them told twice.
+const MOST_VOICES: u32 = 100_000;
+
+/// What went one way, from the zone of clients to that of replicas, within a span of time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// Observers with an opinion, and how many of them take the other zone for down, for slow.
+    pub voices: u32,
+    pub down: u32,
+    pub slow: u32,
+    /// Parts that ended, and of them those answered, and how long these took in all, in milliseconds.
+    pub ended: u32,
+    pub answered: u32,
+    pub time_ms: u64,
+}
+
+/// What one or many observers saw.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// By zone of clients: observers, and parts that their lookups asked for.
+    pub asked: BTreeMap<u8, (u32, u32)>,
+    /// By zone of clients and zone of replicas.
+    pub ways: BTreeMap<(u8, u8), Way>,
+}
+
+impl Report {
+    pub fn is_empty(&self) -> bool {
+        self.asked.is_empty() && self.ways.is_empty()
+    }
+
+    /// Adds another's to this one.
+    pub fn add(&mut self, other: &Report) {
+        for (zone, (observers, parts)) in &other.asked {
+            let sum = self.asked.entry(*zone).or_default();
+            *sum = (sum.0.saturating_add(*observers).min(MOST_VOICES), sum.1.saturating_add(*parts));
+        }
+        for (at, way) in &other.ways {
+            let sum = self.ways.entry(*at).or_default();
+            sum.voices = sum.voices.saturating_add(way.voices).min(MOST_VOICES);
+            sum.down = sum.down.saturating_add(way.down).min(sum.voices);
+            sum.slow = sum.slow.saturating_add(way.slow).min(sum.voices);
+            sum.ended = sum.ended.saturating_add(way.ended);
+            sum.answered = sum.answered.saturating_add(way.answered).min(sum.ended);
+            sum.time_ms = sum.time_ms.saturating_add(way.time_ms);
+        }
+    }
+
+    pub fn encode(&self) -> Vec<u8> {
+        let mut put = Put(Vec::new());
+        put.u16(self.asked.len() as u16);
+        for (zone, (observers, parts)) in &self.asked {
+            put.0.push(*zone);
+            put.u32(*observers);
+            put.u32(*parts);
+        }
+        put.u16(self.ways.len() as u16);
+        for ((from, to), way) in &self.ways {
+            put.0.extend([*from, *to]);
+            [way.voices, way.down, way.slow, way.ended, way.answered].into_iter().for_each(|n| put.u32(n));
+            put.u64(way.time_ms);
+        }
+        put.0
+    }
+
+    /// # Errors
+    ///
+    /// What can be no report.
+    pub fn decode(bytes: &[u8]) -> Res<Report> {
+        let mut take = Take(bytes);
+        let mut report = Report::default();
+        let zone = |take: &mut Take| {
+            let zone = take.u8()?;
+            (usize::from(zone) < MOST_ZONES).then_some(zone).ok_or_else(|| format!("there is no zone {zone}"))
+        };
+        for _ in 0..take.u16()? {
+            let at = zone(&mut take)?;
+            report.asked.insert(at, (take.u32()?, take.u32()?));
+        }
+        for _ in 0..take.u16()? {
+            let at = (zone(&mut take)?, zone(&mut take)?);
+            let way = Way {
+                voices: take.u32()?,
+                down: take.u32()?,
+                slow: take.u32()?,
+                ended: take.u32()?,
+                answered: take.u32()?,
+                time_ms: take.u64()?,
+            };
+            if way.down > way.voices || way.slow > way.voices || way.answered > way.ended {
+                return Err("a way's numbers don't add up".into());
+            }
+            report.ways.insert(at, way);
+        }
+        take.end()?;
+        Ok(report)
+    }
+}
+
+/// One co-ordinator's eyes.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    own: u8,
+    asked: u32,
+    ways: BTreeMap<u8, Way>,
+    /// What answers take on the whole: a sum of times and of answers that fades.
+    usual: (f64, f64),
+}
+
+impl Watch {
+    /// In the zone of this number.
+    pub fn new(own: u8) -> Watch {
+        Watch { own, asked: 0, ways: BTreeMap::new(), usual: (0.0, 0.0) }
+    }
+
+    /// Lookups came with so many parts.
+    pub fn asked(&mut self, parts: usize) {
+        self.asked = self.asked.saturating_add(parts as u32);
+    }
+
+    /// A part call to a replica of a zone has ended. What was given up from here, or turned away by a full replica,
+    /// says nothing of whether the zone can be reached.
+    pub fn ended(&mut self, zone: u8, ending: Ending, took: Tenths) {
+        if matches!(ending, Ending::Withdrawn | Ending::Unsent | Ending::TurnedAway)
+            || usize::from(zone) >= MOST_ZONES
+        {
+            return;
+        }
+        let way = self.ways.entry(zone).or_default();
+        way.ended = way.ended.saturating_add(1);
+        if ending == Ending::Answered {
+            way.answered += 1;
+            way.time_ms += (took.max(0) / 10) as u64;
+        }
+    }
+
+    /// What was seen since the last report.
+    pub fn report(&mut self) -> Report {
+        let usual = if self.usual.1 > 0.0 { self.usual.0 / self.usual.1 } else { f64::INFINITY };
+        let ways = std::mem::take(&mut self.ways);
+        for way in ways.values() {
+            self.usual.0 = self.usual.0 * KEEP + way.time_ms as f64;
+            self.usual.1 = self.usual.1 * KEEP + f64::from(way.answered);
+        }
+        let judge = |way: Way| {
+            let down = 1.0 - f64::from(way.answered) / f64::from(way.ended.max(1)) >= DOWN;
+            let mean = way.time_ms as f64 / f64::from(way.answered.max(1));
+            let slow = !down && way.answered > 0 && mean > SLOW * usual.max(1.0);
+            let voices = u32::from(way.ended >= FEW);
+            Way { voices, down: voices * u32::from(down), slow: voices * u32::from(slow), ..way }
+        };
+        Report {
+            asked: BTreeMap::from([(self.own, (1, std::mem::take(&mut self.asked)))]),
+            ways: ways.into_iter().map(|(to, way)| ((self.own, to), judge(way))).collect(),
+        }
+    }
+}
