linenthread-zones: the table decided in common, with its drill in simulated time

Need: one decision for all on which zone serves whose keys, from what all see, never past a zone's room.

The drill plays noise, zones lost, slow and cut off, observers cut off, drains, hostile reports, changes of who leads.

--- a/crates/linenthread-drill/src/main.rs
+++ b/crates/linenthread-drill/src/main.rs
@@ -8,6 +8,7 @@
 mod merged;
 mod merging_speed;
 mod record;
+mod zones;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -20,6 +21,7 @@
     Merged(merged::Drill),
     Link(link::Drill),
     Fleet(record::Drill),
+    Zones(zones::Drill),
     LinkSpeed { program: Option<PathBuf> },
     LinkBytes { program: Option<PathBuf>, step: usize, keep: u64, at_once: usize },
     MergingSpeed { rounds: usize },
@@ -71,6 +73,16 @@
         .footer("Example: linenthread-drill fleet --schedules 10000 --seed 7")
         .command("fleet")
         .help("Check the fleet's members and record");
+    let schedules = long("schedules").help("Schedules of troubles to play").argument("N").fallback(300);
+    let seed =
+        long("seed").help("The first schedule's seed; the others count on from it").argument("S").fallback(1);
+    let zones = construct!(zones::Drill { schedules, seed })
+        .map(Command::Zones)
+        .to_options()
+        .descr("What is decided in common on zones: left, slow, cut off, drained and back, judged by their true state")
+        .footer("Example: linenthread-drill zones --schedules 10000 --seed 7")
+        .command("zones")
+        .help("Check failover between zones");
     let program = || {
         long("program")
             .help("The program to run at both ends; by default linenthread beside this one")
@@ -107,7 +119,7 @@
         .footer("Example: linenthread-drill merging-speed --rounds 9")
         .command("merging-speed")
         .help("Measure merging");
-    construct!([merged, link, fleet, link_bytes, link_speed, speed])
+    construct!([merged, link, fleet, zones, link_bytes, link_speed, speed])
         .to_options()
         .descr("Long checks of linenthread's subsystems")
         .footer("Example: linenthread-drill merged --lookups 100000 --seed 7")
@@ -139,6 +151,10 @@
             let (checked, breaches) = drill.run();
             close(checked, breaches)
         }
+        Command::Zones(drill) => {
+            let (checked, breaches) = drill.run();
+            close(checked, breaches)
+        }
         Command::LinkSpeed { program } => {
             let (checked, breaches) = link_speed::run(&beside(program));
             close(checked, breaches)
--- a/crates/linenthread-zones/src/decide.rs
+++ b/crates/linenthread-zones/src/decide.rs
@@ -12,7 +12,7 @@
 //! through the same edges by itself. So an observer that is itself cut off is outvoted in its own zone, and a zone
 //! that only one other cannot reach is not left by all.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use linenthread_core::interface::Tenths;
 
@@ -29,13 +29,15 @@
 const STEPS: [u16; 3] = [50, 150, 400];
 /// Ways are opened further at the most so often in a row, and once more with each minute that passes.
 const MOST_OPENINGS: f64 = 20.0;
+/// Who takes over begins with so many of them.
+const FIRST_OPENINGS: f64 = 5.0;
 const MINUTE: Tenths = 600_000;
 /// Shares that differ by less than this are not worth a table.
 const WORTH: f64 = 0.05;
 /// What was answered at the most is kept so much of, span by span: half of it in ten minutes.
 const KEEP: f64 = 0.998_845;
-/// What is asked for is smoothed over about so many spans.
-const SMOOTH: f64 = 0.3;
+/// So much of the way down to what is asked for now is gone with each span.
+const SMOOTH: f64 = 0.1;
 
 /// A zone, as the operators' file has it.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,6 +56,24 @@
     pub patterns: Vec<Pattern>,
 }
 
+impl Ground {
+    /// Whether a zone may be left by order, with all that lies there.
+    ///
+    /// # Errors
+    ///
+    /// There is no such zone, or shards lie nowhere else: what asks for them would be refused.
+    pub fn may_drain(&self, zone: &str, drained: &BTreeSet<String>) -> Result<(), String> {
+        let at = self.zones.iter().position(|z| z.name == zone).ok_or(format!("there is no zone {zone}"))?;
+        let left = |w: usize| w == at || drained.contains(&self.zones[w].name);
+        let only = |p: &&Pattern| !p.holders.iter().enumerate().any(|(w, n)| *n > 0 && !left(w));
+        let alone: f64 = self.patterns.iter().filter(only).map(|p| p.share).sum();
+        match alone > 0.0 {
+            true => Err(format!("{:.0}% of parts would have no replica left", (alone * 100.0).ceil())),
+            false => Ok(()),
+        }
+    }
+}
+
 /// How it is decided.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
@@ -66,13 +86,6 @@
     pub step: Tenths,
 }
 
-/// An operator's order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Order {
-    Drain,
-    Return,
-}
-
 /// What a zone, or the way between a pair of them, goes through.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
@@ -86,8 +99,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Standing {
     state: State,
-    /// Spans in a row that spoke against it.
+    /// Spans in a row that spoke against it, and that took it for slow.
     against: u32,
+    slow: u32,
     /// How often it was left of late, and since when it is sound.
     flaps: u32,
     sound_since: Tenths,
@@ -116,7 +130,7 @@
 
 impl Standing {
     fn new(state: State, now: Tenths) -> Standing {
-        Standing { state, against: 0, flaps: 0, sound_since: now }
+        Standing { state, against: 0, slow: 0, flaps: 0, sound_since: now }
     }
 
     fn leave(&mut self, now: Tenths, terms: &Terms) {
@@ -131,10 +145,8 @@
         self.against = if against { self.against + 1 } else { 0 };
         match self.state {
             State::Sound | State::Slow { .. } if self.against >= AGAIN => self.leave(now, terms),
-            State::Sound => {
-                if self.flaps > 0 && now - self.sound_since >= terms.longest_hold {
-                    (self.flaps, self.sound_since) = (self.flaps - 1, now);
-                }
+            State::Sound if self.flaps > 0 && now - self.sound_since >= terms.longest_hold => {
+                (self.flaps, self.sound_since) = (self.flaps - 1, now);
             }
             State::Left { until } if now >= until => {
                 self.against = 0;
@@ -215,7 +227,7 @@
             usual: vec![0.0; count],
             now_takes: vec![0.0; count],
             rows,
-            openings: MOST_OPENINGS,
+            openings: FIRST_OPENINGS,
             refilled: now,
             opened: now,
             terms,
@@ -238,30 +250,17 @@
         &self.rows
     }
 
-    /// An operator's order to leave a zone or to take it back.
-    ///
-    /// # Errors
-    ///
-    /// There is no such zone, or some shards lie nowhere else.
-    pub fn order(&mut self, zone: &str, order: Order, ground: &Ground, now: Tenths) -> Result<(), String> {
-        let at = self.zones.iter().position(|z| z.name == zone).ok_or(format!("there is no zone {zone}"))?;
-        match order {
-            Order::Drain => {
-                let only = |p: &&Pattern| p.holders.iter().enumerate().all(|(w, n)| (*n > 0) == (w == at));
-                let alone: f64 = ground.patterns.iter().filter(only).map(|p| p.share).sum();
-                if alone > 0.0 {
-                    let share = (alone * 100.0).ceil();
-                    return Err(format!("{share}% of parts lie in zone {zone} alone and would be refused"));
-                }
-                self.standings[at].state = State::Drained;
-            }
-            Order::Return => {
-                if self.standings[at].state == State::Drained {
-                    self.standings[at].state = State::Returning { step: 0, until: now + self.terms.step };
+    /// Which zones are to be left by the operators' order, as the record has it; those no longer named return.
+    pub fn drained(&mut self, drained: &BTreeSet<String>, now: Tenths) {
+        for (zone, standing) in self.zones.iter().zip(&mut self.standings) {
+            match (drained.contains(&zone.name), standing.state) {
+                (true, _) => standing.state = State::Drained,
+                (false, State::Drained) => {
+                    standing.state = State::Returning { step: 0, until: now + self.terms.step };
                 }
+                _ => {}
             }
         }
-        Ok(())
     }
 
     /// Judges the span that is over, if one is, and gives the table to be agreed on where it moves anything.
@@ -287,7 +286,8 @@
     fn measure(&mut self, span: &Report, seconds: f64) {
         for zone in 0..self.zones.len() {
             let asked = span.asked.get(&(zone as u8)).map_or(0.0, |(_, parts)| f64::from(*parts) / seconds);
-            self.asked[zone] += SMOOTH * (asked - self.asked[zone]);
+            // Up at once, down slowly: some reports are lost, and what comes in bursts comes again.
+            self.asked[zone] = asked.max(self.asked[zone] + SMOOTH * (asked - self.asked[zone]));
             let to = || span.ways.iter().filter(|((_, w), _)| usize::from(*w) == zone).map(|(_, way)| way);
             let answered: f64 = to().map(|way| f64::from(way.answered)).sum();
             let time: f64 = to().map(|way| way.time_ms as f64).sum();
@@ -311,22 +311,29 @@
 
     fn judge(&mut self, span: &Report, now: Tenths) {
         let count = self.zones.len();
-        let way =
-            |from: usize, to: usize| span.ways.get(&(from as u8, to as u8)).copied().unwrap_or_default();
-        let bad = |w: Way| most(w.down, w.voices);
-        let good = |w: Way| w.voices > 0 && !bad(w);
+        // It takes most of a zone's observers: a few that see nothing are themselves what is cut off.
+        let way = |from: usize, to: usize| {
+            let way = span.ways.get(&(from as u8, to as u8)).copied().unwrap_or_default();
+            (way, span.asked.get(&(from as u8)).map_or(0, |(observers, _)| *observers))
+        };
+        let bad = |(w, observers): (Way, u32)| most(w.down, w.voices) && most(w.down, observers);
+        let good = |(w, _): (Way, u32)| w.voices > 0 && !most(w.down, w.voices);
+        // A zone that reaches nothing, itself neither, has no say on others: it is what is cut off.
+        let blind = |f: usize| bad(way(f, f)) && !(0..count).any(|to| good(way(f, to)));
         for to in 0..count {
-            let others = || (0..count).filter(move |f| *f != to).map(move |from| way(from, to));
+            let others = || (0..count).filter(|f| *f != to && !blind(*f)).map(|from| way(from, to));
             let (against, with) =
                 (others().filter(|w| bad(*w)).count(), others().filter(|w| good(*w)).count());
             let own = way(to, to);
             // Its own co-ordinators reach it: then it is not down, however many others can't.
             let down = !good(own) && (against > with || bad(own) && with == 0);
-            let (slow, voices) =
-                (0..count).map(|f| way(f, to)).fold((0, 0), |(s, v), w| (s + w.slow, v + w.voices - w.down));
-            let standing = &mut self.standings[to];
+            let (slow, voices) = (0..count)
+                .map(|f| way(f, to).0)
+                .fold((0, 0), |(s, v), w| (s + w.slow, v + w.voices - w.down));
+            let Some(standing) = self.standings.get_mut(to) else { break };
             standing.go_on(now, down, &self.terms);
-            if most(slow, voices) && matches!(standing.state, State::Sound | State::Slow { .. }) {
+            standing.slow = if most(slow, voices) { standing.slow + 1 } else { 0 };
+            if standing.slow >= AGAIN && matches!(standing.state, State::Sound | State::Slow { .. }) {
                 standing.state = State::Slow { until: now + self.terms.hold };
             } else if matches!(standing.state, State::Slow { until } if now >= until) {
                 standing.state = State::Sound;
--- a/crates/linenthread-zones/src/lib.rs
+++ b/crates/linenthread-zones/src/lib.rs
@@ -17,7 +17,7 @@
 mod solve;
 mod table;
 
-pub use decide::{Decider, Ground, Order, Terms, Zone};
+pub use decide::{Decider, Ground, SPAN, Terms, Zone};
 pub use report::{Report, Watch, Way};
 pub use solve::{Pattern, loads};
 pub use table::{Reason, Row, Table};
--- a/crates/linenthread-zones/src/report.rs
+++ b/crates/linenthread-zones/src/report.rs
@@ -7,8 +7,10 @@
 
 use crate::MOST_ZONES;
 
-/// With fewer parts than this since its last report an observer has no opinion of a zone.
-const FEW: u32 = 5;
+/// With fewer parts than this of late an observer has no opinion of a zone; of what it saw half is left with each
+/// report.
+const FEW: f64 = 5.0;
+const LATE: f64 = 0.5;
 /// It takes a zone for down when so much of what it sent there came to nothing ...
 const DOWN: f64 = 0.6;
 /// ... and for slow when answers take so many times what they took on the whole.
@@ -119,6 +121,8 @@
     own: u8,
     asked: u32,
     ways: BTreeMap<u8, Way>,
+    /// By zone, of late: parts that ended, that were answered, and what these took.
+    late: BTreeMap<u8, (f64, f64, f64)>,
     /// What answers take on the whole: a sum of times and of answers that fades.
     usual: (f64, f64),
 }
@@ -126,7 +130,7 @@
 impl Watch {
     /// In the zone of this number.
     pub fn new(own: u8) -> Watch {
-        Watch { own, asked: 0, ways: BTreeMap::new(), usual: (0.0, 0.0) }
+        Watch { own, asked: 0, ways: BTreeMap::new(), late: BTreeMap::new(), usual: (0.0, 0.0) }
     }
 
     /// Lookups came with so many parts.
@@ -158,16 +162,23 @@
             self.usual.0 = self.usual.0 * KEEP + way.time_ms as f64;
             self.usual.1 = self.usual.1 * KEEP + f64::from(way.answered);
         }
-        let judge = |way: Way| {
-            let down = 1.0 - f64::from(way.answered) / f64::from(way.ended.max(1)) >= DOWN;
-            let mean = way.time_ms as f64 / f64::from(way.answered.max(1));
-            let slow = !down && way.answered > 0 && mean > SLOW * usual.max(1.0);
-            let voices = u32::from(way.ended >= FEW);
-            Way { voices, down: voices * u32::from(down), slow: voices * u32::from(slow), ..way }
-        };
-        Report {
-            asked: BTreeMap::from([(self.own, (1, std::mem::take(&mut self.asked)))]),
-            ways: ways.into_iter().map(|(to, way)| ((self.own, to), judge(way))).collect(),
+        for (to, way) in &ways {
+            let late = self.late.entry(*to).or_default();
+            late.0 += f64::from(way.ended);
+            late.1 += f64::from(way.answered);
+            late.2 += way.time_ms as f64;
+        }
+        let mut judged = BTreeMap::new();
+        for (to, late) in &mut self.late {
+            let way = ways.get(to).copied().unwrap_or_default();
+            let down = 1.0 - late.1 / late.0.max(1.0) >= DOWN;
+            let slow = !down && late.1 > 0.0 && late.2 / late.1 > SLOW * usual.max(1.0);
+            let voices = u32::from(late.0 >= FEW);
+            let way = Way { voices, down: voices * u32::from(down), slow: voices * u32::from(slow), ..way };
+            judged.insert((self.own, *to), way);
+            *late = (late.0 * LATE, late.1 * LATE, late.2 * LATE);
         }
+        self.late.retain(|_, late| late.0 > 0.1);
+        Report { asked: BTreeMap::from([(self.own, (1, std::mem::take(&mut self.asked)))]), ways: judged }
     }
 }
