--- a/crates/linenthread-zones/src/decide.rs
+++ b/crates/linenthread-zones/src/decide.rs
@@ -205,12 +205,12 @@
         let mut standings = vec![Standing::new(State::Sound, now); count];
         let mut pairs = BTreeMap::new();
         for from in 0..count {
-            for to in 0..count {
+            for (to, standing) in standings.iter_mut().enumerate() {
                 let cell = rows[from].open[to];
                 // What is the same for all who ask there is the zone's own.
                 let of_zone = (0..count).all(|f| rows[f].open[to].1 == cell.1);
                 if of_zone && cell.1 != Reason::Cut {
-                    standings[to] = again(cell);
+                    *standing = again(cell);
                 } else if cell.1 == Reason::Cut || cell.1 == Reason::Returning {
                     pairs.insert((from, to), again(cell));
                 }
@@ -320,7 +320,7 @@
         let good = |(w, _): (Way, u32)| w.voices > 0 && !most(w.down, w.voices);
         // A zone that reaches nothing, itself neither, has no say on others: it is what is cut off.
         let blind = |f: usize| bad(way(f, f)) && !(0..count).any(|to| good(way(f, to)));
-        for to in 0..count {
+        for to in 0..self.zones.len() {
             let others = || (0..count).filter(|f| *f != to && !blind(*f)).map(|from| way(from, to));
             let (against, with) =
                 (others().filter(|w| bad(*w)).count(), others().filter(|w| good(*w)).count());
@@ -422,33 +422,28 @@
             (a - b).abs() > WORTH * a.max(b)
         };
         let closes = cells().any(|(new, old)| new.0 < old.0 && differs(new.0, old.0));
-        let opens = cells().any(|(new, old)| new.0 > old.0 && differs(new.0, old.0));
+        let opens = cells().any(|(new, old)| new.0 > old.0 && (new.0 == ALL || differs(new.0, old.0)));
         let states = cells().any(|(new, old)| new.1 != old.1);
         // Room that comes and goes is followed upwards no faster than a zone returns.
-        let only_room = cells().all(|(new, old)| new.1 == old.1);
+        let only_room = !states;
         let may_open = self.openings >= 1.0 && (!only_room || now >= self.opened + self.terms.step);
-        if opens && !may_open {
-            if !closes {
-                return false;
-            }
-            // What closes is closed, what would open stays as it is.
-            for (row, old) in rows.iter().zip(&mut self.rows) {
-                for (new, old) in row.open.iter().zip(&mut old.open) {
-                    if new.0 < old.0 {
-                        *old = *new;
-                    }
-                }
-            }
+        if opens && may_open {
+            self.openings -= 1.0;
+            self.opened = now;
+            self.rows = rows;
             return true;
         }
-        if !(opens || closes || states) {
+        if !closes && (opens || !states) {
             return false;
         }
-        if opens {
-            self.openings -= 1.0;
-            self.opened = now;
+        // What closes is closed; what would open stays as it is.
+        for (new, old) in
+            rows.iter().flat_map(|r| &r.open).zip(self.rows.iter_mut().flat_map(|r| &mut r.open))
+        {
+            if new.0 <= old.0 {
+                *old = *new;
+            }
         }
-        self.rows = rows;
         true
     }
 }
