Fleet and zones in the program: a thread of its own, operators' orders, a rig of processes with faults

Need: the thin path through real processes, and tests that start several of them and put faults between them.

Change: <fleet> and <zones> in the operators' file (schema, check), linenthread-service/fleet.rs on a thread of its own (a disk that waits holds up no lookup), near.rs (what the desk keeps of zones), linenthread zones show|drain|return, and in the stand-ins Net (a proxy on every directed pair, TCP and UDP), Rig, one judge, eleven scenarios. Off without the sections: no thread, no listener, no file, and Arrivals.ways is never given.

Found by the rig, each mended: connections given up were due at every moment, so that the thread ran at a full core and heard nothing (wake_at in fleet/fleet.rs); two failed parts were all that was sent to a lost zone, so nobody had an opinion of it (what became of each replica's last part counts now); parts withdrawn after a long silence said nothing of a cut pair; a zone that reaches nothing spoke against others; a voter whose disk failed did not say that it leads no more.

--- a/crates/linenthread-drill/src/main.rs
+++ b/crates/linenthread-drill/src/main.rs
@@ -13,7 +13,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use bpaf::{Parser, construct, long};
+use bpaf::{Parser, construct, long, positional};
+use linenthread_stand_ins::scenarios;
 use linenthread_stand_ins::sites::{Verdict, cut_everywhere};
 
 #[derive(Clone)]
@@ -22,6 +23,7 @@
     Link(link::Drill),
     Fleet(record::Drill),
     Zones(zones::Drill),
+    Processes { program: Option<PathBuf>, rounds: usize, seed: u64, scenario: String },
     LinkSpeed { program: Option<PathBuf> },
     LinkBytes { program: Option<PathBuf>, step: usize, keep: u64, at_once: usize },
     MergingSpeed { rounds: usize },
@@ -83,6 +85,25 @@
         .footer("Example: linenthread-drill zones --schedules 10000 --seed 7")
         .command("zones")
         .help("Check failover between zones");
+    let names: Vec<&str> = scenarios::ALL.iter().map(|(name, _)| *name).collect();
+    let names = format!("zones (random troubles, round after round), all, or one of: {}", names.join(", "));
+    let of_processes = long("program")
+        .help("The program to run; by default linenthread beside this one")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let rounds =
+        long("rounds").help("Rounds of zones, or times that a scenario is played").argument("N").fallback(1);
+    let seed = long("seed").help("What all chance comes from").argument("S").fallback(1);
+    let scenario = positional::<String>("SCENARIO").help(names.as_str());
+    let processes = construct!(of_processes, rounds, seed, scenario)
+        .map(|(program, rounds, seed, scenario)| Command::Processes { program, rounds, seed, scenario })
+        .to_options()
+        .descr(
+            "Several processes of the program in zones on loopback with faults between them, and one judge",
+        )
+        .footer("Example: linenthread-drill processes zones --rounds 20 --seed 7")
+        .command("processes")
+        .help("Check several processes with faults between them");
     let program = || {
         long("program")
             .help("The program to run at both ends; by default linenthread beside this one")
@@ -119,7 +140,7 @@
         .footer("Example: linenthread-drill merging-speed --rounds 9")
         .command("merging-speed")
         .help("Measure merging");
-    construct!([merged, link, fleet, zones, link_bytes, link_speed, speed])
+    construct!([merged, link, fleet, zones, processes, link_bytes, link_speed, speed])
         .to_options()
         .descr("Long checks of linenthread's subsystems")
         .footer("Example: linenthread-drill merged --lookups 100000 --seed 7")
@@ -155,6 +176,32 @@
             let (checked, breaches) = drill.run();
             close(checked, breaches)
         }
+        Command::Processes { program, rounds, seed, scenario } => {
+            let program = beside(program);
+            if scenario == "zones" {
+                let (checked, breaches) = scenarios::rounds(&program, rounds, seed);
+                breaches.iter().take(20).for_each(|why| println!("breach: {why}"));
+                return close(checked, breaches.len());
+            }
+            let (mut checked, mut all) = (0, 0);
+            for (name, script) in
+                scenarios::ALL.iter().filter(|(name, _)| scenario == "all" || scenario == *name)
+            {
+                for seed in seed..seed + rounds as u64 {
+                    let mut rig = script(&program, seed);
+                    let breaches = rig.judge();
+                    breaches.iter().take(5).for_each(|why| println!("breach: {name}, seed {seed}: {why}"));
+                    checked += rig.told().len();
+                    all += breaches.len();
+                    println!("{name}, seed {seed}: {} lookups", rig.told().len());
+                }
+            }
+            if checked == 0 {
+                eprintln!("linenthread-drill: there is no scenario {scenario}");
+                return ExitCode::from(2);
+            }
+            close(checked, all)
+        }
         Command::LinkSpeed { program } => {
             let (checked, breaches) = link_speed::run(&beside(program));
             close(checked, breaches)
--- a/crates/linenthread-drill/src/record.rs
+++ b/crates/linenthread-drill/src/record.rs
@@ -288,7 +288,7 @@
                         println!("{:8.2} {}: {line}", self.now as f64 / 1e4, name(at));
                     }
                 }
-                FleetDo::Up(_) | FleetDo::Gone(_) | FleetDo::Report { .. } => {}
+                FleetDo::Up(_) | FleetDo::Gone(_) | FleetDo::Report { .. } | FleetDo::Connection(_) => {}
             }
         }
         // It is to be woken when it says.
--- a/crates/linenthread-drill/src/zones.rs
+++ b/crates/linenthread-drill/src/zones.rs
@@ -184,6 +184,7 @@
             *flow = loads(&self.ground, &asked, &self.acts[n].rows)[zone].clone();
             (0..count).for_each(|w| load[w] += flow[w]);
         }
+        let replicas = self.ground.replicas.clone();
         for (n, flow) in flows.iter().enumerate() {
             let parts = self.poisson(self.asked[self.watches[n].0] / each as f64 * 0.5 * burst);
             self.watches[n].1.asked(parts as usize);
@@ -201,7 +202,8 @@
                         false => Ending::Answered,
                     };
                     let took = took * (0.5 + self.chance.rand_float()) * 10.0;
-                    self.watches[n].1.ended(to as u8, ending, took as Tenths);
+                    let replica = 100 * to + self.chance.rand_range(0..replicas[to].into()) as usize;
+                    self.watches[n].1.ended(to as u8, replica, ending, took as Tenths);
                 }
             }
         }
@@ -240,7 +242,7 @@
         self.traffic();
         let mut all = Report::default();
         for n in 0..self.watches.len() {
-            let report = self.watches[n].1.report();
+            let report = self.watches[n].1.report(&self.ground.replicas);
             // Some are lost on the way; those of a zone that is lost don't come at all.
             let lost = matches!(self.trouble, Trouble::ZoneLost(z) if self.on && self.watches[n].0 == z);
             if !lost && self.chance.rand_range(0..10) > 0 {
@@ -253,6 +255,7 @@
         self.decider.hear(&all);
         // Who leads changes at times, and goes on from the record alone.
         if self.chance.rand_range(0..60) == 0 {
+            self.leaders += 1;
             self.decider = Decider::new(terms(), self.ground.zones.clone(), self.record.as_ref(), self.now);
         }
         let (now, ground) = (self.now, self.ground.clone());
--- a/crates/linenthread-fleet/src/fleet.rs
+++ b/crates/linenthread-fleet/src/fleet.rs
@@ -61,7 +61,8 @@
         from: String,
         bytes: Vec<u8>,
     },
-    /// For the log.
+    /// For the log: what becomes of connections, and all else.
+    Connection(String),
     Line(String),
 }
 
@@ -170,6 +171,9 @@
         let terms = VoterTerms { own: self.own.clone(), voters };
         let mut said = Vec::new();
         let voter = Voter::new(terms, files, self.chance.rand_u64(), now, &mut said)?;
+        if !matches!(voter.stage(), Stage::Stopped(_)) {
+            to.push(FleetDo::Line("takes part as a voter".into()));
+        }
         self.voter = Some(voter);
         self.carry(said, to);
         self.dial(now);
@@ -230,6 +234,8 @@
         let voter = self.voter.as_ref().map_or(Tenths::MAX, Voter::wake_at);
         let beats = |c: &Connection| match c.talk {
             Talk::Open { .. } => (c.heard + SILENCE).min(c.pinged + PING),
+            // Its end is on its way; nothing more falls due.
+            Talk::Ended => Tenths::MAX,
             _ => c.began + GREETING,
         };
         let connection = self.connections.values().map(beats).min().unwrap_or(Tenths::MAX);
@@ -311,7 +317,7 @@
             if let Some(voter) = &mut self.voter {
                 voter.lost(&name);
             }
-            to.push(FleetDo::Line(format!("the connection with {name} has ended")));
+            to.push(FleetDo::Connection(format!("the connection with {name} has ended")));
         }
     }
 
@@ -459,7 +465,7 @@
             }
             to.push(FleetDo::Close { connection: before, why: "a newer connection takes its place".into() });
         }
-        to.push(FleetDo::Line(format!("connected with {name}")));
+        to.push(FleetDo::Connection(format!("connected with {name}")));
         if voter && let Some(own) = &mut self.voter {
             let mut said = Vec::new();
             own.opened(&name, &mut said);
--- a/crates/linenthread-fleet/src/voter.rs
+++ b/crates/linenthread-fleet/src/voter.rs
@@ -249,6 +249,9 @@
     /// The disk has failed: it steps down by saying nothing more, and others lead.
     fn stop(&mut self, trouble: &Trouble, to: &mut Vec<VoterDo>) {
         to.push(VoterDo::Line(format!("this voter steps down: {trouble}")));
+        if std::mem::take(&mut self.led) {
+            to.push(VoterDo::Line(format!("does not lead any more, in term {}", self.term())));
+        }
         self.state = State::Stopped(trouble.to_string());
         self.lease = 0;
     }
--- a/crates/linenthread-installation/src/lib.rs
+++ b/crates/linenthread-installation/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Installation::read`] takes the file's text and what the platform's settings know of their indexes; it
 //! gives typed values or one [`Fault`] with line and cause. Each subsystem has a section and a module here.
 
+mod fleet;
 mod links;
 mod merging;
 mod schema;
@@ -13,6 +14,7 @@
 
 use serde::Deserialize;
 
+pub use fleet::{Fleet, Voter, Zone, Zones};
 pub use links::{Gateway, Peer};
 pub use merging::{MarkFiles, Merging};
 use schema::Schema;
@@ -51,6 +53,8 @@
     pub merging: Merging,
     pub gateway: Option<Gateway>,
     pub peers: Vec<Peer>,
+    pub fleet: Option<Fleet>,
+    pub zones: Option<Zones>,
 }
 
 #[derive(Deserialize)]
@@ -62,6 +66,8 @@
     merging: Option<merging::Section>,
     gateway: Option<links::GatewaySection>,
     peers: Option<links::PeersSection>,
+    fleet: Option<fleet::FleetSection>,
+    zones: Option<fleet::ZonesSection>,
 }
 
 impl Installation {
@@ -84,7 +90,11 @@
         let gateway = gateway.map(|(said, node)| links::gateway(said, node)).transpose()?;
         let peers = document.peers.zip(root.all("peers").next());
         let peers = peers.map(|(said, node)| links::peers(said, node)).transpose()?.unwrap_or_default();
-        Ok(Installation { merging, gateway, peers })
+        let fleet = document.fleet.zip(root.all("fleet").next());
+        let fleet = fleet.map(|(said, node)| fleet::fleet(said, node)).transpose()?;
+        let zones = document.zones.zip(root.all("zones").next());
+        let zones = zones.map(|(said, node)| fleet::zones(said, node, fleet.as_ref())).transpose()?;
+        Ok(Installation { merging, gateway, peers, fleet, zones })
     }
 
     /// Reads a file; see [`Installation::read`].
@@ -99,7 +109,8 @@
         let marks = read.merging.marks.iter_mut().flat_map(|m| &mut m.files);
         let gateway = read.gateway.iter_mut().flat_map(|g| &mut g.secrets);
         let peers = read.peers.iter_mut().flat_map(|p| &mut p.secrets);
-        marks.chain(gateway).chain(peers).for_each(|path| *path = folder.join(&*path));
+        let fleet = read.fleet.iter_mut().flat_map(|f| f.secrets.iter_mut().chain(&mut f.folder));
+        marks.chain(gateway).chain(peers).chain(fleet).for_each(|path| *path = folder.join(&*path));
         Ok(read)
     }
 }
@@ -127,6 +138,15 @@
   <peers>
     <peer name="messina" address="127.0.0.1:7401" secret="link.key"/>
   </peers>
+  <fleet address="127.0.0.1:7500" secret="fleet.key" machine="m1" zone="palermo" region="sicily" folder="record">
+    <voter name="n0" address="127.0.0.1:7500" zone="palermo" region="sicily"/>
+    <voter name="n1" address="127.0.0.1:7501" zone="catania" region="sicily"/>
+    <voter name="n2" address="127.0.0.1:7502" zone="messina" region="sicily"/>
+  </fleet>
+  <zones life="60000">
+    <zone name="palermo" region="sicily" room="150"/>
+    <zone name="catania" region="sicily"/>
+  </zones>
 </installation>
 "#;
 
@@ -159,8 +179,10 @@
         let whole =
             whole.replace("own roster.\n", "own roster. -->\n").replace("this one.\n", "this one. -->\n");
         let whole = whole.replace("/>\n  -->", "/>").replace("</peers>\n  -->", "</peers>");
+        let whole = whole.replace("in common.\n", "in common. -->\n").replace("</zones>\n  -->", "</zones>");
         let whole = read(&whole).unwrap();
         assert_eq!((whole.merging.plans.len(), whole.peers.len(), whole.gateway.is_some()), (3, 1, true));
+        assert_eq!((whole.fleet.unwrap().voters.len(), whole.zones.unwrap().zones.len()), (3, 3));
     }
 
     /// Each fault names its line, and nothing that the schema or a check refuses passes.
@@ -192,7 +214,27 @@
             ("field=\"date\" ", "field=\"date\" scale=\"1\" ", 11, "scale"),
             ("<marks life=\"900\" secret=\"marks.key\"/>", "", 10, "marks"),
             ("<!-- money -->", "money", 2, "text"),
-            ("</installation>", "", 21, "begun and ended"),
+            ("</installation>", "", 30, "begun and ended"),
+            (
+                "<voter name=\"n1\" address=\"127.0.0.1:7501\" zone=\"catania\" region=\"sicily\"/>",
+                "",
+                20,
+                "3, 5 or 7",
+            ),
+            ("name=\"n1\" address", "name=\"n0\" address", 22, "twice"),
+            ("zone=\"catania\" region", "zone=\"palermo\" region", 20, "most voters are in zone palermo"),
+            (
+                "zone=\"messina\" region=\"sicily\"",
+                "zone=\"messina\" region=\"malta\"",
+                20,
+                "wins=\"sicily\"",
+            ),
+            (" folder=\"record\"", " wins=\"sicily\"", 20, "two regions"),
+            ("folder=\"record\"", "folder=\"record\" members=\"1\"", 20, "from 3 to 1000"),
+            ("<zone name=\"palermo\"", "<zone name=\"malta\"", 25, "own zone palermo"),
+            ("<zone name=\"palermo\"", "<zone name=\"catania\"", 27, "twice"),
+            ("life=\"60000\"", "life=\"60000\" hold=\"5000\" longest-hold=\"400\"", 25, "from 1000 to"),
+            ("life=\"60000\"", "hold=\"60000\" longest-hold=\"4000\"", 25, "shorter than hold"),
             ("listen=\"127.0.0.1:7400\"", "listen=\"messina\"", 16, "not an address"),
             ("<?xml version=\"1.0\"?>", "<!DOCTYPE x [<!ENTITY a \"b\">]>", 1, "document type"),
             ("secret=\"marks.key\"", "secret=\"&a;\"", 5, ""),
@@ -231,10 +273,14 @@
             ("Field", "<distinct"),
             ("Gateway", "<gateway"),
             ("Peer", "<peer"),
+            ("Fleet", "<fleet"),
+            ("Voter", "<voter"),
+            ("Zones", "<zones"),
+            ("Zone", "<zone"),
         ];
         let decode = |text: &str| {
             quick_xml::de::from_str::<Document>(text)
-                .map(|d| format!("{:?}{:?}{:?}", d.merging, d.gateway, d.peers))
+                .map(|d| format!("{:?}{:?}{:?}{:?}{:?}", d.merging, d.gateway, d.peers, d.fleet, d.zones))
         };
         assert!(decode(&whole).is_ok());
         let samples = schema.samples();
--- a/crates/linenthread-installation/src/links.rs
+++ b/crates/linenthread-installation/src/links.rs
@@ -114,7 +114,7 @@
     250
 }
 
-fn address(text: &str, node: &Node) -> Result<SocketAddr, Fault> {
+pub(crate) fn address(text: &str, node: &Node) -> Result<SocketAddr, Fault> {
     text.parse().map_err(|_| Fault::new(node.line, format!("{text} is not an address with its port")))
 }
 
--- a/crates/linenthread-service/src/desk.rs
+++ b/crates/linenthread-service/src/desk.rs
@@ -6,11 +6,12 @@
 use std::rc::Rc;
 
 use linenthread_core::interface::{
-    Arrivals, Listed, NewLookup, NewPart, Phase, ProbeReturn, Return, RosterNews, Tenths,
+    Arrivals, Ending, Listed, NewLookup, NewPart, Phase, ProbeReturn, Return, RosterNews, Tenths,
 };
 use linenthread_core::{Coordinator, Writer};
 use linenthread_link::{Member, routes};
 use linenthread_protocol::{number, roster};
+use linenthread_zones::{Ground, Report, Table};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep_until;
 use tracing::{info, warn};
@@ -19,6 +20,7 @@
 use crate::carriers::{Carriers, Place};
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::near::Near;
 
 /// What was decided for one lookup.
 #[derive(Debug)]
@@ -108,6 +110,8 @@
     local: BTreeMap<String, Member>,
     /// What lies behind each peer, and whether it can be reached now.
     peers: Vec<Behind>,
+    /// Where zones are decided on in common.
+    near: Option<Near>,
     /// Replicas behind peers as the module was last told of them.
     far: BTreeMap<String, (Vec<usize>, Member)>,
 }
@@ -183,7 +187,9 @@
             held.probes += 1;
         }
         actix_rt::spawn(async move {
+            let sent = desk.0.clock.now();
             let (ending, queue) = desk.0.carriers.probe(replica).await;
+            desk.saw(replica, ending, desk.0.clock.now() - sent);
             desk.arrive(|arrivals| arrivals.probes.push(ProbeReturn { replica, ending, queue }));
         });
     }
@@ -202,7 +208,18 @@
 }
 
 impl Desk {
-    pub fn new(config: &Config, carriers: Carriers) -> Self {
+    /// `near` makes what is kept of zones, from the sites' names in their order; the operators' zones that the
+    /// settings do not name come after those they do.
+    pub fn new(
+        config: &Config,
+        carriers: Carriers,
+        zones: &[String],
+        near: impl FnOnce(&[String]) -> Option<Near>,
+    ) -> Self {
+        let mut sites = config.surroundings.sites.clone();
+        let further: Vec<String> = zones.iter().filter(|z| !sites.contains(z)).cloned().collect();
+        sites.extend(further);
+        let near = near(&sites);
         let desk = Desk(Rc::new(Inner {
             clock: Clock::new(),
             state: RefCell::new(State {
@@ -212,10 +229,11 @@
                 free: Vec::new(),
                 handed_in: 0,
                 indices: Indices::default(),
-                sites: config.surroundings.sites.clone(),
+                sites,
                 wake_at: None,
                 local: BTreeMap::new(),
                 peers: Vec::new(),
+                near,
                 far: BTreeMap::new(),
             }),
             came: Notify::new(),
@@ -226,6 +244,7 @@
         }));
         let listed = desk.listed(&config.remembered);
         desk.hear_roster(RosterNews::Remembered(listed));
+        desk.tell_ways();
         desk
     }
 
@@ -286,6 +305,9 @@
         });
         state.lookups[lookup] = Some(Task { to, before });
         let HandedIn { index, customer, key, number, expires_in, parts } = new;
+        if let Some(near) = &mut state.near {
+            near.asked(parts.len());
+        }
         let hard_deadline = self.0.clock.now() + expires_in;
         state.arrivals.lookups.push(NewLookup { lookup, index, customer, key, number, hard_deadline });
         let parts = parts.into_iter().map(|(shard, weight)| NewPart { lookup, shard, weight });
@@ -328,7 +350,45 @@
         self.0.roster_wanted.notified().await;
     }
 
+    /// The ways that the module goes by, where there are zones.
+    fn tell_ways(&self) {
+        let ways = self.0.state.borrow().near.as_ref().map(Near::ways);
+        if let Some(ways) = ways {
+            self.arrive(|arrivals| arrivals.ways = Some(ways));
+        }
+    }
+
+    /// All act on this table from now on; whether this program does.
+    pub fn take_table(&self, table: Table) -> bool {
+        let now = self.0.clock.now();
+        let taken = self.0.state.borrow_mut().near.as_mut().is_some_and(|near| near.take(table, now));
+        if taken {
+            self.tell_ways();
+        }
+        taken
+    }
+
+    /// What was seen of zones since the last time, and what there is.
+    pub fn seen(&self) -> Option<(Report, Ground)> {
+        let now = self.0.clock.now();
+        if self.0.state.borrow_mut().near.as_mut()?.ends(now) {
+            warn!("no word of the table for its life: all ways are open again, the nearest first");
+            self.tell_ways();
+        }
+        Some(self.0.state.borrow_mut().near.as_mut()?.report())
+    }
+
+    /// A part call or a probe to a replica has ended so.
+    pub fn saw(&self, replica: usize, ending: Ending, took: Tenths) {
+        if let Some(near) = &mut self.0.state.borrow_mut().near {
+            near.ended(replica, ending, took);
+        }
+    }
+
     fn hear_roster(&self, news: RosterNews) {
+        if let Some(near) = &mut self.0.state.borrow_mut().near {
+            near.hear(&news);
+        }
         self.arrive(|arrivals| arrivals.roster.push(news));
     }
 
--- a/crates/linenthread-service/src/lookup.rs
+++ b/crates/linenthread-service/src/lookup.rs
@@ -93,6 +93,7 @@
             at.timed_out();
         }
         let took = self.work.desk.clock().now() - out.sent;
+        self.work.desk.saw(out.replica, ending, took);
         self.work.desk.give_back(Return { lookup: self.lookup, part, call, ending, took, queue });
     }
 
--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -5,11 +5,14 @@
 mod config;
 mod desk;
 mod first_try;
+mod fleet;
 mod fronts;
 mod gather;
 mod log;
 mod lookup;
 mod migrate;
+mod near;
+mod operator;
 mod own;
 mod roster;
 mod serve;
@@ -29,6 +32,7 @@
     Schema,
     Migrate { dry_run: bool, output: Option<PathBuf>, old: PathBuf },
     Try { show: bool, seed: u64, sites: u8 },
+    Zones { installation: PathBuf, wish: operator::Wish },
     Version,
 }
 
@@ -101,12 +105,29 @@
         .footer("Example: linenthread try --show")
         .command("try")
         .help("See it work on this machine, with nothing else set up");
+    let zone = || positional::<String>("ZONE").help("The zone's name, as the operators' file has it");
+    let show =
+        pure(operator::Wish::Show).to_options().descr("Prints the table that all act on").command("show");
+    let drain = zone().map(operator::Wish::Drain).to_options();
+    let drain = drain.descr("Has all co-ordinators leave a zone").command("drain");
+    let back = zone().map(operator::Wish::Return).to_options();
+    let back = back.descr("Has a zone taken back, step by step").command("return");
+    let wish = construct!([show, drain, back]);
+    let installation = long("installation")
+        .help("The operators' own file, which names the fleet's voters and its secret")
+        .argument::<PathBuf>("FILE");
+    let zones = construct!(Command::Zones { installation, wish })
+        .to_options()
+        .descr("Looks at the table of zones that the fleet acts on, or has a zone left or taken back")
+        .footer("Example: linenthread zones --installation deploy/installation.xml drain palermo")
+        .command("zones")
+        .help("Show zones, leave one or take it back");
     let version = pure(Command::Version)
         .to_options()
         .descr("Prints the version")
         .command("version")
         .help("Print the version");
-    construct!([serve, check, migrate, schema, first_try, version])
+    construct!([serve, check, migrate, schema, first_try, zones, version])
         .to_options()
         .descr("linenthread co-ordinates lookups over replicated shards")
         .footer("Start with: EDGE_CONFIG=/run/balancer/config.json linenthread serve")
@@ -143,6 +164,16 @@
             print!("{}", linenthread_installation::SCHEMA);
             ExitCode::SUCCESS
         }
+        Command::Zones { installation, wish } => match operator::run(&installation, &wish) {
+            Ok(said) => {
+                println!("{said}");
+                ExitCode::SUCCESS
+            }
+            Err(message) => {
+                eprintln!("linenthread: {message}");
+                ExitCode::FAILURE
+            }
+        },
         Command::Migrate { dry_run, output, old } => migrate::run(&old, output.as_deref(), dry_run),
         Command::Try { show, seed, sites } => first_try::run(seed, show, sites == 2),
         Command::Check(file, own) => with_files(Some(file), own.as_deref(), |config, _, read| {
--- /dev/null
+++ b/crates/linenthread-service/src/near.rs
@@ -0,0 +1,155 @@
+//! What the desk keeps of zones: where replicas stand, what becomes of the parts sent there, and the table that is
+//! acted on.
+
+use std::collections::BTreeMap;
+
+use linenthread_core::interface::{Ending, Layout, Listed, Phase, RosterNews, Tenths, WayTo};
+use linenthread_protocol::number;
+use linenthread_zones::{ALL, Ground, Pattern, Report, Table, Watch, Zone};
+
+/// Nearer than a site that the operators' file does not name, farther than one it does.
+const UNNAMED: u8 = 3;
+
+pub struct Near {
+    zones: Vec<Zone>,
+    /// Where this program's clients are.
+    own: usize,
+    /// By the desk's number of a site: its name, and its zone if the operators' file names one.
+    sites: Vec<(String, Option<usize>)>,
+    layout: Layout,
+    /// Shards of the layout.
+    shards: usize,
+    watch: Watch,
+    listed: BTreeMap<usize, Listed>,
+    known: BTreeMap<usize, (u64, Option<Tenths>)>,
+    table: Option<Table>,
+    /// Until then the table is acted on without further word of it.
+    until: Tenths,
+    life: Tenths,
+}
+
+impl Near {
+    /// `sites` are the desk's, in its order; `own` is the fleet's own zone.
+    pub fn new(
+        zones: Vec<Zone>,
+        own: &str,
+        life: Tenths,
+        sites: &[String],
+        (layout, shards): (Layout, usize),
+    ) -> Near {
+        let zone = |name: &String| (name.clone(), zones.iter().position(|z| z.name == *name));
+        let own = zones.iter().position(|z| z.name == own).unwrap_or_default();
+        Near {
+            sites: sites.iter().map(zone).collect(),
+            watch: Watch::new(own as u8),
+            zones,
+            own,
+            layout,
+            shards,
+            listed: BTreeMap::new(),
+            known: BTreeMap::new(),
+            table: None,
+            until: 0,
+            life,
+        }
+    }
+
+    /// The roster's news, as the module hears it.
+    pub fn hear(&mut self, news: &RosterNews) {
+        let (listed, whole) = match news {
+            RosterNews::Changes(listed) => (listed, false),
+            RosterNews::Whole(listed) | RosterNews::Remembered(listed) => (listed, true),
+            RosterNews::Failed => return,
+        };
+        if whole {
+            self.listed.clear();
+        }
+        for entry in listed {
+            // Another process, or another replica under this number: what is known of it is of the one before.
+            if self.known.insert(entry.replica, (entry.id, entry.started)) != Some((entry.id, entry.started))
+            {
+                self.watch.gone(entry.replica);
+            }
+            match entry.phase {
+                Phase::Gone => {
+                    self.watch.gone(entry.replica);
+                    self.listed.remove(&entry.replica);
+                }
+                _ => drop(self.listed.insert(entry.replica, entry.clone())),
+            }
+        }
+    }
+
+    fn zone(&self, replica: usize) -> Option<usize> {
+        self.sites.get(self.listed.get(&replica)?.site)?.1
+    }
+
+    pub fn asked(&mut self, parts: usize) {
+        self.watch.asked(parts);
+    }
+
+    pub fn ended(&mut self, replica: usize, ending: Ending, took: Tenths) {
+        if let Some(zone) = self.zone(replica) {
+            self.watch.ended(zone as u8, replica, ending, took);
+        }
+    }
+
+    /// What was seen since the last time, and what there is.
+    pub fn report(&mut self) -> (Report, Ground) {
+        let count = self.zones.len();
+        let mut replicas = vec![0; count];
+        // By cell, replicas that take parts, by zone.
+        let mut cells = vec![vec![0_u16; count]; self.layout.cells];
+        for (&replica, listed) in self.listed.iter().filter(|(_, l)| l.phase == Phase::Ready) {
+            if let Some(zone) = self.zone(replica) {
+                replicas[zone] += 1;
+                if let Some(cell) = cells.get_mut(listed.cell) {
+                    cell[zone] += 1;
+                }
+            }
+        }
+        let mut patterns: BTreeMap<Vec<u16>, f64> = BTreeMap::new();
+        for shard in 0..self.shards {
+            let mut holders = vec![0; count];
+            for cell in (0..self.layout.cells).filter(|&cell| self.layout.holds(cell, shard)) {
+                (0..count).for_each(|zone| holders[zone] += cells[cell][zone]);
+            }
+            *patterns.entry(holders).or_default() += 1.0 / self.shards.max(1) as f64;
+        }
+        let patterns = patterns.into_iter().map(|(holders, share)| Pattern { holders, share }).collect();
+        (self.watch.report(&replicas), Ground { zones: self.zones.clone(), replicas, patterns })
+    }
+
+    /// Acts on a table from now on. One of other zones than this program's file has is not acted on.
+    pub fn take(&mut self, table: Table, now: Tenths) -> bool {
+        let same = table.zones.iter().eq(self.zones.iter().map(|z| &z.name));
+        if same {
+            self.table = Some(table);
+            self.until = now + self.life;
+        }
+        same
+    }
+
+    /// Whether the table has just been without word for too long: then all ways are open again, near first.
+    pub fn ends(&mut self, now: Tenths) -> bool {
+        now >= self.until && self.table.take().is_some()
+    }
+
+    /// What the module is told.
+    pub fn ways(&self) -> Vec<WayTo> {
+        let way = |(name, zone): &(String, Option<usize>)| {
+            let Some(zone) = *zone else {
+                return WayTo { id: number(name), distance: UNNAMED, open: ALL };
+            };
+            let distance = match (zone == self.own, self.zones[zone].region == self.zones[self.own].region) {
+                (true, _) => 0,
+                (_, true) => 1,
+                _ => 2,
+            };
+            let row = self.table.as_ref().and_then(|t| t.rows.get(self.own));
+            let open = row.and_then(|row| row.open.get(zone)).map_or(ALL, |(share, _)| *share);
+            WayTo { id: number(name), distance, open }
+        };
+        self.sites.iter().map(way).collect()
+    }
+}
--- /dev/null
+++ b/crates/linenthread-service/src/operator.rs
@@ -0,0 +1,190 @@
+//! `linenthread zones`: an operator looks at the table that is acted on, or has a zone left or taken back. It follows
+//! a voter for a moment, as any process of the fleet that is none itself.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use linenthread_core::interface::Tenths;
+use linenthread_fleet::{Fleet, FleetDo, FleetTerms, Who};
+use linenthread_frames::Secrets;
+use linenthread_installation::Installation;
+use linenthread_store::Folder;
+use linenthread_zones::Table;
+
+use crate::fleet::{ORDERS, Orders, TABLE, order};
+use crate::own;
+
+/// So long it waits for an answer, and so long for more values after the first ones.
+const PATIENCE: Duration = Duration::from_secs(10);
+const QUIET: Duration = Duration::from_millis(400);
+
+#[derive(Clone, Debug)]
+pub enum Wish {
+    Show,
+    Drain(String),
+    Return(String),
+}
+
+struct Line {
+    fleet: Fleet<Folder>,
+    stream: Option<(u64, TcpStream)>,
+    began: Instant,
+}
+
+impl Line {
+    fn now(&self) -> Tenths {
+        1_000_000 + (self.began.elapsed().as_micros() / 100) as Tenths
+    }
+
+    /// Does what the machine says. Gossip is not for one that stays a moment.
+    fn obey(&mut self, all: Vec<FleetDo>) -> bool {
+        let mut agreed = false;
+        let mut todo = all;
+        while !todo.is_empty() {
+            let mut next = Vec::new();
+            for one in std::mem::take(&mut todo) {
+                match one {
+                    FleetDo::Dial { connection, address } => {
+                        match TcpStream::connect_timeout(&address, Duration::from_secs(1)) {
+                            Ok(stream) => self.stream = Some((connection, stream)),
+                            Err(_) => self.fleet.lost(self.now(), connection, &mut next),
+                        }
+                    }
+                    FleetDo::Write { connection, bytes } => {
+                        let sent = match &mut self.stream {
+                            Some((number, stream)) if *number == connection => {
+                                stream.write_all(&bytes).is_ok()
+                            }
+                            _ => true,
+                        };
+                        if !sent {
+                            self.stream = None;
+                            self.fleet.lost(self.now(), connection, &mut next);
+                        }
+                    }
+                    FleetDo::Close { connection, .. } => {
+                        self.stream = None;
+                        self.fleet.lost(self.now(), connection, &mut next);
+                    }
+                    FleetDo::Agreed(_) => agreed = true,
+                    _ => {}
+                }
+            }
+            todo = next;
+        }
+        agreed
+    }
+
+    /// One turn; whether something that was agreed on came.
+    fn turn(&mut self) -> bool {
+        let (now, mut to) = (self.now(), Vec::new());
+        self.fleet.wake(now, &mut to);
+        let mut agreed = self.obey(to);
+        let mut buffer = [0; 64 * 1024];
+        let Some((number, stream)) = &mut self.stream else {
+            std::thread::sleep(Duration::from_millis(20));
+            return agreed;
+        };
+        let number = *number;
+        stream.set_read_timeout(Some(Duration::from_millis(50))).ok();
+        let read = stream.read(&mut buffer);
+        let (now, mut to) = (self.now(), Vec::new());
+        match read {
+            Ok(n) if n > 0 => self.fleet.received(now, number, &buffer[..n], &mut to),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            _ => {
+                self.stream = None;
+                self.fleet.lost(now, number, &mut to);
+            }
+        }
+        agreed |= self.obey(to);
+        agreed
+    }
+
+    fn orders(&self) -> Orders {
+        self.fleet.board().value(ORDERS).and_then(|(_, v)| Orders::decode(v).ok()).unwrap_or_default()
+    }
+}
+
+fn show(line: &Line) -> String {
+    let Some((number, value)) = line.fleet.board().value(TABLE) else {
+        return "no table was agreed on yet: all ways are open, the nearest first".into();
+    };
+    let Ok(table) = Table::decode(value) else { return "the table cannot be read by this version".into() };
+    let mut text = format!("table {number}; keys of a thousand to which each way is open\n");
+    let width = table.zones.iter().map(String::len).max().unwrap_or(0).max(8);
+    text += &format!("{:width$}", "from");
+    table.zones.iter().for_each(|to| text += &format!("  {to:>width$}"));
+    for (from, row) in table.zones.iter().zip(&table.rows) {
+        text += &format!("\n{from:width$}");
+        for (share, reason) in &row.open {
+            let word = format!("{share} {reason:?}").to_lowercase();
+            text += &format!("  {word:>width$}");
+        }
+    }
+    let drained: Vec<String> = line.orders().drained.into_iter().collect();
+    if !drained.is_empty() {
+        text += &format!("\nleft by order: {}", drained.join(", "));
+    }
+    text
+}
+
+/// Carries a wish out and says what became of it.
+///
+/// # Errors
+///
+/// One line: the file is bad, no voter could be reached, or the order was refused.
+pub fn run(file: &Path, wish: &Wish) -> Result<String, String> {
+    let read = Installation::read_file(file, &|_| Some(linenthread_installation::KnownIndex { floor: 0.0 }))?;
+    let fleet = read.fleet.ok_or_else(|| format!("{}: there is no <fleet>", file.display()))?;
+    let secrets = Secrets::new(own::secrets(&fleet.secrets)?)?;
+    let own = Who::stranger(&format!("operator-{}", std::process::id()), fleet.address);
+    let voters = fleet.voters.into_iter().map(|v| (v.name, v.address)).collect();
+    let terms = FleetTerms { own, voters, expected: fleet.members, probe: 60_000 };
+    let mut to = Vec::new();
+    let began = Instant::now();
+    // What it makes up in handshakes must be new each time.
+    let seed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let seed = seed.as_nanos() as u64 ^ u64::from(std::process::id()) << 40;
+    let machine = Fleet::new(terms, None, secrets, seed, 1_000_000, &mut to)?;
+    let mut line = Line { fleet: machine, stream: None, began };
+    line.obey(to);
+    let number = seed | 1;
+    let mut asked: Option<Instant> = None;
+    let mut heard: Option<Instant> = None;
+    while began.elapsed() < PATIENCE {
+        if line.turn() {
+            heard = Some(Instant::now());
+        }
+        match wish {
+            Wish::Show => {
+                if heard.is_some_and(|at| at.elapsed() > QUIET) {
+                    return Ok(show(&line));
+                }
+            }
+            Wish::Drain(zone) | Wish::Return(zone) => {
+                let drain = matches!(wish, Wish::Drain(_));
+                if heard.is_some() && asked.is_none_or(|at| at.elapsed() > Duration::from_secs(2)) {
+                    asked = Some(Instant::now());
+                    let mut to = Vec::new();
+                    line.fleet.report(order(number, zone, drain), &mut to);
+                    line.obey(to);
+                }
+                let orders = line.orders();
+                if orders.last == number {
+                    let word = if drain { "is left" } else { "returns in steps" };
+                    return match orders.refused.is_empty() {
+                        true => Ok(format!("zone {zone} {word}: agreed on")),
+                        false => Err(format!("refused: {}", orders.refused)),
+                    };
+                }
+            }
+        }
+    }
+    Err(match heard {
+        Some(_) => "nobody who leads has answered: nothing was agreed on, as far as is known here".into(),
+        None => "no voter could be reached, or nothing was agreed on yet".into(),
+    })
+}
--- a/crates/linenthread-service/src/own.rs
+++ b/crates/linenthread-service/src/own.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-use linenthread_installation::{Gateway, Installation, KnownIndex, Peer};
+use linenthread_installation::{Fleet, Gateway, Installation, KnownIndex, Peer, Zones};
 use linenthread_link::Secrets;
 use linenthread_merge::Marks;
 use tracing::{info, warn};
@@ -17,9 +17,11 @@
     pub merging: Merging,
     pub gateway: Option<(Gateway, Secrets)>,
     pub peers: Vec<(Peer, Secrets)>,
+    pub fleet: Option<(Fleet, Secrets)>,
+    pub zones: Option<Zones>,
 }
 
-fn secrets(files: &[PathBuf]) -> Result<Vec<Vec<u8>>, String> {
+pub fn secrets(files: &[PathBuf]) -> Result<Vec<Vec<u8>>, String> {
     let secret = |path: &PathBuf| {
         let secret = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
         let secret = secret.trim_ascii_end().to_vec();
@@ -58,7 +60,11 @@
         };
         let peer = |peer: Peer| Ok::<_, String>((peer.clone(), link(&peer.secrets)?));
         let peers = read.peers.into_iter().map(peer).collect::<Result<_, _>>()?;
-        Ok(Own { merging, gateway, peers })
+        let fleet = match read.fleet {
+            Some(fleet) => Some((fleet.clone(), link(&fleet.secrets)?)),
+            None => None,
+        };
+        Ok(Own { merging, gateway, peers, fleet, zones: read.zones })
     }
 
     /// Reads it once more for a program that runs: how indexes are merged counts at once, links from the next
--- a/crates/linenthread-service/src/serve.rs
+++ b/crates/linenthread-service/src/serve.rs
@@ -4,23 +4,26 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use linenthread_core::interface::Tenths;
-use linenthread_link::{Far, FarTerms, NearTerms};
+use linenthread_link::{Far, FarTerms, NearTerms, Secrets};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use tracing::info;
+use tokio::time::{interval, sleep};
+use tracing::{info, warn};
 
 use crate::carriers::call::Limits;
 use crate::carriers::{Carriers, link as far};
 use crate::clock;
 use crate::config::Config;
 use crate::desk::Desk;
+use crate::fleet::{self, FromFleet, Place, ToFleet};
 use crate::fronts::http::{self, Front};
 use crate::fronts::link::{self, Gateway};
 use crate::gather::Gathering;
 use crate::lookup::Work;
+use crate::near::Near;
 use crate::own::Own;
 use crate::roster;
 
@@ -33,6 +36,9 @@
 /// After the word to stop, what runs for links may go on for so long.
 const LINKS_DRAIN: Duration = Duration::from_millis(1_500);
 
+/// What the desk sees of zones is passed on this often.
+const SEEN: Duration = Duration::from_millis(500);
+
 fn tenths(ms: u64) -> Tenths {
     ms as Tenths * 10
 }
@@ -67,14 +73,25 @@
         idle: idle - idle / 8,
         connections: for_replicas,
     });
-    let desk = Desk::new(&config, carriers.clone());
+    let Own { merging, gateway, peers, fleet, zones } = own;
+    let names: Vec<String> = zones.iter().flat_map(|z| &z.zones).map(|z| z.name.clone()).collect();
+    let desk = Desk::new(&config, carriers.clone(), &names, |sites| {
+        let ((fleet, _), zones) = (fleet.as_ref()?, zones.as_ref()?);
+        let shards = (config.deployment.layout.clone(), surroundings.shards);
+        Some(Near::new(fleet::zones_of(zones), &fleet.zone, tenths(zones.life), sites, shards))
+    });
+    let fleet = match fleet {
+        Some((fleet, secrets)) => Some(join_fleet(&config, &desk, fleet, zones, secrets)?),
+        None => None,
+    };
     let ask_first = !config.deployment.watch_roster;
     let mut rounds = actix_rt::spawn(desk.clone().run());
     let (moved, address) = watch::channel(config.roster);
     let mut watch = actix_rt::spawn(roster::watch(desk.clone(), address, layout.cells, ask_first));
-    let Own { merging, gateway, peers } = own;
     // A link takes one descriptor, a gateway as many as it may have sessions and the listener.
-    let for_links = peers.len() + gateway.as_ref().map_or(0, |(gateway, _)| 2 * gateway.sessions + 1);
+    let for_fleet = fleet.as_ref().map_or(0, |(_, descriptors)| *descriptors);
+    let for_links =
+        for_fleet + peers.len() + gateway.as_ref().map_or(0, |(gateway, _)| 2 * gateway.sessions + 1);
     for (n, (peer, secrets)) in peers.into_iter().enumerate() {
         let number = desk.add_peer();
         let (changes, mut news) = mpsc::unbounded_channel();
@@ -152,9 +169,60 @@
             }
         } => {}
     }
+    if let Some((fleet, _)) = &fleet {
+        fleet.to.send(ToFleet::Leave).ok();
+    }
     if let Some(gateway) = for_leaving {
         gateway.leave(LINKS_DRAIN).await;
     }
     front.stop(listener).await;
+    if let Some((fleet, _)) = &fleet {
+        fleet.leave();
+    }
     Ok(())
 }
+
+/// Takes part in the fleet: passes on what the desk sees, and has it act on the tables that are agreed on. Gives the
+/// way to the fleet's thread, and how many descriptors it may need.
+fn join_fleet(
+    config: &Config,
+    desk: &Desk,
+    fleet: linenthread_installation::Fleet,
+    zones: Option<linenthread_installation::Zones>,
+    secrets: Secrets,
+) -> Result<(fleet::Handle, usize), String> {
+    let descriptors = 4 + fleet.voters.len() * 2 + fleet.members as usize;
+    let (from, mut told) = mpsc::unbounded_channel();
+    let seed = config.seed.rotate_left(17);
+    let place = Place { name: config.name.clone(), fleet, zones, secrets, seed };
+    let handle = fleet::start(place, desk.clock(), from)?;
+    let (desk, to) = (desk.clone(), handle.to.clone());
+    actix_rt::spawn(async move {
+        let mut tell = interval(SEEN);
+        loop {
+            tokio::select! {
+                _ = tell.tick() => {
+                    if let Some((report, ground)) = desk.seen()
+                        && to.send(ToFleet::Seen(report, ground)).is_err()
+                    {
+                        warn!("the fleet's thread has ended: decides alone");
+                        return;
+                    }
+                }
+                Some(FromFleet::Table { number, table }) = told.recv() => {
+                    // From the moment on that it states; clocks that are apart are not waited for.
+                    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+                    let wait = u128::from(table.from_ms).saturating_sub(unix).min(1_000) as u64;
+                    sleep(Duration::from_millis(wait)).await;
+                    let rows = table.rows.clone();
+                    if desk.take_table(table) {
+                        info!(number, ?rows, "acts on a table");
+                    } else {
+                        warn!(number, "a table of other zones than this file has is not acted on");
+                    }
+                }
+            }
+        }
+    });
+    Ok((handle, descriptors))
+}
--- a/crates/linenthread-stand-ins/src/client.rs
+++ b/crates/linenthread-stand-ins/src/client.rs
@@ -30,6 +30,17 @@
 }
 
 impl Client {
+    /// Where somebody may be listening or not.
+    pub fn try_connect(address: SocketAddr) -> Option<Client> {
+        let line = TcpStream::connect_timeout(&address, PATIENCE).ok()?;
+        line.set_read_timeout(Some(PATIENCE)).ok()?;
+        Some(Client(BufReader::new(line)))
+    }
+
+    pub fn try_send(&mut self, text: &str) -> bool {
+        self.0.get_mut().write_all(text.as_bytes()).is_ok()
+    }
+
     pub fn connect(address: SocketAddr) -> Client {
         let line = TcpStream::connect(address).unwrap();
         line.set_read_timeout(Some(PATIENCE)).unwrap();
--- a/crates/linenthread-stand-ins/src/lib.rs
+++ b/crates/linenthread-stand-ins/src/lib.rs
@@ -6,9 +6,12 @@
 mod fleet;
 mod http;
 pub mod ledger;
+mod net;
 mod program;
 pub mod proxy;
+pub mod rig;
 mod roster;
+pub mod scenarios;
 pub mod sites;
 
 use std::sync::mpsc::Receiver;
--- a/crates/linenthread-stand-ins/src/sites.rs
+++ b/crates/linenthread-stand-ins/src/sites.rs
@@ -76,7 +76,7 @@
 }
 
 /// A loopback address by process and call: hardly any other process, and no recent call here, has it.
-fn own_loopback() -> Ipv4Addr {
+pub(crate) fn own_loopback() -> Ipv4Addr {
     static GIVEN: AtomicU8 = AtomicU8::new(2);
     let [.., middle, low] = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, middle, low, GIVEN.fetch_add(1, Ordering::Relaxed).max(2))
--- a/crates/linenthread-zones/src/decide.rs
+++ b/crates/linenthread-zones/src/decide.rs
@@ -318,8 +318,8 @@
         };
         let bad = |(w, observers): (Way, u32)| most(w.down, w.voices) && most(w.down, observers);
         let good = |(w, _): (Way, u32)| w.voices > 0 && !most(w.down, w.voices);
-        // A zone that reaches nothing, itself neither, has no say on others: it is what is cut off.
-        let blind = |f: usize| bad(way(f, f)) && !(0..count).any(|to| good(way(f, to)));
+        // A zone that reaches nothing well, itself neither, has no say on others: it is what is cut off.
+        let blind = |f: usize| !(0..count).any(|to| good(way(f, to)));
         for to in 0..self.zones.len() {
             let others = || (0..count).filter(|f| *f != to && !blind(*f)).map(|from| way(from, to));
             let (against, with) =
--- a/crates/linenthread-zones/src/report.rs
+++ b/crates/linenthread-zones/src/report.rs
@@ -11,10 +11,14 @@
 /// report.
 const FEW: f64 = 5.0;
 const LATE: f64 = 0.5;
+/// So many reports later what became of a replica's last part is out of date.
+const FRESH: u64 = 16;
 /// It takes a zone for down when so much of what it sent there came to nothing ...
 const DOWN: f64 = 0.6;
 /// ... and for slow when answers take so many times what they took on the whole.
 const SLOW: f64 = 3.0;
+/// A part that was given up after so many times that was met by silence.
+const SILENT: f64 = 20.0;
 /// How much of its usual time an observer keeps with each report.
 const KEEP: f64 = 0.98;
 /// Reports that are added up to one at the most: a thousand co-ordinators, some of them told twice.
@@ -123,6 +127,10 @@
     ways: BTreeMap<u8, Way>,
     /// By zone, of late: parts that ended, that were answered, and what these took.
     late: BTreeMap<u8, (f64, f64, f64)>,
+    /// By zone and replica, whether what went there last was answered, and in which report that was: a zone that is
+    /// down is asked for little more than probes after the first failures.
+    last: BTreeMap<(u8, usize), (bool, u64)>,
+    reports: u64,
     /// What answers take on the whole: a sum of times and of answers that fades.
     usual: (f64, f64),
 }
@@ -130,7 +138,15 @@
 impl Watch {
     /// In the zone of this number.
     pub fn new(own: u8) -> Watch {
-        Watch { own, asked: 0, ways: BTreeMap::new(), late: BTreeMap::new(), usual: (0.0, 0.0) }
+        Watch {
+            own,
+            asked: 0,
+            ways: BTreeMap::new(),
+            late: BTreeMap::new(),
+            last: BTreeMap::new(),
+            reports: 0,
+            usual: (0.0, 0.0),
+        }
     }
 
     /// Lookups came with so many parts.
@@ -140,12 +156,17 @@
 
     /// A part call to a replica of a zone has ended. What was given up from here, or turned away by a full replica,
     /// says nothing of whether the zone can be reached.
-    pub fn ended(&mut self, zone: u8, ending: Ending, took: Tenths) {
-        if matches!(ending, Ending::Withdrawn | Ending::Unsent | Ending::TurnedAway)
+    pub fn ended(&mut self, zone: u8, replica: usize, ending: Ending, took: Tenths) {
+        let usual_ms = if self.usual.1 > 0.0 { self.usual.0 / self.usual.1 } else { f64::INFINITY };
+        // One that was given up since another was quicker says nothing, unless it had been silent for long: that is
+        // how a way on which nothing comes through is met.
+        let silent = ending == Ending::Withdrawn && took as f64 / 10.0 > SILENT * usual_ms.max(1.0);
+        if matches!(ending, Ending::Withdrawn | Ending::Unsent | Ending::TurnedAway) && !silent
             || usize::from(zone) >= MOST_ZONES
         {
             return;
         }
+        self.last.insert((zone, replica), (ending == Ending::Answered, self.reports));
         let way = self.ways.entry(zone).or_default();
         way.ended = way.ended.saturating_add(1);
         if ending == Ending::Answered {
@@ -154,8 +175,13 @@
         }
     }
 
-    /// What was seen since the last report.
-    pub fn report(&mut self) -> Report {
+    /// A replica is gone, or another has its number: what was known of it is out of date.
+    pub fn gone(&mut self, replica: usize) {
+        self.last.retain(|(_, known), _| *known != replica);
+    }
+
+    /// What was seen since the last report; `replicas` are those of each zone that take parts.
+    pub fn report(&mut self, replicas: &[u32]) -> Report {
         let usual = if self.usual.1 > 0.0 { self.usual.0 / self.usual.1 } else { f64::INFINITY };
         let ways = std::mem::take(&mut self.ways);
         for way in ways.values() {
@@ -169,11 +195,21 @@
             late.2 += way.time_ms as f64;
         }
         let mut judged = BTreeMap::new();
+        self.reports += 1;
+        self.last.retain(|_, (_, report)| *report + FRESH > self.reports);
+        for to in self.last.keys().map(|(zone, _)| *zone) {
+            self.late.entry(to).or_default();
+        }
         for (to, late) in &mut self.late {
             let way = ways.get(to).copied().unwrap_or_default();
-            let down = 1.0 - late.1 / late.0.max(1.0) >= DOWN;
+            // Most of its replicas were tried, and none of them answers any more.
+            let tried = self.last.iter().filter(|((zone, _), _)| zone == to);
+            let (tried, failed) = tried.fold((0, 0), |(t, f), (_, ok)| (t + 1, f + u32::from(!ok.0)));
+            let none =
+                failed == tried && 2 * tried > replicas.get(usize::from(*to)).copied().unwrap_or(u32::MAX);
+            let down = none || 1.0 - late.1 / late.0.max(1.0) >= DOWN;
             let slow = !down && late.1 > 0.0 && late.2 / late.1 > SLOW * usual.max(1.0);
-            let voices = u32::from(late.0 >= FEW);
+            let voices = u32::from(none || late.0 >= FEW);
             let way = Way { voices, down: voices * u32::from(down), slow: voices * u32::from(slow), ..way };
             judged.insert((self.own, *to), way);
             *late = (late.0 * LATE, late.1 * LATE, late.2 * LATE);
