--- a/crates/linenthread-drill/src/main.rs
+++ b/crates/linenthread-drill/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod link;
 mod link_speed;
+mod members;
 mod merged;
 mod merging_speed;
 mod record;
@@ -23,6 +24,7 @@
     Link(link::Drill),
     Fleet(record::Drill),
     Zones(zones::Drill),
+    Members { seed: u64 },
     Processes { program: Option<PathBuf>, rounds: usize, seed: u64, scenario: String },
     LinkSpeed { program: Option<PathBuf> },
     LinkBytes { program: Option<PathBuf>, step: usize, keep: u64, at_once: usize },
@@ -104,6 +106,16 @@
         .footer("Example: linenthread-drill processes zones --rounds 20 --seed 7")
         .command("processes")
         .help("Check several processes with faults between them");
+    let members = long("seed")
+        .help("What all chance comes from")
+        .argument("S")
+        .fallback(1)
+        .map(|seed| Command::Members { seed })
+        .to_options()
+        .descr("What members cost: fleets of 10 and 100 in simulated time")
+        .footer("Example: linenthread-drill members --seed 7")
+        .command("members")
+        .help("Measure the fleet's members");
     let program = || {
         long("program")
             .help("The program to run at both ends; by default linenthread beside this one")
@@ -140,7 +152,7 @@
         .footer("Example: linenthread-drill merging-speed --rounds 9")
         .command("merging-speed")
         .help("Measure merging");
-    construct!([merged, link, fleet, zones, processes, link_bytes, link_speed, speed])
+    construct!([merged, link, fleet, zones, processes, members, link_bytes, link_speed, speed])
         .to_options()
         .descr("Long checks of linenthread's subsystems")
         .footer("Example: linenthread-drill merged --lookups 100000 --seed 7")
@@ -172,6 +184,10 @@
             let (checked, breaches) = drill.run();
             close(checked, breaches)
         }
+        Command::Members { seed } => {
+            let (checked, breaches) = members::run(seed);
+            close(checked, breaches)
+        }
         Command::Zones(drill) => {
             let (checked, breaches) = drill.run();
             close(checked, breaches)
--- a/crates/linenthread-service/src/first_try.rs
+++ b/crates/linenthread-service/src/first_try.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use linenthread_stand_ins::ledger::{Hosts, How, INSTALLATION, Ledger};
+use linenthread_stand_ins::rig::{Plan, Rig};
 use linenthread_stand_ins::{Class, Client, Part, Roster, config_of, entry, list};
 use oorandom::Rand64;
 use serde_json::{Value, json};
@@ -183,6 +184,80 @@
     }
 }
 
+/// Parts by zone of clients and zone of replicas since some moment.
+fn print_flows(rig: &Rig, names: &[&str], since: usize) {
+    let (flows, _) = rig.flows(since);
+    for (from, name) in names.iter().enumerate() {
+        let to: Vec<String> = names
+            .iter()
+            .enumerate()
+            .map(|(to, name)| format!("{name} {}", flows.get(&(from, to)).copied().unwrap_or_default()))
+            .collect();
+        println!("  parts from {name}: {}", to.join(", "));
+    }
+}
+
+/// Three zones of a co-ordinator and two replicas each, which decide in common: one is killed and comes back.
+pub fn run_zones(seed: u64) -> ExitCode {
+    let exe = match std::env::current_exe() {
+        Ok(exe) => exe.to_string_lossy().into_owned(),
+        Err(e) => {
+            eprintln!("linenthread: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    // What was awaited and did not come ends the thread with its own words.
+    let shown = thread::spawn(move || {
+        let plan = Plan { seed, ..Plan::default() };
+        let names: Vec<&str> = plan.zones.iter().map(|(name, _)| *name).collect();
+        println!("Three co-ordinators in {} found a fleet and a record.", names.join(", "));
+        let mut rig = Rig::started(&exe, plan);
+        rig.ask_all_along(25);
+        rig.whole_again(&[0, 1, 2], 20);
+        let since = rig.ran();
+        rig.whole_again(&[0, 1, 2], 40);
+        println!("All act on one table; parts stay in the zones that hold their shards:");
+        print_flows(&rig, &names, since);
+        let lost = 2;
+        let from = [rig.said(0), rig.said(1)];
+        println!("\n{} is killed, its co-ordinator and its replicas.", names[lost]);
+        let began = std::time::Instant::now();
+        for node in rig.zone(lost) {
+            rig.net.down(node, true);
+            if node < rig.count() {
+                rig.kill(node, false);
+            }
+        }
+        for n in [0, 1] {
+            rig.acts(n, from[n], (n, lost), |share, _| share == 0);
+        }
+        println!("After {:.1} s all others act on a table without it:", began.elapsed().as_secs_f64());
+        let since = rig.ran();
+        rig.whole_again(&[0, 1], 30);
+        print_flows(&rig, &names, since);
+        println!("Service is whole again in {} and {}.\n", names[0], names[1]);
+        let from = rig.said(0);
+        println!("{} is started again.", names[lost]);
+        let began = std::time::Instant::now();
+        for node in rig.zone(lost) {
+            rig.net.down(node, false);
+            if node < rig.count() {
+                rig.start(node);
+            }
+        }
+        rig.acts(0, from, (0, lost), |share, reason| share == 1_000 && reason == "Sound");
+        println!("After {:.1} s it was taken back, step by step.", began.elapsed().as_secs_f64());
+        rig.whole_again(&[0, 1, 2], 20);
+        let breaches = rig.judge();
+        println!("{} lookups, {} breaches of the rules.", rig.told().len(), breaches.len());
+        breaches.is_empty()
+    });
+    match shown.join() {
+        Ok(true) => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
+
 /// Waits until there are replicas to ask: a link takes a moment to come up.
 fn reached(address: SocketAddr) -> bool {
     let ask = |n: usize| {
--- a/crates/linenthread-service/src/main.rs
+++ b/crates/linenthread-service/src/main.rs
@@ -31,7 +31,7 @@
     Check(PathBuf, Option<PathBuf>),
     Schema,
     Migrate { dry_run: bool, output: Option<PathBuf>, old: PathBuf },
-    Try { show: bool, seed: u64, sites: u8 },
+    Try { show: bool, seed: u64, sites: u8, zones: Option<u8> },
     Zones { installation: PathBuf, wish: operator::Wish },
     Version,
 }
@@ -96,7 +96,12 @@
         .argument::<u8>("N")
         .guard(|n| (1..=2).contains(n), "there are 1 or 2 sites")
         .fallback(1);
-    let first_try = construct!(Command::Try { show, seed, sites })
+    let zones = long("zones")
+        .help("3: co-ordinators in three zones that decide in common; one is killed and comes back, shown")
+        .argument::<u8>("N")
+        .guard(|n| *n == 3, "there are 3 zones")
+        .optional();
+    let first_try = construct!(Command::Try { show, seed, sites, zones })
         .to_options()
         .descr(
             "Starts a small fleet of stand-ins, a roster and a co-ordinator with merged indexes on loopback, \
@@ -175,7 +180,8 @@
             }
         },
         Command::Migrate { dry_run, output, old } => migrate::run(&old, output.as_deref(), dry_run),
-        Command::Try { show, seed, sites } => first_try::run(seed, show, sites == 2),
+        Command::Try { seed, zones: Some(_), .. } => first_try::run_zones(seed),
+        Command::Try { show, seed, sites, zones: None } => first_try::run(seed, show, sites == 2),
         Command::Check(file, own) => with_files(Some(file), own.as_deref(), |config, _, read| {
             let (indexes, replicas) = (config.deployment.indexes.len(), config.remembered.replicas.len());
             let merged =
--- a/crates/linenthread-service/tests/processes.rs
+++ b/crates/linenthread-service/tests/processes.rs
@@ -68,3 +68,11 @@
 fn slow_and_lossy_ways_move_nothing() {
     play("slow-and-lossy");
 }
+
+#[test]
+fn a_first_try_shows_a_zone_killed_and_traffic_whole_again() {
+    let output = std::process::Command::new(EXE).args(["try", "--zones", "3"]).output().unwrap();
+    let said = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success(), "{said}{}", String::from_utf8_lossy(&output.stderr));
+    assert!(said.contains("Service is whole again") && said.contains(", 0 breaches of the rules"), "{said}");
+}
--- a/crates/linenthread-zones/src/lib.rs
+++ b/crates/linenthread-zones/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use decide::{Decider, Ground, SPAN, Terms, Zone};
 pub use report::{Report, Watch, Way};
-pub use solve::{Pattern, loads};
+pub use solve::{Pattern, fit, loads};
 pub use table::{Reason, Row, Table};
 
 /// Zones at the most.
--- a/crates/linenthread-zones/src/solve.rs
+++ b/crates/linenthread-zones/src/solve.rs
@@ -65,7 +65,7 @@
 
 /// Closes ways until no zone gets more than its room. What a zone's own clients ask for comes first: what is moved
 /// there has the rest. Shares only fall, so it comes to an end.
-pub(crate) fn fit(ground: &Ground, asked: &[f64], room: &[f64], rows: &mut [Row]) {
+pub fn fit(ground: &Ground, asked: &[f64], room: &[f64], rows: &mut [Row]) {
     let count = ground.zones.len();
     for round in 0..64 {
         let loads = loads(ground, asked, rows);
