Read over: who leads looks at zones once a span, dead steps are out, words on room are true

Read over the whole change. fleet.rs decoded the table and the orders and copied the ground at each wake, twenty times a second; now when a span is over or an order waits. found_soon in voter.rs did nothing after tell. The failover drill counts a part's calls among its lookup's own instead of all of late. Schema and two comments still said that room is measured where it is not told.

--- a/crates/linenthread-drill/src/failover.rs
+++ b/crates/linenthread-drill/src/failover.rs
@@ -501,14 +501,8 @@
         for (lookup, part, replica, time_out) in log.calls {
             let call = self.calls.len();
             let Some(Some(l)) = self.ones[n].lookups.get_mut(lookup) else { continue };
+            let number = l.calls.iter().filter(|&&c| self.calls[c].part == part).count();
             l.calls.push(call);
-            let number = self
-                .calls
-                .iter()
-                .rev()
-                .take(4_000)
-                .filter(|c| c.from == n && c.lookup == lookup && c.part == part);
-            let number = number.filter(|c| c.sent >= l.soft - SOFT).count();
             self.calls.push(Call {
                 from: n,
                 lookup,
--- a/crates/linenthread-drill/src/zones.rs
+++ b/crates/linenthread-drill/src/zones.rs
@@ -159,14 +159,13 @@
             let normal: f64 = (0..12).map(|_| self.chance.rand_float()).sum::<f64>() - 6.0;
             return (mean + normal * mean.sqrt()).max(0.0) as u32;
         }
-        let (mut n, mut left) = (0, (-mean).exp());
+        let (mut n, least) = (0, (-mean).exp());
         let mut product = self.chance.rand_float();
-        while product > left && n < 200 {
+        while product > least && n < 200 {
             product *= self.chance.rand_float();
             n += 1;
         }
-        left = f64::from(n);
-        left as u32
+        n
     }
 
     /// Half a second of traffic as all see it.
--- a/crates/linenthread-fleet/src/voter.rs
+++ b/crates/linenthread-fleet/src/voter.rs
@@ -338,12 +338,6 @@
             Err(trouble) => return self.stop(&trouble, to),
         }
         self.tell(now, to);
-        self.found_soon(now);
-    }
-
-    /// Another stage may follow at once.
-    fn found_soon(&mut self, now: Tenths) {
-        self.told_at = self.told_at.min(now);
     }
 
     fn tell(&mut self, now: Tenths, to: &mut Vec<VoterDo>) {
--- a/crates/linenthread-installation/src/fleet.rs
+++ b/crates/linenthread-installation/src/fleet.rs
@@ -54,7 +54,7 @@
 pub struct Zone {
     pub name: String,
     pub region: String,
-    /// Parts a second that one replica there takes; measured where it is not told.
+    /// Parts a second that one replica there takes; no way is closed for room that is not told.
     pub room: Option<u32>,
 }
 
--- a/crates/linenthread-service/src/fleet.rs
+++ b/crates/linenthread-service/src/fleet.rs
@@ -535,6 +535,11 @@
             }
             return;
         }
+        // Between two spans there is nothing to decide, but for an order.
+        let waits = self.0.decider.borrow().as_ref().is_some_and(|decider| now < decider.wake_at());
+        if waits && self.0.orders.borrow().is_empty() {
+            return;
+        }
         let Some(ground) = self.0.ground.borrow().clone() else { return };
         let (orders_number, mut orders) = self.orders();
         let asked = std::mem::take(&mut *self.0.orders.borrow_mut());
--- a/crates/linenthread-zones/src/decide.rs
+++ b/crates/linenthread-zones/src/decide.rs
@@ -42,7 +42,7 @@
 pub struct Zone {
     pub name: String,
     pub region: String,
-    /// Parts a second that one of its replicas takes; measured where it is not told.
+    /// Parts a second that one of its replicas takes; no way is closed for room that is not told.
     pub room: Option<f64>,
 }
 
