--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -304,20 +304,30 @@
         let site = &mut self.sites[replica.listed.site];
         replica.out -= 1;
         replica.used = now;
-        let delays = &mut self.fleet.delays;
+        // A part took what its first call and all after it did: a copy that is quicker mends a slow one.
+        let (delays, age) = (&mut self.fleet.delays, (now - part.calls[0].sent).max(1) as f64);
         match back.ending {
             Ending::TurnedAway => {
                 replica.last_call = now;
                 delays.add(now, RECENT, self.soft.ln());
                 replica.seen.times.add(now, span, self.soft.ln());
             }
-            Ending::Answered | Ending::TimedOut | Ending::Withdrawn => delays.add(now, RECENT, took.ln()),
+            Ending::Answered if !part.answered => delays.add(now, RECENT, age.ln()),
+            Ending::TimedOut | Ending::Withdrawn if !part.answered && part.out() == 0 => {
+                delays.add(now, RECENT, age.ln());
+            }
             _ => {}
         }
         let usual = replica.seen.times.shape(HEARD).or(self.fleet.times.shape(HEARD));
         let late = usual.is_some_and(|(median, _)| took.ln() > median);
         match back.ending {
             Ending::Answered => {
+                // A copy that came first was needed: it makes room for two more, up to one for each replica.
+                if back.call > 0 && !part.answered && part.out() > 0 {
+                    let copies = &mut self.fleet.copies;
+                    copies.fade(now, RECENT);
+                    copies.sum = (copies.sum - 2.0).max(-copies.weight);
+                }
                 part.answered |= !lookup.over;
                 part.onward = part.onward.filter(|from| back.call < *from);
                 replica.heard = now;
