--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -50,7 +50,7 @@
 /// How long to wait before a replica that failed a part is asked for the same part again.
 const PAUSE: Tenths = 1_000;
 /// Share of parts that may have a second copy sent because the first is late ...
-const COPIES: f64 = 0.005;
+const COPIES: f64 = 0.01;
 /// ... when no more than so many slow answers' time is left.
 const URGENT: f64 = 2.5;
 /// How much of the cold budget is used.
@@ -93,6 +93,9 @@
     times: Fading,
     /// Logarithms of how long parts took or were waited for: where turned away, a whole soft deadline.
     delays: Fading,
+    /// How many parts lookups of each index have, and for all what they cost for each gain.
+    sizes: Vec<Fading>,
+    costs: Fading,
     /// 1 for each second copy, 0 for each first part call.
     copies: Fading,
     /// 1 for each probe that was not answered when it was waited for no longer, 0 for the others.
@@ -746,35 +749,45 @@
                 || self.holders(lookup, part).all(|r| self.too_late(lookup, part, r)))
     }
 
-    /// Whether a new lookup is taken on: not when its slowest part can be expected after its client wants it,
-    /// nor when the holders of a shard it needs are jammed, by what is out from here or by their own word.
+    /// Whether a new lookup is taken on: not when its slowest part, or that of any index, can be expected after
+    /// its client wants it, those first that earn least for their work; nor when the holders of a shard it needs
+    /// are jammed, by what is out from here or by their own word.
     fn admits(&mut self, l: usize) -> bool {
         let delays = &mut self.fleet.delays;
         delays.fade(self.now, RECENT);
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
         let indexes = &self.deployment.indexes;
-        // A client that leaves sooner is not worth the parts; those an answer may lack are not waited for.
-        let horizon = (lookup.soft.min(lookup.hard) - self.now) as f64;
+        let index = &indexes[lookup.index];
+        // Those an answer may lack are not waited for.
         let parts = lookup.parts.len() as f64;
-        let n = parts / (1.0 + (1.0 - indexes[lookup.index].floor) * parts);
         let (mean, deviation) = delays.shape(HEARD).unwrap_or((0.0, 0.0));
         let known = delays.weight / (delays.weight + UNTOLD);
         let mean = known * mean + (1.0 - known) * (USUAL.0 * self.soft).ln();
         let deviation = known * deviation + (1.0 - known) * USUAL.1;
         // About the mean of the largest of n normal values. All co-ordinators see much the same delays: by
         // chance, growing slowly, they turn away no more than it takes.
-        let slowest = (mean + (1.25 * n.ln()).sqrt() * deviation).exp();
+        let slowest = |parts: f64, index: &Index| {
+            let n = parts / (1.0 + (1.0 - index.floor) * parts);
+            (mean + (1.25 * n.max(1.0).ln()).sqrt() * deviation).exp()
+        };
         // Where a shard is slower than the rest, all that need it meet in the queue of its quickest holder.
         let quickest =
             |p: &Part| self.holders(lookup, p).map(|r| self.replicas[r].expected).min_by(f64::total_cmp);
         let mut expected: Vec<f64> = lookup.parts.iter().filter_map(quickest).collect();
         expected.sort_by(f64::total_cmp);
-        let needed = (indexes[lookup.index].floor * expected.len() as f64).ceil() as usize;
+        let needed = (index.floor * expected.len() as f64).ceil() as usize;
         let slower = expected.get(needed.saturating_sub(1)).map_or(1.0, |e| (e / mean.exp()).max(1.0));
-        let slowest = slowest * slower.powi(if self.deployment.queue_told { 1 } else { UNSEEN });
-        if self.chance.rand_float() > (IN_TIME * horizon / slowest).powi(3) {
-            return false;
-        }
+        let slower = slower.powi(if self.deployment.queue_told { 1 } else { UNSEEN });
+        // A client that leaves sooner is not worth the parts.
+        let horizon = (lookup.soft.min(lookup.hard) - self.now) as f64;
+        let own = slowest(parts, index) * slower / (IN_TIME * horizon.max(1.0));
+        let sizes = &mut self.fleet.sizes;
+        sizes.resize(indexes.len(), Fading::default());
+        sizes[lookup.index].add(self.now, SHARES, parts);
+        let pressures = sizes.iter().zip(indexes).filter_map(|(size, index)| {
+            Some(slowest(size.shape(HEARD)?.0, index) / (IN_TIME * index.soft_deadline as f64))
+        });
+        let pressure = pressures.fold(own, f64::max);
         // Of what came here of late a customer is owed its share of the quotas, wherever traffic has moved.
         let quotas = &self.deployment.customer_quotas;
         self.customers.iter_mut().for_each(|c| c.fade(self.now, SHARES));
@@ -783,8 +796,18 @@
         let over = |(q, came): (&f64, &Fading)| all > 8.0 && came.weight > 1.25 * owed * q;
         let over_share =
             quotas.get(lookup.customer).zip(self.customers.get(lookup.customer)).is_some_and(over);
-        let least = indexes.iter().map(|i| i.gain).fold(f64::INFINITY, f64::min);
-        let favour = match (over_share, indexes[lookup.index].gain > least) {
+        // What a lookup costs for each gain, beside what all do for theirs.
+        let cost = |size: f64, index: &Index| if self.deployment.gain_by_work { 1.0 } else { size } / index.gain;
+        let costs = &mut self.fleet.costs;
+        costs.fade(self.now, SHARES);
+        costs.weight += parts;
+        costs.sum += parts * cost(parts, index);
+        let dear = cost(parts, index) * costs.weight / costs.sum.max(0.001);
+        let dear = if over_share { dear / self.deployment.over_share_gain.max(0.1) } else { dear };
+        if self.chance.rand_float() > pressure.powf(-3.0 * dear) {
+            return false;
+        }
+        let favour = match (over_share, dear < 1.0) {
             (true, _) => self.deployment.over_share_gain.max(0.6),
             (_, true) => 1.25,
             _ => 1.0,
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -89,6 +89,8 @@
     /// Lookups a second that each customer's share allows, over all co-ordinators.
     pub customer_quotas: Vec<f64>,
     pub over_share_gain: f64,
+    /// A lookup's gain grows with the work of its parts; else it is the same whatever its size.
+    pub gain_by_work: bool,
     pub layout: Layout,
     pub allowance: Allowance,
     pub cold: ColdStart,
--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -135,6 +135,7 @@
             indexes: vec![INDEX],
             customer_quotas: Vec::new(),
             over_share_gain: 0.1,
+            gain_by_work: false,
             layout: Layout { cells: 4, in_a_row: 4 },
             allowance: Allowance {
                 calls_a_part: 3,
--- a/crates/linenthread-drill/src/failover.rs
+++ b/crates/linenthread-drill/src/failover.rs
@@ -229,6 +229,7 @@
             }],
             customer_quotas: Vec::new(),
             over_share_gain: 0.1,
+            gain_by_work: false,
             layout: Layout { cells: REPLICAS, in_a_row: 2 },
             allowance: Allowance {
                 calls_a_part: 3,
--- a/crates/linenthread-drill/src/fleet.rs
+++ b/crates/linenthread-drill/src/fleet.rs
@@ -133,6 +133,7 @@
         indexes,
         customer_quotas: Vec::new(),
         over_share_gain: 1.0,
+        gain_by_work: false,
         layout: Layout { cells: CELLS, in_a_row: 2 },
         allowance: Allowance {
             calls_a_part: CALLS_A_PART,
--- a/crates/linenthread-terms/src/lib.rs
+++ b/crates/linenthread-terms/src/lib.rs
@@ -147,6 +147,7 @@
             .map(|account| number(account, "quota-rps"))
             .collect::<Result<_, _>>()?,
         over_share_gain: find(root, "over-share-worth").and_then(Value::as_f64).unwrap_or(1.0),
+        gain_by_work: find(root, "counted-by").and_then(Value::as_str) == Some("work"),
         layout: Layout {
             cells: count(root, "family-info.cells")?.max(1),
             in_a_row: count(root, "family-info.in-a-row")?,
--- a/crates/linenthread-terms/tests/settings.rs
+++ b/crates/linenthread-terms/tests/settings.rs
@@ -38,6 +38,7 @@
         }],
         customer_quotas: vec![7.5],
         over_share_gain: 0.2,
+        gain_by_work: false,
         layout: Layout { cells: 6, in_a_row: 2 },
         allowance: Allowance {
             calls_a_part: 3,
