A first answer leaves time for its second step

Cause: with parts on hung replicas sales-report was answered from its floor at the soft deadline, and its second step had no time (traces: first-step parts in, second-step parts never sent, given up at the soft deadline). Ruled out: refusals, which hardly changed before it.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -698,9 +698,13 @@
         let enough = |share: f64, of: f64| share >= of - ROUNDING / 2.0;
         let whole = enough(got, need);
         let partial_pays = index.partial_gain * got / need > index.late_share;
+        // A first answer leaves time for the second step.
+        let next = if index.second_step > 0 && lookup.step == 0 { self.time_of_most(1.0) as Tenths } else { 0 };
         let answer = whole
             || enough(got, floor)
-                && (!enough(1.0 - lost, need) || self.now >= end || self.now >= lookup.soft && partial_pays);
+                && (!enough(1.0 - lost, need)
+                    || self.now + next >= end
+                    || self.now + next >= lookup.soft && partial_pays);
         let marked_whole = whole && lookup.first_whole.unwrap_or(true);
         // What is asked on is waited for while it is out: never beyond the soft deadline, nor for room.
         let onward = |k: &Lookup| k.parts.iter().any(|p| p.onward.is_some());
