In falls the other parts follow after a part's usual time

Cause: after 43 crashes every lookup sent one part and waited for it, on a slow or hung replica to its end (traces: one part out for 0.9 s, the others never sent). One that outlasts the median has not felled its replica at once. Ruled out: refusal, same count.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -869,9 +869,15 @@
         // Several replicas that fall may be the work of what lookups ask for: one part goes first then.
         self.falls.fade(now, WARY);
         let alone = lookup.unanswered() && self.falls.sum > 1.0;
-        if self.fells(lookup, false) || alone && lookup.out() {
+        // One that outlasts the usual time of a part has not felled its replica: the others need not wait.
+        let usual = self.time_of_most(0.0);
+        let soon = |c: &Call| c.ending.is_none() && ((now - c.sent) as f64) < usual;
+        let waits = lookup.parts.iter().flat_map(|p| &p.calls).any(soon);
+        let held = lookup.out() && !waits;
+        if self.fells(lookup, false) || alone && waits {
             return;
         }
+        let alone = alone && !held;
         // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
         let urgent = (lookup.soft - now) as f64 <= URGENT * slow;
         for p in lookup.step..lookup.parts.len() {
