--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -750,7 +750,13 @@
             && part.out() == 0
             && (!self.may_run_again(lookup, part)
                 || part.calls.len() >= self.deployment.allowance.calls_a_part
-                || self.holders(lookup, part).all(|r| self.too_late(lookup, part, r)))
+                || self.holders(lookup, part).all(|r| self.too_late(lookup, part, r) || self.out_of_reach(lookup, r)))
+    }
+
+    /// It is down, and will not be tried again before the lookup ends.
+    fn out_of_reach(&self, lookup: &Lookup, r: usize) -> bool {
+        let end = given_up_at(lookup, &self.deployment.indexes[lookup.index]);
+        self.replicas[r].down.is_some_and(|(since, _)| since + GIVEN_UP >= end)
     }
 
     /// Whether a new lookup is taken on: not when its slowest part, or that of any index, can be expected after
