--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -50,7 +50,9 @@
 /// How long to wait before a replica that failed a part is asked for the same part again.
 const PAUSE: Tenths = 1_000;
 /// Share of parts that may have a second copy sent because the first is late ...
-const COPIES: f64 = 0.01;
+const COPIES: f64 = 0.005;
+/// ... or this share where no more than one part and such a share of the lookup's are missing ...
+const LAST: (f64, f64) = (0.0, 0.02);
 /// ... when no more than so many slow answers' time is left.
 const URGENT: f64 = 2.5;
 /// How much of the cold budget is used.
@@ -325,8 +327,9 @@
         let late = usual.is_some_and(|(median, _)| took.ln() > median);
         match back.ending {
             Ending::Answered => {
-                // A copy that came first was needed: it makes room for two more, up to one for each replica.
-                if back.call > 0 && !part.answered && part.out() > 0 {
+                // A copy that came first was needed: it makes room for two more.
+                let passed = |c: &Call| c.ending.is_none() || c.moved && took < slow;
+                if back.call > 0 && !part.answered && part.calls[..back.call].iter().any(passed) {
                     let copies = &mut self.fleet.copies;
                     copies.fade(now, RECENT);
                     copies.sum = (copies.sum - 2.0).max(-copies.weight);
@@ -659,6 +662,7 @@
             sent: now,
             rested: alone.then_some(rested && !reaped),
             ending: None,
+            moved: false,
         });
         replica.used = now;
         if alone {
@@ -884,13 +888,24 @@
             return;
         }
         let alone = alone && !held;
-        // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
+        // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go. What is
+        // in of a lookup is lost with its last parts: they may have more copies.
         let urgent = (lookup.soft - now) as f64 <= URGENT * slow;
+        let parts = &lookup.parts[lookup.step..];
+        let missing = parts.iter().filter(|p| !p.answered).count();
+        let last = missing as f64 <= 1.0 + LAST.0 * parts.len() as f64;
+        let share = if last { LAST.1 } else { COPIES };
         for p in lookup.step..lookup.parts.len() {
             let part = &self.lookups[l].as_ref().expect("open").parts[p];
             let late = part.calls.last().is_some_and(|c| (now - c.sent) as f64 > slow);
-            let spare = urgent && self.fleet.copies.sum < COPIES * self.fleet.copies.weight + 1.0;
-            if part.is_wanted() && (part.out() == 0 || part.out() == 1 && late && spare) {
+            let spare = urgent && self.fleet.copies.sum < share * self.fleet.copies.weight + 1.0;
+            if part.is_wanted() && part.out() > 0 && late && spare && self.moves(l, p) {
+                // No copy may be out beside it: it is called off, and goes elsewhere once that is known.
+                let c = part.calls.iter().position(|c| c.ending.is_none()).expect("out");
+                writer.withdraw(l, p, c);
+                self.fleet.copies.sum += 1.0;
+                self.lookups[l].as_mut().expect("open").parts[p].calls[c].moved = true;
+            } else if part.is_wanted() && (part.out() == 0 || part.out() == 1 && late && spare) {
                 self.call(l, p, writer);
                 if alone {
                     return;
@@ -899,6 +914,29 @@
         }
     }
 
+    /// A part has as many calls out as it may, and another holder is there to turn to.
+    fn moves(&self, l: usize, p: usize) -> bool {
+        let allowance = &self.deployment.allowance;
+        let lookup = self.lookups[l].as_ref().expect("open");
+        let part = &lookup.parts[p];
+        let most = if allowance.second_copies { 2 } else { 1 };
+        let other = |r: usize| {
+            let replica = &self.replicas[r];
+            replica.ready()
+                && replica.down.is_none()
+                && part.calls.iter().all(|c| c.replica != r)
+                && self.cold_room(r)
+                && !self.too_late(lookup, part, r)
+        };
+        allowance.withdraw
+            && part.out() == most
+            && part.calls.iter().any(|c| self.is_lost(c, self.time_of_most(2.0)))
+            && part.calls.len() < allowance.calls_a_part
+            && part.calls.iter().all(|c| !c.moved || c.ending.is_some())
+            && self.further_room()
+            && self.holders(lookup, part).any(other)
+    }
+
     /// Ends a lookup without an answer, at once: a nack where asking again is harmless.
     fn give_up(&mut self, l: usize, writer: &mut impl Writer) {
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -161,6 +161,8 @@
     pub sent: Tenths,
     /// It went on a connection that had rested, or not; `None` where others were out on it.
     pub rested: Option<bool>,
+    /// It was called off so that its part may go elsewhere.
+    pub moved: bool,
     pub ending: Option<Ending>,
 }
 
