Cold replicas: more turns where each co-ordinator seldom uses its own

Cause: with little seen by each, turns at a cold replica passed unused; 4% of its room was used, and a release of all replicas left the rest of the fleet overloaded.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -57,8 +57,12 @@
 const URGENT: f64 = 2.5;
 /// How much of the cold budget is used.
 const COLD_USE: f64 = 0.8;
+/// Of a cold replica's turns, the share that is to be used where most pass unused.
+const TURNS: f64 = 0.33;
 /// Replicas that go down unannounced keep lookups to one part first for about so long.
 const WARY: f64 = 200_000.0;
+/// Where so many parts make a whole answer, this share of the others is asked for from the first.
+const SPARE: f64 = 0.25;
 /// An index whose late answers earn no more than this is given up at its soft deadline.
 const LATE_PAYS: f64 = 0.15;
 /// Parts out at one replica are held to its even share of what comes back within this share of the shortest
@@ -113,6 +117,8 @@
     quick: f64,
     /// Part calls that a warm replica can take from here within the cold window.
     usual: f64,
+    /// Parts that a replica gets from here within the cold window.
+    flow: f64,
     /// Parts that may be out at one replica before it is jammed.
     jam: f64,
     /// And in all.
@@ -480,6 +486,7 @@
         let least = window / fleet.quick / self.deployment.co_ordinators as f64;
         let seen = mean * window / fleet.span;
         fleet.usual = (fleet.usual * (1.0 - slowly)).max(least).max(seen);
+        fleet.flow = seen;
         // In its first soft deadline's time a co-ordinator has seen too little to turn anything away.
         if (now - self.due.began) as f64 >= self.soft {
             // One that has just started has not yet seen a whole span of answers.
@@ -626,6 +633,10 @@
         }
         // Less than one in each window: the co-ordinators take turns, window by window since its start.
         let age = self.now - self.replicas[r].began().unwrap_or(0);
+        // One who sees little seldom has a part for it in its turn: so many more have theirs at once that a
+        // part of the room is used.
+        let used = if self.fleet.flow > 0.0 { 1.0 - (-self.fleet.flow).exp() } else { 1.0 };
+        let room = room * (TURNS / used).max(1.0);
         let turn = (age / cold.window.max(1)) as u64
             + self.deployment.own_number as u64
             + self.replicas[r].listed.id;
@@ -895,8 +906,31 @@
         let missing = parts.iter().filter(|p| !p.answered).count();
         let last = missing as f64 <= 1.0 + LAST.0 * parts.len() as f64;
         let share = if last { LAST.1 } else { COPIES };
-        for p in lookup.step..lookup.parts.len() {
+        // Where any so many parts make a whole answer, those of the quickest holders go, and more as some are late.
+        let index = &self.deployment.indexes[lookup.index];
+        let need = if lookup.step == 0 { index.need + SPARE * (1.0 - index.need) } else { 1.0 };
+        let late = |c: &Call| (now - c.sent) as f64 > slow;
+        let coming =
+            |p: &&Part| p.answered || p.calls.iter().any(|c| c.ending.is_none() && !late(c));
+        let weigh = |of: &dyn Fn(&&Part) -> bool| parts.iter().filter(of).map(|p| p.weight).sum::<f64>();
+        let total = weigh(&|_| true);
+        let mut coming = weigh(&coming);
+        let mut order: Vec<usize> = (lookup.step..lookup.parts.len()).collect();
+        if need < 1.0 {
+            let quickest = |p: &usize| {
+                let holders = self.holders(lookup, &lookup.parts[*p]);
+                holders.map(|r| self.replicas[r].score).fold(f64::INFINITY, f64::min)
+            };
+            order.sort_by_cached_key(|p| (quickest(p) * 1_000.0) as u64);
+        }
+        for p in order {
             let part = &self.lookups[l].as_ref().expect("open").parts[p];
+            if part.calls.is_empty() {
+                if coming >= need * total - ROUNDING / 2.0 {
+                    continue;
+                }
+                coming += part.weight;
+            }
             let late = part.calls.last().is_some_and(|c| (now - c.sent) as f64 > slow);
             let spare = urgent && self.fleet.copies.sum < share * self.fleet.copies.weight + 1.0;
             if part.is_wanted() && part.out() > 0 && late && spare && self.moves(l, p) {
