--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -58,7 +58,7 @@
 /// How much of the cold budget is used.
 const COLD_USE: f64 = 0.8;
 /// Of a cold replica's turns, the share that is to be used where most pass unused.
-const TURNS: f64 = 0.33;
+const TURNS: f64 = 0.25;
 /// Replicas that go down unannounced keep lookups to one part first for about so long.
 const WARY: f64 = 200_000.0;
 /// Where so many parts make a whole answer, this share of the others is asked for from the first.
@@ -714,7 +714,7 @@
         let whole = enough(got, need);
         let partial_pays = index.partial_gain * got / need > index.late_share;
         // A first answer leaves time for the second step.
-        let next = if index.second_step > 0 && lookup.step == 0 { self.time_of_most(1.0) as Tenths } else { 0 };
+        let next = if index.second_step > 0 && lookup.step == 0 { self.time_of_most(2.0) as Tenths } else { 0 };
         let answer = whole
             || enough(got, floor)
                 && (!enough(1.0 - lost, need)
