--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -17,7 +17,7 @@
 /// All scores are forgotten this often, so that each replica gets a fair shot again.
 const RESET: Tenths = 100_000;
 /// How much worse than the best a natural replica may score and keep its parts.
-const BADNESS: f64 = 1.0;
+const BADNESS: f64 = 0.6;
 /// Within so long an observation loses most of its weight; with less left than this nothing was heard.
 const RECENT: f64 = 30_000.0;
 const HEARD: f64 = 0.1;
@@ -61,6 +61,8 @@
 const TURNS: f64 = 0.25;
 /// Replicas that go down unannounced keep lookups to one part first for about so long.
 const WARY: f64 = 200_000.0;
+/// How many slow answers' time a first answer leaves for its second step.
+const PATIENT: f64 = 1.4;
 /// Where so many parts make a whole answer, this share of the others is asked for from the first.
 const SPARE: f64 = 0.25;
 /// An index whose late answers earn no more than this is given up at its soft deadline.
@@ -714,7 +716,7 @@
         let whole = enough(got, need);
         let partial_pays = index.partial_gain * got / need > index.late_share;
         // A first answer leaves time for the second step.
-        let next = if index.second_step > 0 && lookup.step == 0 { self.time_of_most(2.0) as Tenths } else { 0 };
+        let next = if index.second_step > 0 && lookup.step == 0 { (PATIENT * self.time_of_most(2.0)) as Tenths } else { 0 };
         let answer = whole
             || enough(got, floor)
                 && (!enough(1.0 - lost, need)
@@ -793,7 +795,8 @@
         // chance, growing slowly, they turn away no more than it takes.
         let slowest = |parts: f64, index: &Index| {
             let n = parts / (1.0 + (1.0 - index.floor) * parts);
-            (mean + (1.25 * n.max(1.0).ln()).sqrt() * deviation).exp()
+            let of = |n: f64| (mean + (1.25 * n.max(1.0).ln()).sqrt() * deviation).exp();
+            of(n) + if index.second_step > 0 { of(index.second_step as f64) } else { 0.0 }
         };
         // Where a shard is slower than the rest, all that need it meet in the queue of its quickest holder.
         let quickest =
