--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -49,10 +49,8 @@
 const GIVEN_UP: Tenths = 30_000;
 /// How long to wait before a replica that failed a part is asked for the same part again.
 const PAUSE: Tenths = 1_000;
-/// Share of parts that may have a second copy sent because the first is late ...
-const COPIES: f64 = 0.005;
-/// ... or this share where no more than one part and such a share of the lookup's are missing ...
-const LAST: (f64, f64) = (0.0, 0.02);
+/// Share of parts that may have a second copy sent because the first is late, and of a lookup's last ones ...
+const COPIES: (f64, f64) = (0.005, 0.02);
 /// ... when no more than so many slow answers' time is left.
 const URGENT: f64 = 2.5;
 /// How much of the cold budget is used.
@@ -104,12 +102,18 @@
     /// How many parts lookups of each index have, and for all what they cost for each gain.
     sizes: Vec<Fading>,
     costs: Fading,
+    /// Lookups that came from each customer.
+    customers: Vec<Fading>,
+    /// Replicas that went down unannounced.
+    falls: Fading,
+    /// Lookups and parts taken, and further part calls made.
+    taken: Counts,
+    further: Counts,
     /// 1 for each second copy, 0 for each first part call.
     copies: Fading,
     /// 1 for each probe that was not answered when it was waited for no longer, 0 for the others.
     unsure: Fading,
-    /// 1 for each part call that came to nothing, 0 for each answered: those on connections that had rested,
-    /// and the others.
+    /// 1 for each part call that came to nothing, 0 for each answered: on rested connections, and on others.
     rested: Fading,
     fresh: Fading,
     /// How many answers are of late, smoothed, and for how long replicas are remembered then.
@@ -117,9 +121,8 @@
     span: f64,
     /// The lowest median time of late.
     quick: f64,
-    /// Part calls that a warm replica can take from here within the cold window.
+    /// Parts that a warm replica can take from here within the cold window, and those that it gets.
     usual: f64,
-    /// Parts that a replica gets from here within the cold window.
     flow: f64,
     /// Parts that may be out at one replica before it is jammed.
     jam: f64,
@@ -140,13 +143,6 @@
     lookups: Vec<Option<Lookup>>,
     /// Lookups not yet released, oldest first.
     open: Vec<usize>,
-    /// Lookups that came from each customer.
-    customers: Vec<Fading>,
-    /// Replicas that went down unannounced.
-    falls: Fading,
-    /// Lookups and parts taken, and further part calls made.
-    taken: Counts,
-    further: Counts,
     due: Due,
 }
 
@@ -159,25 +155,23 @@
     pub fn new(deployment: Deployment, seed: u64) -> Self {
         Coordinator {
             soft: deployment.indexes.iter().map(|i| i.soft_deadline).min().unwrap_or(0).max(1) as f64,
-            customers: vec![Fading::default(); deployment.customer_quotas.len()],
-            falls: Fading::default(),
-            deployment,
-            chance: Rand64::new(u128::from(seed)),
-            now: 0,
             fleet: Fleet {
+                sizes: vec![Fading::default(); deployment.indexes.len()],
+                customers: vec![Fading::default(); deployment.customer_quotas.len()],
                 span: RECENT,
                 quick: f64::INFINITY,
                 jam: f64::INFINITY,
                 room: f64::INFINITY,
                 ..Fleet::default()
             },
+            deployment,
+            chance: Rand64::new(u128::from(seed)),
+            now: 0,
             replicas: Vec::new(),
             sites: Vec::new(),
             ways: Vec::new(),
             lookups: Vec::new(),
             open: Vec::new(),
-            taken: Counts::default(),
-            further: Counts::default(),
             due: Due::default(),
         }
     }
@@ -191,7 +185,7 @@
         arrivals.roster.iter().for_each(|news| self.hear_roster(news));
         self.ways = arrivals.ways.clone().unwrap_or(std::mem::take(&mut self.ways));
         if let Some(budget) = &self.deployment.further_calls {
-            self.taken.add(self.now, budget.window, arrivals.lookups.len() + arrivals.parts.len());
+            self.fleet.taken.add(self.now, budget.window, arrivals.lookups.len() + arrivals.parts.len());
         }
         arrivals.lookups.iter().for_each(|new| self.take(new));
         arrivals.parts.iter().for_each(|new| self.take_part(new));
@@ -254,7 +248,7 @@
                 (replica.seen, replica.down, replica.returned) = (Seen::default(), None, None);
             }
             if !whole && replica.ready() && entry.phase == Phase::Gone {
-                self.falls.add(self.now, WARY, 1.0);
+                self.fleet.falls.add(self.now, WARY, 1.0);
             }
             if replica.ready() {
                 replica.last_call = self.now + grace;
@@ -274,7 +268,7 @@
             ..Lookup::default()
         });
         self.open.push(new.lookup);
-        if let Some(came) = self.customers.get_mut(new.customer) {
+        if let Some(came) = self.fleet.customers.get_mut(new.customer) {
             came.add(self.now, SHARES, 1.0);
         }
     }
@@ -319,17 +313,13 @@
         replica.used = now;
         // A part took what its first call and all after it did: a copy that is quicker mends a slow one.
         let (delays, age) = (&mut self.fleet.delays, (now - part.calls[0].sent).max(1) as f64);
-        match back.ending {
-            Ending::TurnedAway => {
-                replica.last_call = now;
-                delays.add(now, RECENT, self.soft.ln());
-                replica.seen.times.add(now, span, self.soft.ln());
-            }
-            Ending::Answered if !part.answered => delays.add(now, RECENT, age.ln()),
-            Ending::TimedOut | Ending::Withdrawn if !part.answered && part.out() == 0 => {
-                delays.add(now, RECENT, age.ln());
-            }
-            _ => {}
+        let last = part.out() == 0 && matches!(back.ending, Ending::TimedOut | Ending::Withdrawn);
+        if back.ending == Ending::TurnedAway {
+            replica.last_call = now;
+            delays.add(now, RECENT, self.soft.ln());
+            replica.seen.times.add(now, span, self.soft.ln());
+        } else if !part.answered && (last || back.ending == Ending::Answered) {
+            delays.add(now, RECENT, age.ln());
         }
         let usual = replica.seen.times.shape(HEARD).or(self.fleet.times.shape(HEARD));
         let late = usual.is_some_and(|(median, _)| took.ln() > median);
@@ -388,7 +378,7 @@
         if replica.broke_under && back.ending != Ending::TurnedAway {
             replica.broke_under = false;
             replica.died = back.ending != Ending::Answered;
-            self.falls.add(now, WARY, f64::from(replica.died));
+            self.fleet.falls.add(now, WARY, f64::from(replica.died));
         }
         match back.ending {
             Ending::Answered => replica.answers(now, back.queue),
@@ -581,26 +571,31 @@
 
     /// Whether a part call may be made at all. Every send passes here, and nothing else holds the rules.
     fn may_call(&self, l: usize, p: usize, r: usize) -> bool {
+        let out = self.lookups.get(l).and_then(Option::as_ref).map_or(0, |k| k.parts[p].out());
+        (out == 0 || self.deployment.allowance.second_copies && out == 1) && self.may_go(l, p, r)
+    }
+
+    /// Whether it may, but for what is out.
+    fn may_go(&self, l: usize, p: usize, r: usize) -> bool {
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
         let part = &lookup.parts[p];
-        let allowance = &self.deployment.allowance;
-        let out = part.out();
         self.may_run_again(lookup, part)
             && !lookup.over
             && part.is_wanted()
             && (self.replicas[r].ready() || self.replicas[r].still_takes(self.now))
-            && part.calls.len() < allowance.calls_a_part
-            && (out == 0 || allowance.second_copies && out == 1)
+            && part.calls.len() < self.deployment.allowance.calls_a_part
             && part.calls.iter().all(|c| c.ending.is_some() || c.replica != r)
             && self.cold_room(r)
             && (part.calls.is_empty() || self.further_room())
             && !self.too_late(lookup, part, r)
     }
 
-    /// The part's next call is a further one and would come too late: work that no withdrawal may stop.
+    /// It is down to the lookup's end; or the part's next call is a further one and would come too late: work
+    /// that no withdrawal may stop.
     fn too_late(&self, lookup: &Lookup, part: &Part, r: usize) -> bool {
-        let end = given_up_at(lookup, &self.deployment.indexes[lookup.index]);
-        !part.calls.is_empty() && self.replicas[r].expected > (end - self.now) as f64
+        let (end, replica) = (given_up_at(lookup, &self.deployment.indexes[lookup.index]), &self.replicas[r]);
+        replica.down.is_some_and(|(since, _)| since + GIVEN_UP >= end)
+            || !part.calls.is_empty() && replica.expected > (end - self.now) as f64
     }
 
     /// Whether the effect of its index lets a part be sent, after what became of its calls so far.
@@ -635,8 +630,7 @@
         }
         // Less than one in each window: the co-ordinators take turns, window by window since its start.
         let age = self.now - self.replicas[r].began().unwrap_or(0);
-        // One who sees little seldom has a part for it in its turn: so many more have theirs at once that a
-        // part of the room is used.
+        // Who sees little seldom has a part for it in its turn: more have theirs at once, to use some of it.
         let used = if self.fleet.flow > 0.0 { 1.0 - (-self.fleet.flow).exp() } else { 1.0 };
         let room = room * (TURNS / used).max(1.0);
         let turn = (age / cold.window.max(1)) as u64
@@ -648,8 +642,8 @@
     fn further_room(&self) -> bool {
         let Some(budget) = &self.deployment.further_calls else { return true };
         let start = self.now - budget.window;
-        let further = (self.further.since(start) + 1) as f64;
-        further <= budget.free + budget.share * self.taken.since(start + 1) as f64
+        let further = (self.fleet.further.since(start) + 1) as f64;
+        further <= budget.free + budget.share * self.fleet.taken.since(start + 1) as f64
     }
 
     /// Makes a part call, if a replica may take it.
@@ -686,7 +680,7 @@
             replica.cold_sends.add(now, self.deployment.cold.window, 1);
         }
         if let (Some(budget), true) = (&self.deployment.further_calls, further) {
-            self.further.add(now, budget.window, 1);
+            self.fleet.further.add(now, budget.window, 1);
         }
         writer.call(l, p, r, (end - now).max(1));
     }
@@ -716,12 +710,10 @@
         let whole = enough(got, need);
         let partial_pays = index.partial_gain * got / need > index.late_share;
         // A first answer leaves time for the second step.
-        let next = if index.second_step > 0 && lookup.step == 0 { (PATIENT * self.time_of_most(2.0)) as Tenths } else { 0 };
-        let answer = whole
-            || enough(got, floor)
-                && (!enough(1.0 - lost, need)
-                    || self.now + next >= end
-                    || self.now + next >= lookup.soft && partial_pays);
+        let two = if index.second_step > 0 && lookup.step == 0 { PATIENT } else { 0.0 };
+        let by = self.now + (two * self.time_of_most(2.0)) as Tenths;
+        let late = by >= end || by >= lookup.soft && partial_pays;
+        let answer = whole || enough(got, floor) && (late || !enough(1.0 - lost, need));
         let marked_whole = whole && lookup.first_whole.unwrap_or(true);
         // What is asked on is waited for while it is out: never beyond the soft deadline, nor for room.
         let onward = |k: &Lookup| k.parts.iter().any(|p| p.onward.is_some());
@@ -757,7 +749,7 @@
     /// while others fall, one.
     fn fells(&self, lookup: &Lookup, proven: bool) -> bool {
         let felled = |r: &Replica| r.down.is_some() && (!proven || !r.broke_under);
-        let most = usize::from(self.falls.sum <= 1.0);
+        let most = usize::from(self.fleet.falls.sum <= 1.0);
         lookup.unanswered() && lookup.broke.iter().filter(|&&r| felled(&self.replicas[r])).count() > most
     }
 
@@ -767,79 +759,62 @@
             && part.out() == 0
             && (!self.may_run_again(lookup, part)
                 || part.calls.len() >= self.deployment.allowance.calls_a_part
-                || self.holders(lookup, part).all(|r| self.too_late(lookup, part, r) || self.out_of_reach(lookup, r)))
+                || self.holders(lookup, part).all(|r| self.too_late(lookup, part, r)))
     }
 
-    /// It is down, and will not be tried again before the lookup ends.
-    fn out_of_reach(&self, lookup: &Lookup, r: usize) -> bool {
-        let end = given_up_at(lookup, &self.deployment.indexes[lookup.index]);
-        self.replicas[r].down.is_some_and(|(since, _)| since + GIVEN_UP >= end)
-    }
-
-    /// Whether a new lookup is taken on: not when its slowest part, or that of any index, can be expected after
-    /// its client wants it, those first that earn least for their work; nor when the holders of a shard it needs
-    /// are jammed, by what is out from here or by their own word.
+    /// Whether a new lookup is taken on: not when its slowest part, or any index's, can be expected after its
+    /// client wants it, nor when a shard's holders are jammed, by what is out from here or by their own word.
     fn admits(&mut self, l: usize) -> bool {
-        let delays = &mut self.fleet.delays;
-        delays.fade(self.now, RECENT);
+        let now = self.now;
+        self.fleet.delays.fade(now, RECENT);
+        self.fleet.costs.fade(now, SHARES);
+        self.fleet.customers.iter_mut().for_each(|c| c.fade(now, SHARES));
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
-        let indexes = &self.deployment.indexes;
-        let index = &indexes[lookup.index];
-        // Those an answer may lack are not waited for.
-        let parts = lookup.parts.len() as f64;
+        let (indexes, delays) = (&self.deployment.indexes, &self.fleet.delays);
+        let (index, parts) = (&indexes[lookup.index], lookup.parts.len() as f64);
         let (mean, deviation) = delays.shape(HEARD).unwrap_or((0.0, 0.0));
         let known = delays.weight / (delays.weight + UNTOLD);
         let mean = known * mean + (1.0 - known) * (USUAL.0 * self.soft).ln();
         let deviation = known * deviation + (1.0 - known) * USUAL.1;
-        // About the mean of the largest of n normal values. All co-ordinators see much the same delays: by
-        // chance, growing slowly, they turn away no more than it takes.
+        // About the mean of the largest of n normal values; those an answer may lack are not waited for.
         let slowest = |parts: f64, index: &Index| {
-            let n = parts / (1.0 + (1.0 - index.floor) * parts);
             let of = |n: f64| (mean + (1.25 * n.max(1.0).ln()).sqrt() * deviation).exp();
-            of(n) + if index.second_step > 0 { of(index.second_step as f64) } else { 0.0 }
+            let second = if index.second_step > 0 { of(index.second_step as f64) } else { 0.0 };
+            of(parts / (1.0 + (1.0 - index.floor) * parts)) + second
         };
         // Where a shard is slower than the rest, all that need it meet in the queue of its quickest holder.
-        let quickest =
-            |p: &Part| self.holders(lookup, p).map(|r| self.replicas[r].expected).min_by(f64::total_cmp);
+        let of = |r: usize| self.replicas[r].expected;
+        let quickest = |p: &Part| self.holders(lookup, p).map(of).min_by(f64::total_cmp);
         let mut expected: Vec<f64> = lookup.parts.iter().filter_map(quickest).collect();
         expected.sort_by(f64::total_cmp);
         let needed = (index.floor * expected.len() as f64).ceil() as usize;
         let slower = expected.get(needed.saturating_sub(1)).map_or(1.0, |e| (e / mean.exp()).max(1.0));
         let slower = slower.powi(if self.deployment.queue_told { 1 } else { UNSEEN });
         // A client that leaves sooner is not worth the parts.
-        let horizon = (lookup.soft.min(lookup.hard) - self.now) as f64;
-        let own = slowest(parts, index) * slower / (IN_TIME * horizon.max(1.0));
-        let sizes = &mut self.fleet.sizes;
-        sizes.resize(indexes.len(), Fading::default());
-        sizes[lookup.index].add(self.now, SHARES, parts);
-        let pressures = sizes.iter().zip(indexes).filter_map(|(size, index)| {
-            Some(slowest(size.shape(HEARD)?.0, index) / (IN_TIME * index.soft_deadline as f64))
-        });
-        let pressure = pressures.fold(own, f64::max);
+        let horizon = (lookup.soft.min(lookup.hard) - now).max(1) as f64;
+        self.fleet.sizes[lookup.index].add(now, SHARES, parts);
+        let own = slowest(parts, index) * slower / horizon;
+        let of = |size: &Fading, i: &Index| Some(slowest(size.shape(HEARD)?.0, i) / i.soft_deadline as f64);
+        let all = self.fleet.sizes.iter().zip(indexes).filter_map(|(size, i)| of(size, i));
+        let pressure = all.fold(own, f64::max) / IN_TIME;
         // Of what came here of late a customer is owed its share of the quotas, wherever traffic has moved.
-        let quotas = &self.deployment.customer_quotas;
-        self.customers.iter_mut().for_each(|c| c.fade(self.now, SHARES));
-        let all: f64 = self.customers.iter().map(|c| c.weight).sum();
+        let (quotas, customers) = (&self.deployment.customer_quotas, &self.fleet.customers);
+        let all: f64 = customers.iter().map(|c| c.weight).sum();
         let owed = all / quotas.iter().sum::<f64>().max(0.001);
         let over = |(q, came): (&f64, &Fading)| all > 8.0 && came.weight > 1.25 * owed * q;
-        let over_share =
-            quotas.get(lookup.customer).zip(self.customers.get(lookup.customer)).is_some_and(over);
-        // What a lookup costs for each gain, beside what all do for theirs.
-        let cost = |size: f64, index: &Index| if self.deployment.gain_by_work { 1.0 } else { size } / index.gain;
+        let over_share = quotas.get(lookup.customer).zip(customers.get(lookup.customer)).is_some_and(over);
+        // What it costs for its gain, beside what all do: the dear are refused first. All co-ordinators see
+        // much the same delays: by chance they turn away no more than it takes.
+        let cost = if self.deployment.gain_by_work { 1.0 } else { parts } / index.gain.max(0.001);
         let costs = &mut self.fleet.costs;
-        costs.fade(self.now, SHARES);
-        costs.weight += parts;
-        costs.sum += parts * cost(parts, index);
-        let dear = cost(parts, index) * costs.weight / costs.sum.max(0.001);
+        (costs.weight, costs.sum) = (costs.weight + parts, costs.sum + parts * cost);
+        let dear = cost * costs.weight / costs.sum.max(0.001);
         let dear = if over_share { dear / self.deployment.over_share_gain.max(0.1) } else { dear };
         if self.chance.rand_float() > pressure.powf(-3.0 * dear) {
             return false;
         }
-        let favour = match (over_share, dear < 1.0) {
-            (true, _) => self.deployment.over_share_gain.max(0.6),
-            (_, true) => 1.25,
-            _ => 1.0,
-        };
+        let favour = if dear < 1.0 { 1.25 } else { 1.0 };
+        let favour = if over_share { self.deployment.over_share_gain.max(0.6) } else { favour };
         let jammed = |p: &Part| {
             let (mut out, mut told) = (0.0, f64::INFINITY);
             for r in self.holders(lookup, p) {
@@ -887,62 +862,49 @@
 
     /// Sends parts not yet asked for, those that failed, and second copies of those that are late.
     fn send(&mut self, l: usize, writer: &mut impl Writer) {
-        let (now, slow) = (self.now, self.time_of_most(2.0));
+        let (now, slow, usual) = (self.now, self.time_of_most(2.0), self.time_of_most(0.0));
         self.fleet.copies.fade(now, RECENT);
+        self.fleet.falls.fade(now, WARY);
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
-        // Several replicas that fall may be the work of what lookups ask for: one part goes first then.
-        self.falls.fade(now, WARY);
-        let alone = lookup.unanswered() && self.falls.sum > 1.0;
-        // One that outlasts the usual time of a part has not felled its replica: the others need not wait.
-        let usual = self.time_of_most(0.0);
-        let soon = |c: &Call| c.ending.is_none() && ((now - c.sent) as f64) < usual;
-        let waits = lookup.parts.iter().flat_map(|p| &p.calls).any(soon);
-        let held = lookup.out() && !waits;
-        if self.fells(lookup, false) || alone && waits {
+        // Several replicas that fall may be the work of what lookups ask for: one part goes first then, and
+        // the others once it outlasts the usual time.
+        let wary = lookup.unanswered() && self.fleet.falls.sum > 1.0;
+        let lasts = |c: &Call, time: f64| c.ending.is_none() && (now - c.sent) as f64 <= time;
+        let mut calls = lookup.parts.iter().flat_map(|p| &p.calls);
+        if self.fells(lookup, false) || wary && calls.any(|c| lasts(c, usual)) {
             return;
         }
-        let alone = alone && !held;
-        // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go. What is
-        // in of a lookup is lost with its last parts: they may have more copies.
+        let alone = wary && !lookup.out();
+        // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
         let urgent = (lookup.soft - now) as f64 <= URGENT * slow;
-        let parts = &lookup.parts[lookup.step..];
-        let missing = parts.iter().filter(|p| !p.answered).count();
-        let last = missing as f64 <= 1.0 + LAST.0 * parts.len() as f64;
-        let share = if last { LAST.1 } else { COPIES };
-        // Where any so many parts make a whole answer, those of the quickest holders go, and more as some are late.
-        let index = &self.deployment.indexes[lookup.index];
-        let need = if lookup.step == 0 { index.need + SPARE * (1.0 - index.need) } else { 1.0 };
-        let late = |c: &Call| (now - c.sent) as f64 > slow;
-        let coming =
-            |p: &&Part| p.answered || p.calls.iter().any(|c| c.ending.is_none() && !late(c));
-        let weigh = |of: &dyn Fn(&&Part) -> bool| parts.iter().filter(of).map(|p| p.weight).sum::<f64>();
-        let total = weigh(&|_| true);
-        let mut coming = weigh(&coming);
+        let step = &lookup.parts[lookup.step..];
+        let share = if step.iter().filter(|p| !p.answered).count() > 1 { COPIES.0 } else { COPIES.1 };
+        // Where any so many parts make a whole answer, those of the quickest go, and more as some are late.
+        let need = if lookup.step > 0 { 1.0 } else { self.deployment.indexes[lookup.index].need };
+        let weigh =
+            |of: &dyn Fn(&Part) -> bool| -> f64 { step.iter().filter(|p| of(p)).map(|p| p.weight).sum() };
+        let mut coming = weigh(&|p| p.answered || p.calls.iter().any(|c| lasts(c, slow)));
+        let wanted = (need + SPARE * (1.0 - need)) * weigh(&|_| true) - ROUNDING / 2.0;
         let mut order: Vec<usize> = (lookup.step..lookup.parts.len()).collect();
+        let score = |r: usize| (1_000.0 * self.replicas[r].score) as u64;
         if need < 1.0 {
-            let quickest = |p: &usize| {
-                let holders = self.holders(lookup, &lookup.parts[*p]);
-                holders.map(|r| self.replicas[r].score).fold(f64::INFINITY, f64::min)
-            };
-            order.sort_by_cached_key(|p| (quickest(p) * 1_000.0) as u64);
+            order.sort_by_cached_key(|&p| self.holders(lookup, &lookup.parts[p]).map(score).min());
         }
         for p in order {
             let part = &self.lookups[l].as_ref().expect("open").parts[p];
-            if part.calls.is_empty() {
-                if coming >= need * total - ROUNDING / 2.0 {
-                    continue;
-                }
-                coming += part.weight;
+            let first = part.calls.is_empty();
+            if !part.is_wanted() || first && coming >= wanted {
+                continue;
             }
+            coming += if first { part.weight } else { 0.0 };
             let late = part.calls.last().is_some_and(|c| (now - c.sent) as f64 > slow);
-            let spare = urgent && self.fleet.copies.sum < share * self.fleet.copies.weight + 1.0;
-            if part.is_wanted() && part.out() > 0 && late && spare && self.moves(l, p) {
-                // No copy may be out beside it: it is called off, and goes elsewhere once that is known.
+            let spare = late && urgent && self.fleet.copies.sum < share * self.fleet.copies.weight + 1.0;
+            if spare && self.moves(l, p) {
                 let c = part.calls.iter().position(|c| c.ending.is_none()).expect("out");
                 writer.withdraw(l, p, c);
                 self.fleet.copies.sum += 1.0;
                 self.lookups[l].as_mut().expect("open").parts[p].calls[c].moved = true;
-            } else if part.is_wanted() && (part.out() == 0 || part.out() == 1 && late && spare) {
+            } else if part.out() == 0 || part.out() == 1 && spare {
                 self.call(l, p, writer);
                 if alone {
                     return;
@@ -951,27 +913,17 @@
         }
     }
 
-    /// A part has as many calls out as it may, and another holder is there to turn to.
+    /// As many calls are out as may be, and one is as good as lost: it is called off, and the part goes to
+    /// another holder once that is known.
     fn moves(&self, l: usize, p: usize) -> bool {
-        let allowance = &self.deployment.allowance;
         let lookup = self.lookups[l].as_ref().expect("open");
         let part = &lookup.parts[p];
-        let most = if allowance.second_copies { 2 } else { 1 };
-        let other = |r: usize| {
-            let replica = &self.replicas[r];
-            replica.ready()
-                && replica.down.is_none()
-                && part.calls.iter().all(|c| c.replica != r)
-                && self.cold_room(r)
-                && !self.too_late(lookup, part, r)
-        };
-        allowance.withdraw
+        let most = 1 + usize::from(self.deployment.allowance.second_copies);
+        self.deployment.allowance.withdraw
             && part.out() == most
             && part.calls.iter().any(|c| self.is_lost(c, self.time_of_most(2.0)))
-            && part.calls.len() < allowance.calls_a_part
             && part.calls.iter().all(|c| !c.moved || c.ending.is_some())
-            && self.further_room()
-            && self.holders(lookup, part).any(other)
+            && self.holders(lookup, part).any(|r| self.replicas[r].down.is_none() && self.may_go(l, p, r))
     }
 
     /// Ends a lookup without an answer, at once: a nack where asking again is harmless.
--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -207,7 +207,7 @@
     pub id: u64,
     /// 0 is nearest.
     pub distance: u8,
-    /// To how many keys of a thousand it is open; as the number falls or grows the same ones go and come back.
+    /// To how many keys of a thousand it is open; as the number changes the same ones go and come back.
     pub open: u16,
 }
 
