Scenarios for the new guards; each fails without its guard

second-step-time, unreachable, moved, need, dear, hung-many, falls-held, rule-4-seldom: run with each guard taken out in a copy; one, moved, first passed without its guard (it let second copies be) and was mended.

--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -241,6 +241,7 @@
                 ("calls", _) => allowance.calls_a_part = number(value)?,
                 ("queues", Some(&"untold")) => self.deployment.queue_told = false,
                 ("probes", Some(&"on")) => allowance.probes = true,
+                ("copies", Some(&"none")) => allowance.second_copies = false,
                 ("grace", _) => self.deployment.drain_grace = ms(value)?,
                 ("advice", _) => allowance.retry_advice = Some(ms(value)?),
                 ("of", _) => self.deployment.co_ordinators = number(value)?,
@@ -255,6 +256,7 @@
                 ("soft", _) => index.soft_deadline = ms(value)?,
                 ("late", _) => index.late_share = number(value)?,
                 ("floor", _) => index.floor = number(value)?,
+                ("need", _) => index.need = number(value)?,
                 ("step", _) => index.second_step = number(value)?,
                 (other, _) => return Err(format!("{other} cannot be set")),
             }
