--- a/crates/linenthread-core/tests/scenarios.rs
+++ b/crates/linenthread-core/tests/scenarios.rs
@@ -109,6 +109,7 @@
         "unconnected" => Ending::Unconnected,
         "broken" => Ending::Broken,
         "timed-out" => Ending::TimedOut,
+        "withdrawn" => Ending::Withdrawn,
         _ => return Err(format!("{word} is no ending")),
     })
 }
