Rule 4: more turns at a cold replica by what is sent, and twice as many at most

Now by parts sent, and at most twice: then all turns used at once stay within multiple x share x two cores x window.

--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -55,8 +55,8 @@
 const URGENT: f64 = 2.5;
 /// How much of the cold budget is used.
 const COLD_USE: f64 = 0.8;
-/// Of a cold replica's turns, the share that is to be used where most pass unused.
-const TURNS: f64 = 0.25;
+/// Of a cold replica's turns, the share to be used where most pass unused, and how many may be had for one.
+const TURNS: (f64, f64) = (0.5, 2.0);
 /// Replicas that go down unannounced keep lookups to one part first for about so long.
 const WARY: f64 = 200_000.0;
 /// How many slow answers' time a first answer leaves for its second step.
@@ -121,7 +121,7 @@
     span: f64,
     /// The lowest median time of late.
     quick: f64,
-    /// Parts that a warm replica can take from here within the cold window, and those that it gets.
+    /// Parts that a warm replica can take from here within the cold window, and those that are sent to one.
     usual: f64,
     flow: f64,
     /// Parts that may be out at one replica before it is jammed.
@@ -478,7 +478,7 @@
         let least = window / fleet.quick / self.deployment.co_ordinators as f64;
         let seen = mean * window / fleet.span;
         fleet.usual = (fleet.usual * (1.0 - slowly)).max(least).max(seen);
-        fleet.flow = seen;
+        fleet.flow = fleet.copies.weight * window / RECENT / ready; // What is sent: a jam answers little.
         // In its first soft deadline's time a co-ordinator has seen too little to turn anything away.
         if (now - self.due.began) as f64 >= self.soft {
             // One that has just started has not yet seen a whole span of answers.
@@ -631,8 +631,8 @@
         // Less than one in each window: the co-ordinators take turns, window by window since its start.
         let age = self.now - self.replicas[r].began().unwrap_or(0);
         // Who sees little seldom has a part for it in its turn: more have theirs at once, to use some of it.
-        let used = if self.fleet.flow > 0.0 { 1.0 - (-self.fleet.flow).exp() } else { 1.0 };
-        let room = room * (TURNS / used).max(1.0);
+        let used = 1.0 - (-self.fleet.flow).exp();
+        let room = room * (TURNS.0 / used).clamp(1.0, TURNS.1);
         let turn = (age / cold.window.max(1)) as u64
             + self.deployment.own_number as u64
             + self.replicas[r].listed.id;
@@ -862,16 +862,16 @@
 
     /// Sends parts not yet asked for, those that failed, and second copies of those that are late.
     fn send(&mut self, l: usize, writer: &mut impl Writer) {
-        let (now, slow, usual) = (self.now, self.time_of_most(2.0), self.time_of_most(0.0));
+        let (now, slow) = (self.now, self.time_of_most(2.0));
         self.fleet.copies.fade(now, RECENT);
         self.fleet.falls.fade(now, WARY);
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
         // Several replicas that fall may be the work of what lookups ask for: one part goes first then, and
-        // the others once it outlasts the usual time.
+        // the others once it outlasts a slow one's time.
         let wary = lookup.unanswered() && self.fleet.falls.sum > 1.0;
         let lasts = |c: &Call, time: f64| c.ending.is_none() && (now - c.sent) as f64 <= time;
         let mut calls = lookup.parts.iter().flat_map(|p| &p.calls);
-        if self.fells(lookup, false) || wary && calls.any(|c| lasts(c, usual)) {
+        if self.fells(lookup, false) || wary && calls.any(|c| lasts(c, slow)) {
             return;
         }
         let alone = wary && !lookup.out();
