--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -93,43 +93,6 @@
 /// Weights are sums of rounded shares.
 const ROUNDING: f64 = 0.0001;
 
-/// What was seen of the fleet as a whole.
-#[derive(Default)]
-struct Fleet {
-    times: Fading,
-    /// Logarithms of how long parts took or were waited for: where turned away, a whole soft deadline.
-    delays: Fading,
-    /// How many parts lookups of each index have, and for all what they cost for each gain.
-    sizes: Vec<Fading>,
-    costs: Fading,
-    /// Lookups that came from each customer.
-    customers: Vec<Fading>,
-    /// Replicas that went down unannounced.
-    falls: Fading,
-    /// Lookups and parts taken, and further part calls made.
-    taken: Counts,
-    further: Counts,
-    /// 1 for each second copy, 0 for each first part call.
-    copies: Fading,
-    /// 1 for each probe that was not answered when it was waited for no longer, 0 for the others.
-    unsure: Fading,
-    /// 1 for each part call that came to nothing, 0 for each answered: on rested connections, and on others.
-    rested: Fading,
-    fresh: Fading,
-    /// How many answers are of late, smoothed, and for how long replicas are remembered then.
-    pace: f64,
-    span: f64,
-    /// The lowest median time of late.
-    quick: f64,
-    /// Parts that a warm replica can take from here within the cold window, and those that are sent to one.
-    usual: f64,
-    flow: f64,
-    /// Parts that may be out at one replica before it is jammed.
-    jam: f64,
-    /// And in all.
-    room: f64,
-}
-
 pub struct Coordinator {
     deployment: Deployment,
     /// The shortest soft deadline of all indexes.
@@ -328,9 +291,7 @@
                 // A copy that came first was needed: it makes room for two more.
                 let passed = |c: &Call| c.ending.is_none() || c.moved && took < slow;
                 if back.call > 0 && !part.answered && part.calls[..back.call].iter().any(passed) {
-                    let copies = &mut self.fleet.copies;
-                    copies.fade(now, RECENT);
-                    copies.sum = (copies.sum - 2.0).max(-copies.weight);
+                    self.fleet.copies.relieve(now, RECENT, 2.0);
                 }
                 part.answered |= !lookup.over;
                 part.onward = part.onward.filter(|from| back.call < *from);
@@ -523,7 +484,8 @@
         let part = &lookup.parts[p];
         let near = |r: usize| self.near(lookup.key, &self.replicas[r]);
         let order = |&r: &usize| mix([lookup.key, part.shard as u64 + 1, self.replicas[r].listed.id]);
-        let fit: Vec<usize> = self.holders(lookup, part).filter(|&r| self.may_call(l, p, r)).collect();
+        let fit: Vec<usize> =
+            self.holders(lookup, part).filter(|&r| self.may_call(lookup, part, r)).collect();
         // One that answered is no worse for being asked on.
         let fail = |c: &Call| c.ending != Some(Ending::Answered);
         let tried = |r: usize| part.calls.iter().any(|c| c.replica == r && fail(c));
@@ -570,15 +532,12 @@
     // --- the gate ---
 
     /// Whether a part call may be made at all. Every send passes here, and nothing else holds the rules.
-    fn may_call(&self, l: usize, p: usize, r: usize) -> bool {
-        let out = self.lookups.get(l).and_then(Option::as_ref).map_or(0, |k| k.parts[p].out());
-        (out == 0 || self.deployment.allowance.second_copies && out == 1) && self.may_go(l, p, r)
+    fn may_call(&self, lookup: &Lookup, part: &Part, r: usize) -> bool {
+        part.out() <= usize::from(self.deployment.allowance.second_copies) && self.may_go(lookup, part, r)
     }
 
     /// Whether it may, but for what is out.
-    fn may_go(&self, l: usize, p: usize, r: usize) -> bool {
-        let Some(Some(lookup)) = self.lookups.get(l) else { return false };
-        let part = &lookup.parts[p];
+    fn may_go(&self, lookup: &Lookup, part: &Part, r: usize) -> bool {
         self.may_run_again(lookup, part)
             && !lookup.over
             && part.is_wanted()
@@ -692,18 +651,13 @@
         if self.asks(l, writer) {
             return;
         }
-        let Some(lookup) = self.lookups[l].as_ref().filter(|k| !k.over) else { return };
+        let partless = |k: &Lookup| k.parts.len() == k.step && self.now < k.hard;
+        let Some(lookup) = self.lookups[l].as_ref().filter(|k| !k.over && !partless(k)) else { return };
         let index = &self.deployment.indexes[lookup.index];
         let end = given_up_at(lookup, index);
-        let parts = &lookup.parts[lookup.step..];
-        if parts.is_empty() && self.now < lookup.hard {
-            return;
-        }
-        let weigh =
-            |of: &dyn Fn(&Part) -> bool| -> f64 { parts.iter().filter(|p| of(p)).map(|p| p.weight).sum() };
-        let total = weigh(&|_| true).max(ROUNDING);
-        let got = weigh(&|p| p.answered) / total;
-        let lost = weigh(&|p| self.is_hopeless(lookup, p)) / total;
+        let total = lookup.weigh(|_| true).max(ROUNDING);
+        let got = lookup.weigh(|p| p.answered) / total;
+        let lost = lookup.weigh(|p| self.is_hopeless(lookup, p)) / total;
         let need = if lookup.step > 0 { 1.0 } else { index.need };
         let floor = if lookup.step > 0 && index.floor >= index.need { 1.0 } else { index.floor };
         let enough = |share: f64, of: f64| share >= of - ROUNDING / 2.0;
@@ -877,29 +831,28 @@
         let alone = wary && !lookup.out();
         // An answer sooner than its soft deadline asks for earns nothing: a copy waits till it must go.
         let urgent = (lookup.soft - now) as f64 <= URGENT * slow;
-        let step = &lookup.parts[lookup.step..];
-        let share = if step.iter().filter(|p| !p.answered).count() > 1 { COPIES.0 } else { COPIES.1 };
+        let missing = lookup.parts[lookup.step..].iter().filter(|p| !p.answered).count();
+        let share = if missing > 1 { COPIES.0 } else { COPIES.1 };
+        let mut order: Vec<usize> = (lookup.step..lookup.parts.len()).collect();
         // Where any so many parts make a whole answer, those of the quickest go, and more as some are late.
         let need = if lookup.step > 0 { 1.0 } else { self.deployment.indexes[lookup.index].need };
-        let weigh =
-            |of: &dyn Fn(&Part) -> bool| -> f64 { step.iter().filter(|p| of(p)).map(|p| p.weight).sum() };
-        let mut coming = weigh(&|p| p.answered || p.calls.iter().any(|c| lasts(c, slow)));
-        let wanted = (need + SPARE * (1.0 - need)) * weigh(&|_| true) - ROUNDING / 2.0;
-        let mut order: Vec<usize> = (lookup.step..lookup.parts.len()).collect();
-        let score = |r: usize| (1_000.0 * self.replicas[r].score) as u64;
+        let mut wanted = f64::INFINITY;
         if need < 1.0 {
+            let coming = |p: &Part| p.answered || p.calls.iter().any(|c| lasts(c, slow));
+            wanted = (need + SPARE * (1.0 - need)) * lookup.weigh(|_| true) - lookup.weigh(coming);
+            let score = |r: usize| (1_000.0 * self.replicas[r].score) as u64;
             order.sort_by_cached_key(|&p| self.holders(lookup, &lookup.parts[p]).map(score).min());
         }
         for p in order {
             let part = &self.lookups[l].as_ref().expect("open").parts[p];
             let first = part.calls.is_empty();
-            if !part.is_wanted() || first && coming >= wanted {
+            if !part.is_wanted() || first && wanted <= ROUNDING / 2.0 {
                 continue;
             }
-            coming += if first { part.weight } else { 0.0 };
+            wanted -= if first { part.weight } else { 0.0 };
             let late = part.calls.last().is_some_and(|c| (now - c.sent) as f64 > slow);
             let spare = late && urgent && self.fleet.copies.sum < share * self.fleet.copies.weight + 1.0;
-            if spare && self.moves(l, p) {
+            if spare && self.moves(l, p, slow) {
                 let c = part.calls.iter().position(|c| c.ending.is_none()).expect("out");
                 writer.withdraw(l, p, c);
                 self.fleet.copies.sum += 1.0;
@@ -915,15 +868,16 @@
 
     /// As many calls are out as may be, and one is as good as lost: it is called off, and the part goes to
     /// another holder once that is known.
-    fn moves(&self, l: usize, p: usize) -> bool {
+    fn moves(&self, l: usize, p: usize, slow: f64) -> bool {
         let lookup = self.lookups[l].as_ref().expect("open");
         let part = &lookup.parts[p];
-        let most = 1 + usize::from(self.deployment.allowance.second_copies);
         self.deployment.allowance.withdraw
-            && part.out() == most
-            && part.calls.iter().any(|c| self.is_lost(c, self.time_of_most(2.0)))
+            && part.out() > usize::from(self.deployment.allowance.second_copies)
+            && part.calls.iter().any(|c| self.is_lost(c, slow))
             && part.calls.iter().all(|c| !c.moved || c.ending.is_some())
-            && self.holders(lookup, part).any(|r| self.replicas[r].down.is_none() && self.may_go(l, p, r))
+            && self
+                .holders(lookup, part)
+                .any(|r| self.replicas[r].down.is_none() && self.may_go(lookup, part, r))
     }
 
     /// Ends a lookup without an answer, at once: a nack where asking again is harmless.
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -32,6 +32,12 @@
         self.square += value * value;
     }
 
+    /// Takes so much off the sum, at most until it is as far below none as the weight is above.
+    pub fn relieve(&mut self, now: Tenths, span: f64, by: f64) {
+        self.fade(now, span);
+        self.sum = (self.sum - by).max(-self.weight);
+    }
+
     /// Mean and deviation, where more than so much was heard of late.
     pub fn shape(&self, least: f64) -> Option<(f64, f64)> {
         (self.weight > least).then(|| {
@@ -67,6 +73,43 @@
     }
 }
 
+/// What was seen of the fleet as a whole.
+#[derive(Default)]
+pub struct Fleet {
+    pub times: Fading,
+    /// Logarithms of how long parts took or were waited for: where turned away, a whole soft deadline.
+    pub delays: Fading,
+    /// How many parts lookups of each index have, and for all what they cost for each gain.
+    pub sizes: Vec<Fading>,
+    pub costs: Fading,
+    /// Lookups that came from each customer.
+    pub customers: Vec<Fading>,
+    /// Replicas that went down unannounced.
+    pub falls: Fading,
+    /// Lookups and parts taken, and further part calls made.
+    pub taken: Counts,
+    pub further: Counts,
+    /// 1 for each second copy, 0 for each first part call.
+    pub copies: Fading,
+    /// 1 for each probe that was not answered when it was waited for no longer, 0 for the others.
+    pub unsure: Fading,
+    /// 1 for each part call that came to nothing, 0 for each answered: on rested connections, and on others.
+    pub rested: Fading,
+    pub fresh: Fading,
+    /// How many answers are of late, smoothed, and for how long replicas are remembered then.
+    pub pace: f64,
+    pub span: f64,
+    /// The lowest median time of late.
+    pub quick: f64,
+    /// Parts that a warm replica can take from here within the cold window, and those that are sent to one.
+    pub usual: f64,
+    pub flow: f64,
+    /// Parts that may be out at one replica before it is jammed.
+    pub jam: f64,
+    /// And in all.
+    pub room: f64,
+}
+
 /// When things began, and are due again.
 #[derive(Default)]
 pub struct Due {
@@ -229,6 +272,11 @@
     pub fn out(&self) -> bool {
         self.parts.iter().any(|p| p.out() > 0)
     }
+
+    /// The weight of these parts of the step under way.
+    pub fn weigh(&self, of: impl Fn(&Part) -> bool) -> f64 {
+        self.parts[self.step..].iter().filter(|p| of(p)).map(|p| p.weight).sum()
+    }
 }
 
 /// A hash of ids that all co-ordinators agree on.
