--- /dev/null
+++ b/crates/lerwick/src/control.rs
@@ -0,0 +1,974 @@
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use valentia::{
+    Gossip, Grant, Grants, Heard as Receipt, Hello, News, Replica, Session, Tick, VERSION, Value, Voter, Word,
+};
+use zugspitze::{Change, Duty, Job, Kept, Outcome, Register};
+
+use crate::budget::LEASE;
+use crate::replicas::{Beat, Heard, Phase};
+use crate::{Budget, Cells, Changes, Link, Token};
+
+/// A word at least so often, both ways, and the end of a session that hears nothing for so long.
+pub const TICK: u64 = 500;
+pub const SILENT: u64 = 1_600;
+/// How long a call of the operator or a replica is worked on before it is told to go elsewhere.
+const CALL: u64 = 900;
+/// Signs of life go to the other hubs in batches.
+const BATCH: u64 = 200;
+/// A counted machine that is out of touch for so long gives way to one that stands by.
+const LOST: u64 = 1_500;
+/// An address of a hub that nobody answers at is tried less and less often, and forgotten after so long.
+const FORGET: u64 = 20_000;
+/// Places that the log of changes remembers.
+const PLACES: usize = 4_096;
+/// How often whole tables go to a hub that knows something else.
+const SWEEP: u64 = 1_500;
+
+/// Who this hub is.
+#[derive(Clone, Debug)]
+pub struct Local {
+    pub name: String,
+    pub zone: String,
+    pub life: u64,
+    /// Its address for control calls.
+    pub control: String,
+    /// Its disk may be counted.
+    pub counts: bool,
+    pub heartbeat: u64,
+    pub bootstrap: Vec<String>,
+    /// The system starts for the first time.
+    pub first_of_all: bool,
+    pub retry_allowance: f64,
+    pub retry_window: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Acknowledged; where later beats may go.
+    Heard(Option<String>),
+    Taken(u64),
+    Document(Value),
+    Conflict(u64),
+    /// The call is wrong.
+    Bad(String),
+    /// This hub can't say; another may.
+    NotNow(&'static str),
+}
+
+#[derive(Debug)]
+pub enum Out {
+    Send {
+        link: Link,
+        word: Word,
+    },
+    /// To be synced; [`Control::synced`] is called with what waits on it.
+    Keep {
+        record: valentia::Record,
+        then: Vec<(u64, Word)>,
+    },
+    Answer {
+        token: Token,
+        answer: Answer,
+    },
+    Dial(String),
+    Drop(Link),
+    Note(String),
+}
+
+struct Peer {
+    hello: Hello,
+    hub: bool,
+    heard: u64,
+    said: u64,
+    /// Hubs: it is in touch with more than half. Fronts: it has the newest value.
+    whole: bool,
+    /// The newest value that it has, as far as is known: a hub's by number, a front's by revision.
+    value: u64,
+    place: Option<u64>,
+    hubs: u64,
+    confirmed: bool,
+    confirming: bool,
+    asked: u64,
+    revision: u64,
+    /// Replicas to tell a hub of with the next batch.
+    dirty: BTreeSet<String>,
+    swept: u64,
+    differs: u32,
+}
+
+enum Wanted {
+    Call(Token),
+    Confirmed(Link),
+    Voters,
+}
+
+struct Drain {
+    token: Token,
+    ident: String,
+    receipt: u64,
+    until: u64,
+    got: BTreeSet<u64>,
+}
+
+struct Seen {
+    disk: u64,
+    counts: bool,
+    at: u64,
+}
+
+struct Try {
+    next: u64,
+    wait: u64,
+    since: u64,
+}
+
+pub struct Control {
+    local: Local,
+    register: Register,
+    duty: Duty,
+    budget: Budget,
+    cells: Cells,
+    changes: Changes,
+    peers: BTreeMap<Link, Peer>,
+    /// Addresses of all hubs that are known, and when they are dialled.
+    hubs: BTreeMap<String, Try>,
+    hubs_version: u64,
+    /// When the machine at each address was last in touch, with which disk.
+    seen: BTreeMap<String, Seen>,
+    /// Sessions of fronts that other hubs hold.
+    sessions: BTreeMap<Link, Vec<Session>>,
+    wanted: BTreeMap<Job, Wanted>,
+    jobs: Job,
+    drains: Vec<Drain>,
+    /// Drains that more than half of the hubs know of.
+    safe: BTreeSet<String>,
+    receipts: u64,
+    began: u64,
+    /// Since when it has been in touch with more than half of the counted disks.
+    whole_since: Option<u64>,
+    ticked: u64,
+    batched: u64,
+    voting: bool,
+    given: BTreeMap<(String, u64), u64>,
+    own_words: VecDeque<Word>,
+}
+
+impl Control {
+    pub fn new(local: Local, id: u64, kept: Kept, genesis: Option<Value>, now: u64) -> Control {
+        let register = Register::new(id, kept, genesis, local.life);
+        let budget = Budget::new(local.retry_allowance, local.retry_window);
+        let mut control = Control {
+            duty: Duty::new(id, now, local.first_of_all),
+            register,
+            budget,
+            cells: Cells::default(),
+            changes: Changes::new(PLACES),
+            peers: BTreeMap::new(),
+            hubs: BTreeMap::new(),
+            hubs_version: 1,
+            seen: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            jobs: 0,
+            drains: Vec::new(),
+            safe: BTreeSet::new(),
+            receipts: 0,
+            began: now,
+            whole_since: None,
+            ticked: 0,
+            batched: 0,
+            voting: false,
+            given: BTreeMap::new(),
+            own_words: VecDeque::new(),
+            local,
+        };
+        for address in control.local.bootstrap.clone() {
+            control.learn_hub(now, &address);
+        }
+        for voter in control.register.voters().to_vec() {
+            control.learn_hub(now, &voter.address);
+        }
+        control
+    }
+
+    pub fn register(&self) -> &Register {
+        &self.register
+    }
+
+    pub fn cells(&self) -> &Cells {
+        &self.cells
+    }
+
+    /// What this hub knows of machines, for operators.
+    pub fn members(&self, now: u64) -> serde_json::Value {
+        let hub = |p: &Peer| {
+            serde_json::json!({"name": p.hello.name, "zone": p.hello.zone, "control": p.hello.control,
+                "whole": p.whole, "value": p.value, "heard_ms": now.saturating_sub(p.heard)})
+        };
+        let front = |s: &Session| serde_json::json!({"name": s.name, "zone": s.zone, "revision": s.revision});
+        let decided = self.register.decided();
+        serde_json::json!({
+            "name": self.local.name,
+            "zone": self.local.zone,
+            "whole": self.is_whole(),
+            "duty_epoch": self.duty.holds(now),
+            "value": self.value_number(),
+            "revision": decided.map_or(0, |d| d.revision),
+            "counted": self.register.voters().iter().map(|v| &v.address).collect::<Vec<_>>(),
+            "hubs": self.live_hubs().map(|(_, p)| hub(p)).collect::<Vec<_>>(),
+            "fronts": self.fronts().values().map(front).collect::<Vec<_>>(),
+        })
+    }
+
+    /// What this hub knows of replicas, for operators.
+    pub fn replicas(&self, now: u64) -> serde_json::Value {
+        let one = |r: Replica| {
+            let phase = match (r.ended, r.gone, r.draining) {
+                (true, _, _) => "ended",
+                (_, true, _) => "silent",
+                (_, _, true) => "draining",
+                _ => "available",
+            };
+            serde_json::json!({"ident": r.ident, "backend": r.backend, "address": r.address, "zone": r.zone,
+                "phase": phase, "heard_ms": r.age_ms})
+        };
+        serde_json::Value::Array(self.cells.iter().map(|k| one(k.tell(now))).collect())
+    }
+
+    // --- links ---
+
+    /// A connection with a peer stands, whoever opened it.
+    pub fn opened(&mut self, link: Link, out: &mut Vec<Out>) {
+        let hello = Hello {
+            version: VERSION,
+            name: self.local.name.clone(),
+            zone: self.local.zone.clone(),
+            life: self.local.life,
+            control: self.local.control.clone(),
+            disk: self.register.id(),
+            counts: self.local.counts,
+            log: self.local.life,
+            place: self.changes.place(),
+            value: self.value_number(),
+        };
+        out.push(Out::Send { link, word: Word::Hello(hello) });
+    }
+
+    pub fn closed(&mut self, now: u64, link: Link, out: &mut Vec<Out>) {
+        self.sessions.remove(&link);
+        if let Some(peer) = self.peers.remove(&link) {
+            out.push(Out::Note(format!("event=session_ended peer={} hub={}", peer.hello.name, peer.hub)));
+            if peer.hub
+                && let Some(seen) = self.seen.get_mut(&peer.hello.control)
+            {
+                seen.at = now.min(peer.heard + TICK);
+            }
+        }
+    }
+
+    /// An address could not be reached.
+    pub fn unreached(&mut self, now: u64, address: &str) {
+        if let Some(hub) = self.hubs.get_mut(address) {
+            hub.wait = (hub.wait * 2).clamp(200, 1_600);
+            hub.next = now + hub.wait;
+        }
+    }
+
+    fn learn_hub(&mut self, now: u64, address: &str) {
+        if address != self.local.control && !address.is_empty() && !self.hubs.contains_key(address) {
+            // The one with the lower address opens the connection, the other later if need be.
+            let wait = if self.local.control.as_str() < address { 0 } else { 300 };
+            self.hubs.insert(address.to_owned(), Try { next: now + wait, wait: 100, since: now });
+            self.hubs_version += 1;
+        }
+    }
+
+    fn value_number(&self) -> u64 {
+        self.register.decided().map_or(0, |d| d.number)
+    }
+
+    fn live_hubs(&self) -> impl Iterator<Item = (&Link, &Peer)> {
+        self.peers.iter().filter(|(_, p)| p.hub)
+    }
+
+    /// Disks in touch, this one too.
+    fn disks(&self) -> Vec<u64> {
+        self.live_hubs().map(|(_, p)| p.hello.disk).chain([self.register.id()]).collect()
+    }
+
+    /// It can tell, and hear from, more than half of the counted disks.
+    pub fn is_whole(&self) -> bool {
+        self.register.is_most(self.disks())
+    }
+
+    fn link_of(&self, disk: u64) -> Option<Link> {
+        self.live_hubs().filter(|(_, p)| p.hello.disk == disk).map(|(l, _)| *l).last()
+    }
+
+    pub fn hear(&mut self, now: u64, link: Link, word: Word, out: &mut Vec<Out>) {
+        if let Word::Hello(hello) = word {
+            self.hear_hello(now, link, hello, out);
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&link) else {
+            out.push(Out::Drop(link));
+            return;
+        };
+        peer.heard = now;
+        let (hub, disk) = (peer.hub, peer.hello.disk);
+        match word {
+            Word::Tick(tick) => self.hear_tick(now, link, &tick, out),
+            Word::Gossip(gossip) if hub => self.hear_gossip(now, link, gossip, out),
+            Word::Heard(receipt) if hub => self.hear_receipt(disk, &receipt, out),
+            Word::Grants(grants) if hub => self.pass_grants(grants, out),
+            Word::DutyAsk(w) if hub => {
+                let word = self.duty.hear_ask(now, disk, &w);
+                out.push(Out::Send { link, word });
+            }
+            Word::DutySay(w) if hub => self.hear_say(now, disk, &w, out),
+            word if hub => {
+                if let Word::Decided(value) = &word {
+                    let peer = self.peers.get_mut(&link).expect("is there");
+                    peer.value = peer.value.max(value.number);
+                }
+                self.agree(now, |register, outs| register.hear(now, disk, word, outs), out);
+            }
+            _ => {}
+        }
+    }
+
+    fn hear_hello(&mut self, now: u64, link: Link, hello: Hello, out: &mut Vec<Out>) {
+        if hello.version != VERSION || hello.life == self.local.life || self.peers.contains_key(&link) {
+            out.push(Out::Drop(link));
+            return;
+        }
+        let hub = !hello.control.is_empty();
+        // An earlier life of the same machine is over, whatever its connection says.
+        let same = |p: &Peer| p.hello.name == hello.name && (p.hello.life != hello.life || p.hub);
+        let old = |p: &Peer| same(p) && (!hub || p.hello.life != hello.life);
+        let old: Vec<Link> = self.peers.iter().filter(|(_, p)| old(p)).map(|(l, _)| *l).collect();
+        for old in old {
+            self.closed(now, old, out);
+            out.push(Out::Drop(old));
+        }
+        out.push(Out::Note(format!("event=session peer={} zone={} hub={hub}", hello.name, hello.zone)));
+        let place = Some(hello.place).filter(|_| hello.log == self.local.life);
+        let peer = Peer {
+            hub,
+            heard: now,
+            said: now,
+            whole: false,
+            value: hello.value,
+            place,
+            hubs: 0,
+            confirmed: false,
+            confirming: false,
+            asked: 0,
+            revision: 0,
+            dirty: BTreeSet::new(),
+            swept: 0,
+            differs: 0,
+            hello,
+        };
+        let hello = peer.hello.clone();
+        self.peers.insert(link, peer);
+        if hub {
+            self.learn_hub(now, &hello.control);
+            self.seen.insert(hello.control.clone(), Seen { disk: hello.disk, counts: hello.counts, at: now });
+            self.gossip_whole(now, link, out);
+            self.send_value(link, out);
+        } else {
+            self.confirm(now, link, out);
+            self.tell(now, link, out);
+        }
+    }
+
+    /// Reads what is newest for a front that has just come.
+    fn confirm(&mut self, now: u64, link: Link, out: &mut Vec<Out>) {
+        if let Some(peer) = self.peers.get_mut(&link).filter(|p| !p.hub && !p.confirmed && !p.confirming) {
+            peer.confirming = true;
+            self.jobs += 1;
+            let job = self.jobs;
+            self.wanted.insert(job, Wanted::Confirmed(link));
+            self.agree(now, |register, outs| register.read(now, job, now + CALL, outs), out);
+        }
+    }
+
+    fn send_value(&mut self, link: Link, out: &mut Vec<Out>) {
+        let Some(value) = self.register.decided().cloned() else { return };
+        if let Some(peer) = self.peers.get_mut(&link).filter(|p| p.value < value.number) {
+            peer.value = value.number;
+            out.push(Out::Send { link, word: Word::Decided(value) });
+        }
+    }
+
+    fn hear_tick(&mut self, now: u64, link: Link, tick: &Tick, out: &mut Vec<Out>) {
+        let digest = self.cells.digest();
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        if !peer.hub {
+            (peer.asked, peer.revision) = (tick.asked, tick.revision);
+            return;
+        }
+        peer.whole = tick.whole;
+        peer.value = tick.asked;
+        peer.differs = if tick.digest == digest { 0 } else { peer.differs + 1 };
+        if let Some(seen) = self.seen.get_mut(&peer.hello.control) {
+            seen.at = now;
+        }
+        let sweep = peer.differs >= 2 && now >= peer.swept + SWEEP;
+        if sweep {
+            self.gossip_whole(now, link, out);
+        }
+        self.send_value(link, out);
+    }
+
+    // --- replicas ---
+
+    /// A replica's beat.
+    pub fn beat(&mut self, now: u64, token: Token, ident: &str, beat: Beat, out: &mut Vec<Out>) {
+        if !self.is_whole() {
+            out.push(Out::Answer {
+                token,
+                answer: Answer::NotNow("no touch with more than half of the core"),
+            });
+            return;
+        }
+        let draining = beat.phase == Phase::Draining;
+        let said = Replica {
+            ident: ident.to_owned(),
+            backend: beat.backend,
+            address: beat.address,
+            zone: beat.zone,
+            revision: beat.revision,
+            capacity: beat.capacity,
+            call_count: beat.call_count,
+            draining,
+            warmup_ms: beat.warmup_ms,
+            ..Replica::default()
+        };
+        let mut also = Vec::new();
+        let heard = self.cells.hear(now, &said, &mut also);
+        self.spread(ident, heard, &also);
+        let drains = self.cells.get(ident).is_some_and(|k| k.told.draining || k.told.ended);
+        if draining && drains && !self.safe.contains(ident) {
+            self.await_receipts(now, token, ident, out);
+        } else {
+            let answer = Answer::Heard(self.report_to(&said.zone));
+            out.push(Out::Answer { token, answer });
+        }
+        if heard == Heard::Changed {
+            self.flush(now, out);
+        }
+    }
+
+    pub fn departure(&mut self, now: u64, token: Token, ident: &str, out: &mut Vec<Out>) {
+        if !self.is_whole() {
+            out.push(Out::Answer {
+                token,
+                answer: Answer::NotNow("no touch with more than half of the core"),
+            });
+            return;
+        }
+        if self.cells.depart(now, ident) {
+            self.safe.remove(ident);
+            self.spread(ident, Heard::Changed, &[]);
+            self.await_receipts(now, token, ident, out);
+            self.flush(now, out);
+        } else {
+            out.push(Out::Answer { token, answer: Answer::Heard(None) });
+        }
+    }
+
+    /// The call is acknowledged when more than half of the counted disks' machines have said that they know.
+    fn await_receipts(&mut self, now: u64, token: Token, ident: &str, out: &mut Vec<Out>) {
+        self.receipts += 1;
+        let got = BTreeSet::from([self.register.id()]);
+        let drain = Drain { token, ident: ident.to_owned(), receipt: self.receipts, until: now + CALL, got };
+        let replicas: Vec<Replica> = self.cells.get(ident).iter().map(|k| k.tell(now)).collect();
+        let gossip = Gossip { replicas, receipt: self.receipts, ..Gossip::default() };
+        for (link, _) in self.live_hubs() {
+            out.push(Out::Send { link: *link, word: Word::Gossip(gossip.clone()) });
+        }
+        self.drains.push(drain);
+        self.settle_drains(now, out);
+    }
+
+    fn hear_receipt(&mut self, disk: u64, receipt: &Receipt, out: &mut Vec<Out>) {
+        for drain in self.drains.iter_mut().filter(|d| d.receipt == receipt.receipt) {
+            drain.got.insert(disk);
+        }
+        self.settle_drains(0, out);
+    }
+
+    fn settle_drains(&mut self, now: u64, out: &mut Vec<Out>) {
+        let (register, safe) = (&self.register, &mut self.safe);
+        self.drains.retain(|drain| {
+            let answer = if register.is_most(drain.got.iter().copied()) {
+                safe.insert(drain.ident.clone());
+                Answer::Heard(None)
+            } else if now >= drain.until {
+                Answer::NotNow("too few others know of it")
+            } else {
+                return true;
+            };
+            out.push(Out::Answer { token: drain.token, answer });
+            false
+        });
+    }
+
+    /// Notes who is to be told what.
+    fn spread(&mut self, ident: &str, heard: Heard, also: &[String]) {
+        if heard == Heard::Late {
+            return;
+        }
+        let all = || also.iter().map(String::as_str).chain([ident]);
+        for peer in self.peers.values_mut().filter(|p| p.hub) {
+            peer.dirty.extend(all().map(str::to_owned));
+        }
+        if heard == Heard::Changed {
+            all().for_each(|i| self.changes.add(i));
+        }
+    }
+
+    /// The control address of the first hub of a zone that is in touch; else this one's.
+    fn report_to(&self, zone: &str) -> Option<String> {
+        if self.local.zone == zone {
+            return Some(self.local.control.clone());
+        }
+        let of_zone = self.live_hubs().filter(|(_, p)| p.hello.zone == zone && p.whole);
+        of_zone.map(|(_, p)| &p.hello.control).min().cloned()
+    }
+
+    // --- between hubs ---
+
+    fn gossip_whole(&mut self, now: u64, link: Link, out: &mut Vec<Out>) {
+        let replicas = self.cells.iter().map(|k| k.tell(now)).collect();
+        let sessions = self.own_sessions();
+        let hubs = self.hub_addresses();
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        peer.dirty.clear();
+        (peer.swept, peer.hubs) = (now, self.hubs_version);
+        let gossip = Gossip { replicas, sessions, has_sessions: true, hubs, receipt: 0, whole: true };
+        out.push(Out::Send { link, word: Word::Gossip(gossip) });
+    }
+
+    fn hub_addresses(&self) -> Vec<String> {
+        self.hubs.keys().cloned().chain([self.local.control.clone()]).collect()
+    }
+
+    fn own_sessions(&self) -> Vec<Session> {
+        let of = |p: &Peer| Session {
+            name: p.hello.name.clone(),
+            zone: p.hello.zone.clone(),
+            life: p.hello.life,
+            asked: p.asked,
+            address: String::new(),
+            revision: p.revision,
+        };
+        self.peers.values().filter(|p| !p.hub).map(of).collect()
+    }
+
+    fn hear_gossip(&mut self, now: u64, link: Link, gossip: Gossip, out: &mut Vec<Out>) {
+        let mut changed = false;
+        for said in &gossip.replicas {
+            let mut also = Vec::new();
+            let heard = self.cells.hear(now, said, &mut also);
+            // What a hub has said goes on to fronts, not to further hubs: each tells all.
+            if heard == Heard::Changed {
+                also.iter()
+                    .map(String::as_str)
+                    .chain([said.ident.as_str()])
+                    .for_each(|i| self.changes.add(i));
+                changed = true;
+            }
+        }
+        for hub in &gossip.hubs {
+            self.learn_hub(now, hub);
+        }
+        if gossip.has_sessions {
+            self.sessions.insert(link, gossip.sessions);
+        }
+        if gossip.receipt > 0 {
+            out.push(Out::Send { link, word: Word::Heard(Receipt { receipt: gossip.receipt }) });
+        }
+        if changed {
+            self.flush(now, out);
+        }
+    }
+
+    /// All fronts with a session anywhere, by name: the newest asked word counts.
+    pub fn fronts(&self) -> BTreeMap<String, Session> {
+        let mut all: BTreeMap<String, Session> = BTreeMap::new();
+        let own = self.own_sessions();
+        for session in own.iter().chain(self.sessions.values().flatten()) {
+            let newer =
+                all.get(&session.name).is_none_or(|s| s.life != session.life || s.asked <= session.asked);
+            if newer {
+                all.insert(session.name.clone(), session.clone());
+            }
+        }
+        all
+    }
+
+    // --- fronts ---
+
+    /// Tells a front all that it lacks.
+    fn tell(&mut self, now: u64, link: Link, out: &mut Vec<Out>) {
+        let place = self.changes.place();
+        let hubs = self.hub_addresses();
+        let Some(peer) = self.peers.get_mut(&link).filter(|p| !p.hub) else { return };
+        let since = peer.place.and_then(|p| self.changes.since(p));
+        let whole = since.is_none();
+        let replicas: Vec<Replica> = match since {
+            Some(idents) => idents.iter().filter_map(|i| self.cells.get(i)).map(|k| k.tell(now)).collect(),
+            None => self.cells.iter().map(|k| k.tell(now)).collect(),
+        };
+        let value = self.register.decided().filter(|d| d.revision > peer.value).cloned();
+        let confirmed = peer.confirmed && !peer.whole;
+        let new_hubs = peer.hubs != self.hubs_version;
+        if !whole && replicas.is_empty() && value.is_none() && !confirmed && !new_hubs {
+            return;
+        }
+        (peer.value, peer.place) = (value.as_ref().map_or(peer.value, |v| v.revision), Some(place));
+        (peer.whole, peer.hubs, peer.said) = (peer.confirmed, self.hubs_version, now);
+        let news = News {
+            log: self.local.life,
+            place,
+            whole,
+            replicas,
+            value,
+            hubs: if new_hubs { hubs } else { Vec::new() },
+            confirmed: peer.confirmed,
+        };
+        out.push(Out::Send { link, word: Word::News(news) });
+    }
+
+    /// What fronts and hubs must know at once.
+    fn flush(&mut self, now: u64, out: &mut Vec<Out>) {
+        let links: Vec<(Link, bool)> = self.peers.iter().map(|(l, p)| (*l, p.hub)).collect();
+        for (link, hub) in links {
+            if hub {
+                let peer = self.peers.get_mut(&link).expect("is there");
+                if peer.dirty.is_empty() {
+                    continue;
+                }
+                let dirty = std::mem::take(&mut peer.dirty);
+                peer.said = now;
+                let replicas = dirty.iter().filter_map(|i| self.cells.get(i)).map(|k| k.tell(now)).collect();
+                out.push(Out::Send { link, word: Word::Gossip(Gossip { replicas, ..Gossip::default() }) });
+            } else {
+                self.tell(now, link, out);
+            }
+        }
+    }
+
+    fn pass_grants(&mut self, grants: Grants, out: &mut Vec<Out>) {
+        for grant in grants.grants {
+            let own = |p: &Peer| !p.hub && p.hello.name == grant.name && p.hello.life == grant.life;
+            if let Some((link, _)) = self.peers.iter().find(|(_, p)| own(p)) {
+                let word = Word::Grants(Grants { grants: vec![grant.clone()] });
+                out.push(Out::Send { link: *link, word });
+            }
+        }
+    }
+
+    /// The holder's shares for all fronts that have asked since they were last given.
+    fn give(&mut self, now: u64, epoch: u64, out: &mut Vec<Out>) {
+        let fronts = self.fronts();
+        let many = fronts.len();
+        let mut grants = Vec::new();
+        for (own, session) in fronts.values().enumerate() {
+            let key = (session.name.clone(), session.life);
+            if session.asked == 0 || self.given.get(&key) == Some(&session.asked) {
+                continue;
+            }
+            let share = self.budget.give(now, &session.name, session.life, many);
+            self.given.insert(key, session.asked);
+            grants.push(Grant {
+                name: session.name.clone(),
+                life: session.life,
+                asked: session.asked,
+                epoch,
+                share,
+                lease_ms: LEASE as u32,
+                fronts: many as u32,
+                own: own as u32,
+            });
+        }
+        self.given.retain(|(name, life), _| fronts.get(name).is_some_and(|s| s.life == *life));
+        if grants.is_empty() {
+            return;
+        }
+        let grants = Grants { grants };
+        for (link, _) in self.live_hubs() {
+            out.push(Out::Send { link: *link, word: Word::Grants(grants.clone()) });
+        }
+        self.pass_grants(grants, out);
+    }
+
+    // --- the operator ---
+
+    pub fn replace(
+        &mut self,
+        now: u64,
+        token: Token,
+        base: u64,
+        revision: u64,
+        document: Vec<u8>,
+        out: &mut Vec<Out>,
+    ) {
+        self.jobs += 1;
+        let job = self.jobs;
+        self.wanted.insert(job, Wanted::Call(token));
+        let until = now + CALL + document.len() as u64 / 1_000;
+        let change = Change::Document { base, revision, document };
+        self.agree(now, |register, outs| register.propose(now, job, change, until, outs), out);
+    }
+
+    pub fn read(&mut self, now: u64, token: Token, out: &mut Vec<Out>) {
+        self.jobs += 1;
+        let job = self.jobs;
+        self.wanted.insert(job, Wanted::Call(token));
+        self.agree(now, |register, outs| register.read(now, job, now + CALL, outs), out);
+    }
+
+    // --- agreement ---
+
+    /// What waited on the disk.
+    pub fn synced(&mut self, now: u64, then: Vec<(u64, Word)>, out: &mut Vec<Out>) {
+        for (to, word) in then {
+            self.post(to, word, out);
+        }
+        self.agree(now, |_, _| {}, out);
+    }
+
+    fn post(&mut self, to: u64, word: Word, out: &mut Vec<Out>) {
+        if to == self.register.id() {
+            self.own_words.push_back(word);
+        } else if let Some(link) = self.link_of(to) {
+            out.push(Out::Send { link, word });
+        }
+    }
+
+    /// Drives the register until it has nothing more to say.
+    fn agree(
+        &mut self,
+        now: u64,
+        first: impl FnOnce(&mut Register, &mut Vec<zugspitze::Out>),
+        out: &mut Vec<Out>,
+    ) {
+        let mut outs = Vec::new();
+        first(&mut self.register, &mut outs);
+        loop {
+            for o in std::mem::take(&mut outs) {
+                match o {
+                    zugspitze::Out::Send { to, word } => self.post(to, word, out),
+                    zugspitze::Out::Keep { record, then } => out.push(Out::Keep { record, then }),
+                    zugspitze::Out::Decided(value) => self.decided(now, &value, out),
+                    zugspitze::Out::Reply { job, outcome } => self.reply(now, job, outcome, out),
+                }
+            }
+            let Some(word) = self.own_words.pop_front() else { break };
+            let id = self.register.id();
+            self.register.hear(now, id, word, &mut outs);
+        }
+    }
+
+    fn decided(&mut self, now: u64, value: &Value, out: &mut Vec<Out>) {
+        out.push(Out::Note(format!(
+            "event=decided number={} revision={} counted={}",
+            value.number,
+            value.revision,
+            value.voters.len()
+        )));
+        for voter in &value.voters {
+            self.learn_hub(now, &voter.address);
+        }
+        let links: Vec<(Link, bool)> = self.peers.iter().map(|(l, p)| (*l, p.hub)).collect();
+        for (link, hub) in links {
+            if hub { self.send_value(link, out) } else { self.tell(now, link, out) }
+        }
+    }
+
+    fn reply(&mut self, now: u64, job: Job, outcome: Outcome, out: &mut Vec<Out>) {
+        match self.wanted.remove(&job) {
+            Some(Wanted::Call(token)) => {
+                let answer = match outcome {
+                    Outcome::Taken(revision) => Answer::Taken(revision),
+                    Outcome::Conflict(revision) => Answer::Conflict(revision),
+                    Outcome::Newest(value) => Answer::Document(value),
+                    Outcome::Unclear => Answer::NotNow("no word of more than half of the counted disks"),
+                };
+                out.push(Out::Answer { token, answer });
+            }
+            Some(Wanted::Confirmed(link)) => {
+                if let Some(peer) = self.peers.get_mut(&link) {
+                    peer.confirming = false;
+                    peer.confirmed |= matches!(outcome, Outcome::Newest(_));
+                    self.tell(now, link, out);
+                }
+            }
+            Some(Wanted::Voters) => self.voting = false,
+            None => {}
+        }
+    }
+
+    fn hear_say(&mut self, now: u64, disk: u64, w: &valentia::DutySay, out: &mut Vec<Out>) {
+        let register = &self.register;
+        if self.duty.hear_say(now, disk, w, |ids| register.is_most(ids)) {
+            let first = self.local.first_of_all && self.value_number() <= 1 && now < self.began + 5_000;
+            self.budget.begin(now, first);
+            self.given.clear();
+            out.push(Out::Note(format!("event=duty_taken epoch={}", self.duty.holds(now).unwrap_or(0))));
+        }
+    }
+
+    /// Whether no counted machine before this one, by the order of value n, is in touch.
+    fn is_first(&self) -> bool {
+        let disks = self.disks();
+        let first = self.register.voters().iter().find(|v| disks.contains(&v.id));
+        first.is_some_and(|v| v.id == self.register.id())
+    }
+
+    /// The holder of the duty keeps the set of counted disks to the machines that are there: one change at a time.
+    fn keep_voters(&mut self, now: u64, out: &mut Vec<Out>) {
+        if self.voting || !self.is_whole() {
+            return;
+        }
+        let Some(value) = self.register.decided() else { return };
+        let voters = &value.voters;
+        let disks = self.disks();
+        let own = Voter { id: self.register.id(), address: self.local.control.clone() };
+        let ready = self.live_hubs().filter(|(_, p)| p.hello.counts && p.value >= value.number);
+        let ready = ready.map(|(_, p)| Voter { id: p.hello.disk, address: p.hello.control.clone() });
+        let mut spare: Vec<Voter> = ready.chain(self.local.counts.then_some(own)).collect();
+        spare.retain(|s| !voters.iter().any(|v| v.id == s.id));
+        let replaced = |v: &Voter| self.seen.get(&v.address).is_some_and(|s| s.disk != v.id && s.counts);
+        let lost = |v: &Voter| {
+            let at = self.seen.get(&v.address).map_or(self.began, |s| s.at);
+            !disks.contains(&v.id) && now > at.max(self.whole_since.unwrap_or(now)) + LOST
+        };
+        let mut next = voters.clone();
+        if let Some(i) =
+            voters.iter().position(|v| replaced(v) && spare.iter().any(|s| s.address == v.address))
+        {
+            next[i] = spare.iter().find(|s| s.address == voters[i].address).expect("was found").clone();
+        } else if let Some(i) = voters.iter().position(lost) {
+            match spare.first() {
+                Some(new) => next[i] = new.clone(),
+                None if voters.len() > 3 => drop(next.remove(i)),
+                None => return,
+            }
+        } else if let Some(new) = spare.first() {
+            next.push(new.clone());
+        } else {
+            return;
+        }
+        self.voting = true;
+        self.jobs += 1;
+        let (job, on) = (self.jobs, value.number);
+        self.wanted.insert(job, Wanted::Voters);
+        let names: Vec<&str> = next.iter().map(|v| v.address.as_str()).collect();
+        out.push(Out::Note(format!("event=counted_change on={on} counted={}", names.join(","))));
+        let change = Change::Voters { on, voters: next };
+        self.agree(now, |register, outs| register.propose(now, job, change, now + 3 * CALL, outs), out);
+    }
+
+    /// When [`Control::tick`] is due at the latest.
+    pub fn due(&self, now: u64) -> u64 {
+        let soon = if self.register.is_busy() || !self.drains.is_empty() { now + 25 } else { u64::MAX };
+        soon.min(self.batched + BATCH)
+    }
+
+    /// All that is due by time.
+    pub fn tick(&mut self, now: u64, out: &mut Vec<Out>) {
+        self.agree(now, |register, outs| register.tick(now, outs), out);
+        self.settle_drains(now, out);
+        if now < self.batched + BATCH {
+            return;
+        }
+        self.batched = now;
+        let silent: Vec<Link> =
+            self.peers.iter().filter(|(_, p)| now > p.heard + SILENT).map(|(l, _)| *l).collect();
+        for link in silent {
+            self.closed(now, link, out);
+            out.push(Out::Drop(link));
+        }
+        match (self.is_whole(), self.whole_since) {
+            (true, None) => self.whole_since = Some(now),
+            (false, Some(_)) => self.whole_since = None,
+            _ => {}
+        }
+        // Silence counts only where it could have been heard.
+        let silence = 3 * self.local.heartbeat + 1_000;
+        if self.whole_since.is_some_and(|since| now > since + silence) {
+            let gone = self.cells.expire(now, silence);
+            for ident in &gone {
+                out.push(Out::Note(format!("event=replica_silent ident={ident}")));
+                self.changes.add(ident);
+            }
+        }
+        self.dial(now, out);
+        self.flush(now, out);
+        if now < self.ticked + TICK {
+            return;
+        }
+        self.ticked = now;
+        let tick = Word::Tick(Tick {
+            asked: self.value_number(),
+            whole: self.is_whole(),
+            digest: self.cells.digest(),
+            revision: 0,
+        });
+        let sessions = self.own_sessions();
+        let hubs = self.hub_addresses();
+        for (link, peer) in &mut self.peers {
+            out.push(Out::Send { link: *link, word: tick.clone() });
+            if peer.hub {
+                let hubs = if peer.hubs == self.hubs_version { Vec::new() } else { hubs.clone() };
+                peer.hubs = self.hubs_version;
+                let sessions = sessions.clone();
+                let gossip = Gossip { sessions, has_sessions: true, hubs, ..Gossip::default() };
+                out.push(Out::Send { link: *link, word: Word::Gossip(gossip) });
+            }
+        }
+        let fronts: Vec<Link> = self.peers.iter().filter(|(_, p)| !p.hub).map(|(l, _)| *l).collect();
+        fronts.into_iter().for_each(|link| self.confirm(now, link, out));
+        let first = self.is_first();
+        if let Some(Word::DutyAsk(ask)) = self.duty.tick(now, first) {
+            for (link, _) in self.live_hubs() {
+                out.push(Out::Send { link: *link, word: Word::DutyAsk(ask.clone()) });
+            }
+            let id = self.register.id();
+            if let Word::DutySay(say) = self.duty.hear_ask(now, id, &ask) {
+                self.hear_say(now, id, &say, out);
+            }
+        }
+        if let Some(epoch) = self.duty.holds(now) {
+            self.give(now, epoch, out);
+            self.keep_voters(now, out);
+        }
+    }
+
+    fn dial(&mut self, now: u64, out: &mut Vec<Out>) {
+        let linked: BTreeSet<String> = self.live_hubs().map(|(_, p)| p.hello.control.clone()).collect();
+        let counted: Vec<String> = self.register.voters().iter().map(|v| v.address.clone()).collect();
+        let bootstrap = &self.local.bootstrap;
+        let mut forgotten = false;
+        self.hubs.retain(|address, hub| {
+            if linked.contains(address) {
+                (hub.since, hub.wait, hub.next) = (now, 100, now + 300);
+                return true;
+            }
+            let keep = now < hub.since + FORGET || counted.contains(address) || bootstrap.contains(address);
+            forgotten |= !keep;
+            if keep && now >= hub.next {
+                hub.next = now + hub.wait.max(600);
+                out.push(Out::Dial(address.clone()));
+            }
+            keep
+        });
+        self.hubs_version += u64::from(forgotten);
+    }
+}
--- a/crates/linenthread-core/src/coordinator.rs
+++ b/crates/linenthread-core/src/coordinator.rs
@@ -139,6 +139,21 @@
         }
     }
 
+    /// One more index, for lookups taken from now on.
+    pub fn add_index(&mut self, index: Index) -> usize {
+        let all = &mut self.deployment.indexes;
+        all.push(index);
+        self.soft = all.iter().map(|i| i.soft_deadline).min().unwrap_or(0).max(1) as f64;
+        self.fleet.sizes.resize(all.len(), Fading::default());
+        all.len() - 1
+    }
+
+    /// So many further calls are free in each window from now on; this is one of so many co-ordinators.
+    pub fn allot(&mut self, free: f64, own_number: usize, co_ordinators: usize) {
+        (self.deployment.own_number, self.deployment.co_ordinators) = (own_number, co_ordinators.max(1));
+        self.deployment.further_calls.iter_mut().for_each(|f| f.free = free);
+    }
+
     /// Takes all that came in and writes what is decided on it.
     pub fn round(&mut self, arrivals: &Arrivals, writer: &mut impl Writer) {
         self.now = arrivals.now;
--- a/crates/linenthread-core/src/lib.rs
+++ b/crates/linenthread-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod coordinator;
 pub mod interface;
+pub mod policy;
 mod state;
 
 pub use coordinator::Coordinator;
--- /dev/null
+++ b/crates/linenthread-core/src/policy/mod.rs
@@ -0,0 +1,1 @@
+pub mod front;
--- /dev/null
+++ b/crates/sonnblick/src/control.rs
@@ -0,0 +1,432 @@
+//! Control on sockets: the hub with its queue of commands, replicas' and operators' calls, links with other hubs
+//! and fronts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eskdalemuir::{Head, request_framing};
+use kew::{Configuration, Settings};
+use lerwick::{Answer, Beat, Control, Link, Local, Out, Token};
+use serde_json::json;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use valentia::{Value, Voter, Word};
+
+use crate::disk::Disk;
+use crate::errors::{Error, step};
+use crate::wire::{Stop, Wire};
+use crate::{clock, disk, links};
+
+const COMMANDS: usize = 4_096;
+const HEAD: usize = 16_384;
+/// Nothing that is told to control is longer.
+const BODY: usize = 12 << 20;
+const QUIET: Duration = Duration::from_secs(20);
+const SLOW: Duration = Duration::from_secs(5);
+const DIAL: Duration = Duration::from_millis(700);
+
+enum Command {
+    Opened(Link, mpsc::Sender<Word>),
+    Word(Link, Word),
+    Closed(Link),
+    Unreached(String),
+    Beat(String, Beat, oneshot::Sender<Answer>),
+    Departure(String, oneshot::Sender<Answer>),
+    Replace { base: u64, revision: u64, document: Vec<u8>, reply: oneshot::Sender<Answer> },
+    Read(oneshot::Sender<Answer>),
+    Members(oneshot::Sender<serde_json::Value>),
+    Replicas(oneshot::Sender<serde_json::Value>),
+    Synced(Vec<(u64, Word)>),
+    Stop(oneshot::Sender<()>),
+}
+
+pub struct Hall {
+    commands: mpsc::Sender<Command>,
+}
+
+impl Hall {
+    /// Ends all sessions, so that the others need not wait for silence.
+    pub async fn stop(&self) {
+        let (done, ended) = oneshot::channel();
+        if self.commands.send(Command::Stop(done)).await.is_ok() {
+            let _ = ended.await;
+        }
+    }
+}
+
+/// A number that is the same nowhere else.
+pub fn life() -> u64 {
+    let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_nanos());
+    let hash = std::hash::BuildHasher::hash_one(&std::collections::hash_map::RandomState::new(), at);
+    hash | 1
+}
+
+pub async fn start(settings: &Rc<Settings>, address: SocketAddr) -> Result<Hall, Error> {
+    let (commands, queue) = mpsc::channel(COMMANDS);
+    let (synced_tx, mut synced) = mpsc::unbounded_channel();
+    let state = settings.state_dir.as_deref().unwrap_or_default();
+    let (disk, kept) = disk::open(state, move |then| drop(synced_tx.send(then)))?;
+    let life = life();
+    let bootstrap: Vec<String> = settings.bootstrap_peers.iter().map(SocketAddr::to_string).collect();
+    let own = address.to_string();
+    let empty = kept.id.is_none();
+    // An empty disk is nobody that was there before; but on the very first start the address names it.
+    let first = empty && settings.initial_boot && bootstrap.contains(&own);
+    let id = kept.id.unwrap_or(if first { zugspitze::genesis_id(&own) } else { life });
+    let genesis = settings.initial_boot.then(|| Value {
+        voters: bootstrap
+            .iter()
+            .map(|a| Voter { id: zugspitze::genesis_id(a), address: a.clone() })
+            .collect(),
+        ..Value::default()
+    });
+    let local = Local {
+        name: settings.node_name.clone(),
+        zone: settings.zone.clone(),
+        life,
+        control: own,
+        counts: settings.quorum_member,
+        heartbeat: settings.heartbeat_ms,
+        bootstrap,
+        first_of_all: settings.initial_boot,
+        retry_allowance: settings.retry_allowance,
+        retry_window: settings.retry_window_ms,
+    };
+    log::info!(disk = id, empty = empty, first = first; "event=control_start");
+    let control = Control::new(local, id, kept, genesis.clone(), clock::ms());
+    if empty {
+        disk.keep(valentia::Record { id: Some(id), decided: genesis, ..Default::default() }, Vec::new());
+    }
+    let calls = TcpListener::bind(address).await.map_err(step("binding", address))?;
+    let peers = SocketAddr::new(address.ip(), settings.peers_port);
+    let peers = TcpListener::bind(peers).await.map_err(step("binding", peers))?;
+    let hub = Hub {
+        control,
+        disk,
+        links: HashMap::new(),
+        calls: HashMap::new(),
+        tokens: 0,
+        commands: commands.clone(),
+        port: settings.peers_port,
+    };
+    spawn_local(hub.run(queue));
+    let to = commands.clone();
+    spawn_local(async move {
+        while let Some(then) = synced.recv().await {
+            let _ = to.send(Command::Synced(then)).await;
+        }
+    });
+    let to = commands.clone();
+    spawn_local(async move {
+        loop {
+            match calls.accept().await {
+                Ok((stream, from)) => drop(spawn_local(call(stream, from, to.clone()))),
+                Err(e) => pause(&e).await,
+            }
+        }
+    });
+    let to = commands.clone();
+    spawn_local(async move {
+        loop {
+            match peers.accept().await {
+                Ok((stream, from)) => {
+                    links::prepare(&stream);
+                    spawn_local(link(stream, from.to_string(), to.clone()));
+                }
+                Err(e) => pause(&e).await,
+            }
+        }
+    });
+    Ok(Hall { commands })
+}
+
+/// No descriptor is left, or the like: it will pass.
+pub async fn pause(e: &std::io::Error) {
+    log::warn!(cause = e.to_string(); "event=accept_failed");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
+/// One link for as long as it lasts.
+async fn link(stream: TcpStream, peer: String, commands: mpsc::Sender<Command>) {
+    static LINKS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
+    let link = LINKS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let (to, words) = mpsc::channel(links::WAITING);
+    if commands.send(Command::Opened(link, to)).await.is_err() {
+        return;
+    }
+    let queue = commands.clone();
+    let take = move |word| queue.try_send(Command::Word(link, word)).is_ok();
+    if let Err(e) = links::carry(stream, &peer, words, take).await {
+        log::info!(cause = e.to_string(); "event=link_ended");
+    }
+    let _ = commands.send(Command::Closed(link)).await;
+}
+
+struct Hub {
+    control: Control,
+    disk: Disk,
+    links: HashMap<Link, mpsc::Sender<Word>>,
+    calls: HashMap<Token, oneshot::Sender<Answer>>,
+    tokens: Token,
+    commands: mpsc::Sender<Command>,
+    port: u16,
+}
+
+impl Hub {
+    async fn run(mut self, mut queue: mpsc::Receiver<Command>) {
+        let (mut waiting, mut out) = (Vec::new(), Vec::new());
+        loop {
+            let due = clock::at_ms(self.control.due(clock::ms())).into();
+            let _ = tokio::time::timeout_at(due, queue.recv_many(&mut waiting, 64)).await;
+            let now = clock::ms();
+            for command in waiting.drain(..) {
+                if let Command::Stop(done) = command {
+                    self.links.clear();
+                    // The writers have a turn to close.
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    let _ = done.send(());
+                    return;
+                }
+                self.take(now, command, &mut out);
+            }
+            if now >= self.control.due(now) {
+                self.control.tick(now, &mut out);
+            }
+            self.carry_out(&mut out);
+        }
+    }
+
+    fn token(&mut self, reply: oneshot::Sender<Answer>) -> Token {
+        self.tokens += 1;
+        self.calls.insert(self.tokens, reply);
+        self.tokens
+    }
+
+    fn take(&mut self, now: u64, command: Command, out: &mut Vec<Out>) {
+        match command {
+            Command::Opened(link, to) => {
+                self.links.insert(link, to);
+                self.control.opened(link, out);
+            }
+            Command::Word(link, word) => self.control.hear(now, link, word, out),
+            Command::Closed(link) => {
+                self.links.remove(&link);
+                self.control.closed(now, link, out);
+            }
+            Command::Unreached(address) => self.control.unreached(now, &address),
+            Command::Beat(ident, beat, reply) => {
+                let token = self.token(reply);
+                self.control.beat(now, token, &ident, beat, out);
+            }
+            Command::Departure(ident, reply) => {
+                let token = self.token(reply);
+                self.control.departure(now, token, &ident, out);
+            }
+            Command::Replace { base, revision, document, reply } => {
+                let token = self.token(reply);
+                self.control.replace(now, token, base, revision, document, out);
+            }
+            Command::Read(reply) => {
+                let token = self.token(reply);
+                self.control.read(now, token, out);
+            }
+            Command::Members(reply) => drop(reply.send(self.control.members(now))),
+            Command::Replicas(reply) => drop(reply.send(self.control.replicas(now))),
+            Command::Synced(then) => self.control.synced(now, then, out),
+            Command::Stop(_) => {}
+        }
+    }
+
+    fn carry_out(&mut self, out: &mut Vec<Out>) {
+        for o in out.drain(..) {
+            match o {
+                Out::Send { link, word } => {
+                    let full = self.links.get(&link).is_some_and(|to| to.try_send(word).is_err());
+                    if full {
+                        self.links.remove(&link);
+                    }
+                }
+                Out::Keep { record, then } => {
+                    if !self.disk.keep(record, then) {
+                        log::warn!("event=disk_behind");
+                    }
+                }
+                Out::Answer { token, answer } => {
+                    if let Some(reply) = self.calls.remove(&token) {
+                        let _ = reply.send(answer);
+                    }
+                }
+                Out::Dial(address) => {
+                    let (commands, port) = (self.commands.clone(), self.port);
+                    spawn_local(async move {
+                        let Ok(control) = address.parse::<SocketAddr>() else { return };
+                        match links::dial(SocketAddr::new(control.ip(), port), DIAL).await {
+                            Ok(stream) => link(stream, address, commands).await,
+                            Err(_) => drop(commands.send(Command::Unreached(address)).await),
+                        }
+                    });
+                }
+                Out::Drop(link) => drop(self.links.remove(&link)),
+                Out::Note(line) => log::info!("{line}"),
+            }
+        }
+    }
+}
+
+/// One caller's connection: calls one after another.
+async fn call(stream: TcpStream, from: SocketAddr, commands: mpsc::Sender<Command>) {
+    links::prepare(&stream);
+    let mut wire = Wire::new(stream);
+    loop {
+        let head = match wire.request(HEAD, QUIET, SLOW).await {
+            Ok(head) => head,
+            Err(Stop::Refused(_)) => {
+                let _ = answer(&mut wire, 400, &json!({"error": "not a request"}), false).await;
+                return;
+            }
+            Err(_) => return,
+        };
+        let framing = match request_framing(&head, BODY) {
+            Ok(framing) => framing,
+            Err(refusal) => {
+                let status = if refusal == eskdalemuir::Refusal::BodyTooLong { 413 } else { 400 };
+                let _ = answer(&mut wire, status, &json!({"error": "body refused"}), false).await;
+                return;
+            }
+        };
+        if head.says("expect", "100-continue") {
+            let by = Instant::now() + SLOW;
+            if wire.write(b"HTTP/1.1 100 Continue\r\n\r\n", by).await.is_err() {
+                return;
+            }
+        }
+        let Ok(body) = wire.body(framing, BODY, SLOW, None).await else { return };
+        let keep = head.keeps();
+        let done = match dispatch(&head, body, &commands).await {
+            Reply::Json(status, value) => answer(&mut wire, status, &value, keep).await,
+            Reply::Raw(document) => raw(&mut wire, 200, &document, keep).await,
+        };
+        if done.is_err() || !keep {
+            if done.is_err() {
+                log::info!(peer = from.to_string(); "event=caller_gone");
+            }
+            return;
+        }
+    }
+}
+
+enum Reply {
+    Json(u16, serde_json::Value),
+    Raw(Vec<u8>),
+}
+
+fn refuse(status: u16, cause: impl std::fmt::Display) -> Reply {
+    Reply::Json(status, json!({"error": cause.to_string()}))
+}
+
+/// All calls of replicas and operators: method and path segments.
+async fn dispatch(head: &Head, body: Vec<u8>, commands: &mpsc::Sender<Command>) -> Reply {
+    let path = head.path().to_owned();
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (head.method(), segments.as_slice()) {
+        ("POST", ["Replicas.Heartbeat", ident]) if !ident.is_empty() && ident.len() <= 256 => {
+            let beat: Beat = match serde_json::from_slice(&body) {
+                Ok(beat) => beat,
+                Err(e) => return refuse(400, e),
+            };
+            if beat.address.parse::<SocketAddr>().is_err() {
+                return refuse(400, format!("{} is no address", beat.address));
+            }
+            let ident = (*ident).to_owned();
+            asked(commands, |reply| Command::Beat(ident, beat, reply)).await
+        }
+        ("POST", ["Replicas.Departure", ident]) if !ident.is_empty() && ident.len() <= 256 => {
+            let ident = (*ident).to_owned();
+            asked(commands, |reply| Command::Departure(ident, reply)).await
+        }
+        ("POST", ["Configuration.Replace"]) => {
+            let base = head.header("x-base-revision").map_or(Ok(0), str::parse);
+            let Ok(base) = base else { return refuse(400, "X-Base-Revision is no number") };
+            match Configuration::judge(&body) {
+                Ok(read) => {
+                    let (revision, document) = (read.revision, body);
+                    asked(commands, |reply| Command::Replace { base, revision, document, reply }).await
+                }
+                Err(fault) => {
+                    log::info!(cause = fault.to_string(); "event=configuration_refused");
+                    refuse(400, fault)
+                }
+            }
+        }
+        ("GET", ["Configuration.Read"]) => asked(commands, Command::Read).await,
+        ("GET", ["Members.Read"]) => told(commands, Command::Members).await,
+        ("GET", ["Replicas.Read"]) => told(commands, Command::Replicas).await,
+        (_, ["Replicas.Heartbeat" | "Replicas.Departure", _])
+        | (_, ["Configuration.Replace" | "Configuration.Read" | "Members.Read" | "Replicas.Read"]) => {
+            refuse(405, "another method is meant")
+        }
+        _ => refuse(404, "no such call"),
+    }
+}
+
+async fn told(
+    commands: &mpsc::Sender<Command>,
+    command: impl FnOnce(oneshot::Sender<serde_json::Value>) -> Command,
+) -> Reply {
+    let (reply, answer) = oneshot::channel();
+    if commands.try_send(command(reply)).is_err() {
+        return refuse(503, "too much waits");
+    }
+    answer.await.map_or_else(|_| refuse(503, "ending"), |value| Reply::Json(200, value))
+}
+
+async fn asked(
+    commands: &mpsc::Sender<Command>,
+    command: impl FnOnce(oneshot::Sender<Answer>) -> Command,
+) -> Reply {
+    let (reply, answer) = oneshot::channel();
+    if commands.try_send(command(reply)).is_err() {
+        return refuse(503, "too much waits");
+    }
+    match answer.await {
+        Ok(Answer::Heard(Some(to))) => Reply::Json(200, json!({"report_to": to})),
+        Ok(Answer::Heard(None)) => Reply::Json(200, json!({})),
+        Ok(Answer::Taken(revision)) => Reply::Json(200, json!({"revision": revision})),
+        Ok(Answer::Document(value)) if value.revision == 0 => refuse(404, "no configuration was taken yet"),
+        Ok(Answer::Document(value)) => Reply::Raw(value.document.to_vec()),
+        Ok(Answer::Conflict(revision)) => {
+            Reply::Json(412, json!({"error": "another version is in place", "revision": revision}))
+        }
+        Ok(Answer::Bad(cause)) => refuse(400, cause),
+        Ok(Answer::NotNow(cause)) => refuse(503, cause),
+        Err(_) => refuse(503, "ending"),
+    }
+}
+
+async fn answer(wire: &mut Wire, status: u16, value: &serde_json::Value, keep: bool) -> Result<(), Stop> {
+    raw(wire, status, value.to_string().as_bytes(), keep).await
+}
+
+async fn raw(wire: &mut Wire, status: u16, body: &[u8], keep: bool) -> Result<(), Stop> {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        412 => "Precondition Failed",
+        413 => "Content Too Large",
+        _ => "Service Unavailable",
+    };
+    let close = if keep { "" } else { "Connection: close\r\n" };
+    let mut bytes = format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n{close}\r\n",
+        body.len()
+    )
+    .into_bytes();
+    bytes.extend_from_slice(body);
+    wire.write(&bytes, Instant::now() + SLOW).await
+}
--- /dev/null
+++ b/crates/sonnblick/src/errors.rs
@@ -0,0 +1,23 @@
+use snafu::Snafu;
+
+/// What ends the program, or a connection: the step and the peer at which it arose.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("neither --settings nor LINENTHREAD_BOOT names the settings file"))]
+    NoSettings,
+    #[snafu(display("{file}: {source}"))]
+    Fault { file: String, source: kew::Fault },
+    #[snafu(display("{step} {peer}: {source}"))]
+    Step { step: &'static str, peer: String, source: std::io::Error },
+    #[snafu(display("{step} {peer}: {cause}"))]
+    Word { step: &'static str, peer: String, cause: String },
+}
+
+pub fn step(step: &'static str, peer: impl ToString) -> impl FnOnce(std::io::Error) -> Error {
+    let peer = peer.to_string();
+    move |source| Error::Step { step, peer, source }
+}
+
+pub fn read(path: &std::path::Path) -> Result<Vec<u8>, Error> {
+    std::fs::read(path).map_err(step("reading", path.display()))
+}
--- /dev/null
+++ b/crates/sonnblick/src/main.rs
@@ -0,0 +1,120 @@
+//! The daemon of the search front: one program for all machines. What its settings bind decides what it serves:
+//! `bind.ingress` the traffic, `bind.control_plane` replicas and operators, with the state on its disk.
+
+mod clock;
+mod control;
+mod desk;
+mod disk;
+mod errors;
+mod follow;
+mod front;
+mod links;
+mod logs;
+mod plane;
+mod pool;
+mod signals;
+mod wire;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use kew::{Configuration, Settings};
+use tokio::task::LocalSet;
+
+use crate::errors::Error;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// The daemon of the search front.
+        cmd sonnblick {
+            /// Serves what the settings bind, until SIGTERM. This is what it does without any word.
+            default cmd serve {
+                /// The settings file; else the variable LINENTHREAD_BOOT names it.
+                optional --settings path: PathBuf
+            }
+            /// Judges a configuration as a control call would; exit 2 and one line if it is bad.
+            cmd check {
+                required configuration: PathBuf
+            }
+            /// Judges a settings file; exit 2 and one line if it is bad.
+            cmd check-settings {
+                required settings: PathBuf
+            }
+            /// Prints the version.
+            cmd version {}
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = match flags::Sonnblick::from_env() {
+        Ok(flags) => flags,
+        Err(e) => e.exit(),
+    };
+    let done = match flags.subcommand {
+        flags::SonnblickCmd::Serve(serve) => run(serve.settings),
+        flags::SonnblickCmd::Check(check) => errors::read(&check.configuration).and_then(|bytes| {
+            Configuration::judge(&bytes)
+                .map(drop)
+                .map_err(|source| Error::Fault { file: check.configuration.display().to_string(), source })
+        }),
+        flags::SonnblickCmd::CheckSettings(check) => settings(&check.settings).map(drop),
+        flags::SonnblickCmd::Version(_) => {
+            println!("sonnblick {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("sonnblick: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+pub(crate) fn settings(path: &std::path::Path) -> Result<Settings, Error> {
+    let bytes = errors::read(path)?;
+    let text = String::from_utf8_lossy(&bytes);
+    Settings::read(&text).map_err(|source| Error::Fault { file: path.display().to_string(), source })
+}
+
+fn run(path: Option<std::path::PathBuf>) -> Result<(), Error> {
+    let path =
+        path.or_else(|| std::env::var_os("LINENTHREAD_BOOT").map(Into::into)).ok_or(Error::NoSettings)?;
+    let settings = Rc::new(settings(&path)?);
+    logs::start();
+    log::info!(node = settings.node_name, zone = settings.zone; "event=start");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .event_interval(31)
+        .build()
+        .map_err(|source| Error::Step { step: "start of the runtime", peer: String::new(), source })?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(settings, path))
+}
+
+async fn serve(settings: Rc<Settings>, path: std::path::PathBuf) -> Result<(), Error> {
+    let ends = signals::listen(path)?;
+    let hall = match settings.control {
+        Some(address) => Some(control::start(&settings, address).await?),
+        None => None,
+    };
+    let plane = match settings.ingress {
+        Some(address) => Some(front::start(&settings, address, &ends).await?),
+        None => None,
+    };
+    ends.asked().await;
+    log::info!(node = settings.node_name; "event=stopping");
+    if let Some(plane) = plane {
+        front::stop(&plane, settings.grace_ms).await;
+    }
+    if let Some(hall) = hall {
+        hall.stop().await;
+    }
+    log::info!(node = settings.node_name; "event=stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sonnblick/src/wire.rs
@@ -0,0 +1,118 @@
+//! One HTTP/1.1 connection: whole heads and bodies off it, whole messages onto it.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use eskdalemuir::{Body, Framing, Head, Refusal};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+pub struct Wire {
+    pub stream: TcpStream,
+    pub buffer: BytesMut,
+}
+
+/// Why nothing more can be read.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// The other side closed, or reset, before anything of the message came.
+    Closed,
+    /// The same, in the middle.
+    Cut,
+    Late,
+    Refused(Refusal),
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Wire {
+        let _ = stream.set_nodelay(true);
+        Wire { stream, buffer: BytesMut::new() }
+    }
+
+    /// Reads some more by then.
+    async fn more(&mut self, by: Instant) -> Result<(), Stop> {
+        self.buffer.reserve(2_048);
+        match timeout_at(by, self.stream.read_buf(&mut self.buffer)).await {
+            Err(_) => Err(Stop::Late),
+            Ok(Ok(0) | Err(_)) => Err(Stop::Cut),
+            Ok(Ok(_)) => Ok(()),
+        }
+    }
+
+    /// A request's head: its first byte may take `quiet`, all of it `whole` from there.
+    pub async fn request(&mut self, most: usize, quiet: Duration, whole: Duration) -> Result<Head, Stop> {
+        if self.buffer.is_empty() {
+            self.more(Instant::now() + quiet).await.map_err(|s| match s {
+                Stop::Cut => Stop::Closed,
+                other => other,
+            })?;
+        }
+        let by = Instant::now() + whole;
+        loop {
+            if let Some(head) = Head::request(&mut self.buffer, most).map_err(Stop::Refused)? {
+                return Ok(head);
+            }
+            self.more(by).await?;
+        }
+    }
+
+    /// An answer's head.
+    pub async fn answer(&mut self, most: usize, by: Instant) -> Result<Head, Stop> {
+        let mut begun = false;
+        loop {
+            if let Some(head) = Head::answer(&mut self.buffer, most).map_err(Stop::Refused)? {
+                return Ok(head);
+            }
+            self.more(by).await.map_err(|s| if s == Stop::Cut && !begun { Stop::Closed } else { s })?;
+            begun = true;
+        }
+    }
+
+    /// A body; between two pieces of it so long may pass, and all of it is there by then.
+    pub async fn body(
+        &mut self,
+        framing: Framing,
+        most: usize,
+        quiet: Duration,
+        by: Option<Instant>,
+    ) -> Result<Vec<u8>, Stop> {
+        let mut body = Body::new(framing, most);
+        while !body.take(&mut self.buffer).map_err(Stop::Refused)? {
+            let next = Instant::now() + quiet;
+            self.more(by.map_or(next, |by| by.min(next))).await?;
+        }
+        if self.buffer.is_empty() && self.buffer.capacity() > 16_384 {
+            self.buffer = BytesMut::new();
+        }
+        Ok(body.read)
+    }
+
+    pub async fn write(&mut self, bytes: &[u8], by: Instant) -> Result<(), Stop> {
+        match timeout_at(by, self.stream.write_all(bytes)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(Stop::Cut),
+            Err(_) => Err(Stop::Late),
+        }
+    }
+
+    /// Nothing waits on it and the other side has not closed.
+    pub fn is_quiet(&self) -> bool {
+        let mut one = [0; 1];
+        self.buffer.is_empty()
+            && matches!(self.stream.try_read(&mut one), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// Returns when the other side has closed; what it sends meanwhile waits, up to a bound.
+    pub async fn closed(&mut self) {
+        loop {
+            if self.buffer.len() > 16_384 {
+                std::future::pending::<()>().await;
+            }
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/valentia/src/words.rs
@@ -0,0 +1,384 @@
+use prost::{Message, Oneof};
+
+pub const VERSION: u32 = 1;
+
+/// A machine whose disk counts: its disk's name and where its control calls and peers' port are.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Voter {
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// The address for control calls; peers are met on the same machine's peers' port.
+    #[prost(string, tag = "2")]
+    pub address: String,
+}
+
+/// What was taken under which revision.
+#[derive(Clone, PartialEq, Message)]
+pub struct Taken {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+}
+
+/// What the counted disks agree on, one after another.
+#[derive(Clone, PartialEq, Message)]
+pub struct Value {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The configuration's revision, 0 while there is none.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// The configuration as it was sent.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub document: prost::bytes::Bytes,
+    /// Whose disks decide the next value.
+    #[prost(message, repeated, tag = "4")]
+    pub voters: Vec<Voter>,
+    /// What was taken of late, oldest first.
+    #[prost(message, repeated, tag = "5")]
+    pub taken: Vec<Taken>,
+}
+
+/// Greater rounds win; the proposer tells equal ones apart.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Message)]
+pub struct Ballot {
+    #[prost(uint64, tag = "1")]
+    pub round: u64,
+    #[prost(fixed64, tag = "2")]
+    pub proposer: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Accepted {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "2")]
+    pub value: Value,
+}
+
+/// One record on disk.
+#[derive(Clone, PartialEq, Message)]
+pub struct Record {
+    /// The disk's name.
+    #[prost(fixed64, optional, tag = "1")]
+    pub id: Option<u64>,
+    #[prost(message, optional, tag = "2")]
+    pub decided: Option<Value>,
+    /// The number that promise and acceptance are for.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    #[prost(message, optional, tag = "4")]
+    pub promised: Option<Ballot>,
+    #[prost(message, optional, tag = "5")]
+    pub accepted: Option<Accepted>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Prepare {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Promise {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+    #[prost(message, optional, tag = "3")]
+    pub accepted: Option<Accepted>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Accept {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "2")]
+    pub value: Value,
+}
+
+/// Accepted, synced.
+#[derive(Clone, PartialEq, Message)]
+pub struct Took {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+}
+
+/// A greater ballot was promised for this number.
+#[derive(Clone, PartialEq, Message)]
+pub struct Refused {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, required, tag = "2")]
+    pub promised: Ballot,
+}
+
+/// The speaker has decided values up to this one only.
+#[derive(Clone, PartialEq, Message)]
+pub struct Lacking {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+}
+
+/// What have you decided and accepted? Only answers to this very question count.
+#[derive(Clone, PartialEq, Message)]
+pub struct Ask {
+    #[prost(uint64, tag = "1")]
+    pub question: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Told {
+    #[prost(uint64, tag = "1")]
+    pub question: u64,
+    #[prost(uint64, tag = "2")]
+    pub decided: u64,
+    /// Something was accepted for the next number.
+    #[prost(bool, tag = "3")]
+    pub pending: bool,
+}
+
+/// Support me for the duty for so long from when you hear this, under this epoch.
+#[derive(Clone, PartialEq, Message)]
+pub struct DutyAsk {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "2")]
+    pub asked: u64,
+    #[prost(uint32, tag = "3")]
+    pub lease_ms: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct DutySay {
+    /// The greatest epoch the speaker has supported.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "2")]
+    pub asked: u64,
+    #[prost(bool, tag = "3")]
+    pub yes: bool,
+}
+
+/// A replica as one hub knows it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Replica {
+    #[prost(string, tag = "1")]
+    pub ident: String,
+    #[prost(string, tag = "2")]
+    pub backend: String,
+    #[prost(string, tag = "3")]
+    pub address: String,
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    #[prost(string, tag = "5")]
+    pub revision: String,
+    #[prost(uint32, tag = "6")]
+    pub capacity: u32,
+    #[prost(uint64, tag = "7")]
+    pub call_count: u64,
+    #[prost(bool, tag = "8")]
+    pub draining: bool,
+    /// Departed, replaced at its address, or silent too long.
+    #[prost(bool, tag = "9")]
+    pub gone: bool,
+    /// Since it was last heard, when this was said.
+    #[prost(uint32, tag = "10")]
+    pub age_ms: u32,
+    /// For how much longer it is slow from its start, when this was said.
+    #[prost(uint32, tag = "11")]
+    pub warmup_ms: u32,
+    /// It is final: departed, or replaced.
+    #[prost(bool, tag = "12")]
+    pub ended: bool,
+}
+
+/// A session that the speaker holds.
+#[derive(Clone, PartialEq, Message)]
+pub struct Session {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    /// Its word that asks for a share of the budget, counted within its life.
+    #[prost(uint64, tag = "4")]
+    pub asked: u64,
+    #[prost(string, tag = "5")]
+    pub address: String,
+    #[prost(uint64, tag = "6")]
+    pub revision: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    #[prost(string, tag = "2")]
+    pub name: String,
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    #[prost(fixed64, tag = "4")]
+    pub life: u64,
+    /// Where control calls and peers are met; empty for one that serves none.
+    #[prost(string, tag = "5")]
+    pub control: String,
+    /// The disk's name; 0 where there is none.
+    #[prost(fixed64, tag = "6")]
+    pub disk: u64,
+    #[prost(bool, tag = "7")]
+    pub counts: bool,
+    /// The place in the log of changes that the speaker has got to.
+    #[prost(fixed64, tag = "8")]
+    pub log: u64,
+    #[prost(uint64, tag = "9")]
+    pub place: u64,
+    /// Number of the newest value that the speaker has.
+    #[prost(uint64, tag = "10")]
+    pub value: u64,
+}
+
+/// A sign of life, both ways, and what a side wants told often.
+#[derive(Clone, PartialEq, Message)]
+pub struct Tick {
+    /// From a front: its word that asks for a share. Between hubs: the newest value's number.
+    #[prost(uint64, tag = "1")]
+    pub asked: u64,
+    /// From a hub: it is in touch with more than half of the counted disks.
+    #[prost(bool, tag = "2")]
+    pub whole: bool,
+    /// From a hub: what it holds of replicas, as one sum.
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
+    /// From a front: the revision it goes by.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+}
+
+/// From hub to front: changes in a row, or all there is.
+#[derive(Clone, PartialEq, Message)]
+pub struct News {
+    #[prost(fixed64, tag = "1")]
+    pub log: u64,
+    /// The place in the log after these.
+    #[prost(uint64, tag = "2")]
+    pub place: u64,
+    /// All there is: what is left out is not there.
+    #[prost(bool, tag = "3")]
+    pub whole: bool,
+    #[prost(message, repeated, tag = "4")]
+    pub replicas: Vec<Replica>,
+    #[prost(message, optional, tag = "5")]
+    pub value: Option<Value>,
+    /// Addresses for control calls of all hubs that are known.
+    #[prost(string, repeated, tag = "6")]
+    pub hubs: Vec<String>,
+    /// The value was the newest at some moment since the session began.
+    #[prost(bool, tag = "7")]
+    pub confirmed: bool,
+}
+
+/// From hub to hub.
+#[derive(Clone, PartialEq, Message)]
+pub struct Gossip {
+    #[prost(message, repeated, tag = "1")]
+    pub replicas: Vec<Replica>,
+    /// All sessions of fronts that the speaker holds.
+    #[prost(message, repeated, tag = "2")]
+    pub sessions: Vec<Session>,
+    #[prost(bool, tag = "3")]
+    pub has_sessions: bool,
+    #[prost(string, repeated, tag = "4")]
+    pub hubs: Vec<String>,
+    /// To be acknowledged by [`Heard`]; 0 if not.
+    #[prost(uint64, tag = "5")]
+    pub receipt: u64,
+    /// All replicas that the speaker has.
+    #[prost(bool, tag = "6")]
+    pub whole: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Heard {
+    #[prost(uint64, tag = "1")]
+    pub receipt: u64,
+}
+
+/// A share of the further tries, for so long from the word that asked for it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Grant {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+    #[prost(uint64, tag = "3")]
+    pub asked: u64,
+    #[prost(uint64, tag = "4")]
+    pub epoch: u64,
+    #[prost(double, tag = "5")]
+    pub share: f64,
+    #[prost(uint32, tag = "6")]
+    pub lease_ms: u32,
+    /// How many co-ordinators carry traffic.
+    #[prost(uint32, tag = "7")]
+    pub fronts: u32,
+    /// Which of them this one is, from 0.
+    #[prost(uint32, tag = "8")]
+    pub own: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Grants {
+    #[prost(message, repeated, tag = "1")]
+    pub grants: Vec<Grant>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Envelope {
+    #[prost(oneof = "Word", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17")]
+    pub word: Option<Word>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Word {
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    #[prost(message, tag = "2")]
+    Tick(Tick),
+    #[prost(message, tag = "3")]
+    News(News),
+    #[prost(message, tag = "4")]
+    Gossip(Gossip),
+    #[prost(message, tag = "5")]
+    Heard(Heard),
+    #[prost(message, tag = "6")]
+    Prepare(Prepare),
+    #[prost(message, tag = "7")]
+    Promise(Promise),
+    #[prost(message, tag = "8")]
+    Accept(Accept),
+    #[prost(message, tag = "9")]
+    Took(Took),
+    #[prost(message, tag = "10")]
+    Refused(Refused),
+    #[prost(message, tag = "11")]
+    Lacking(Lacking),
+    #[prost(message, tag = "12")]
+    Decided(Value),
+    #[prost(message, tag = "13")]
+    Ask(Ask),
+    #[prost(message, tag = "14")]
+    Told(Told),
+    #[prost(message, tag = "15")]
+    DutyAsk(DutyAsk),
+    #[prost(message, tag = "16")]
+    DutySay(DutySay),
+    #[prost(message, tag = "17")]
+    Grants(Grants),
+}
--- /dev/null
+++ b/crates/zugspitze/src/duty.rs
@@ -0,0 +1,97 @@
+use std::collections::BTreeMap;
+
+use valentia::{DutyAsk, DutySay, Word};
+
+/// A support is given for so long, from when it is heard; the holder counts from when it asked.
+const LEASE: u64 = 3_000;
+/// The holder asks anew after so long, and gives up its duty so much before the lease ends.
+const RENEW: u64 = 700;
+const EARLY: u64 = 300;
+
+/// One machine's part in the lease of a duty: it supports one holder at a time, and may hold it itself.
+pub struct Duty {
+    id: u64,
+    /// Whom it supports, under which epoch and until when; nobody new before then.
+    supports: Option<u64>,
+    epoch: u64,
+    until: u64,
+    /// What it asks for itself: epoch, the word's number, when it was said.
+    asks: Option<(u64, u64, u64)>,
+    words: u64,
+    yes: BTreeMap<u64, u64>,
+    held: Option<(u64, u64)>,
+}
+
+impl Duty {
+    /// What was supported in an earlier life is not known any more: nobody is, until that has ended.
+    pub fn new(id: u64, now: u64, first_of_all: bool) -> Duty {
+        let until = if first_of_all { now } else { now + LEASE };
+        Duty { id, supports: None, epoch: 0, until, asks: None, words: 0, yes: BTreeMap::new(), held: None }
+    }
+
+    /// The epoch under which this machine holds the duty now.
+    pub fn holds(&self, now: u64) -> Option<u64> {
+        self.held.filter(|(_, until)| now < *until).map(|(epoch, _)| epoch)
+    }
+
+    /// Asks for the duty, or for more time; `first` says that nobody before it in the order is in touch.
+    pub fn tick(&mut self, now: u64, first: bool) -> Option<Word> {
+        let holds = self.holds(now).is_some();
+        if self.held.is_some() && !holds {
+            (self.held, self.asks) = (None, None);
+        }
+        if !first && !holds {
+            self.asks = None;
+            return None;
+        }
+        if self.asks.is_some_and(|(_, _, at)| now < at + RENEW) {
+            return None;
+        }
+        let epoch = match (self.held, self.asks) {
+            (Some((epoch, _)), _) => epoch,
+            (None, Some((epoch, _, _))) if epoch > self.epoch => epoch,
+            _ => self.epoch + 1,
+        };
+        self.words += 1;
+        self.asks = Some((epoch, self.words, now));
+        self.yes.clear();
+        Some(Word::DutyAsk(DutyAsk { epoch, asked: self.words, lease_ms: LEASE as u32 }))
+    }
+
+    pub fn hear_ask(&mut self, now: u64, from: u64, w: &DutyAsk) -> Word {
+        let same = self.supports == Some(from) && w.epoch == self.epoch;
+        let yes = same || (now >= self.until && w.epoch > self.epoch);
+        if yes {
+            (self.supports, self.epoch) = (Some(from), w.epoch);
+            self.until = now + u64::from(w.lease_ms).min(LEASE);
+        }
+        Word::DutySay(DutySay { epoch: self.epoch, asked: w.asked, yes })
+    }
+
+    /// An answer; true if the duty is this machine's from now on and was not before.
+    pub fn hear_say(&mut self, now: u64, from: u64, w: &DutySay, most: impl Fn(Vec<u64>) -> bool) -> bool {
+        let Some((epoch, asked, at)) = self.asks else { return false };
+        if w.asked != asked {
+            return false;
+        }
+        if !w.yes {
+            // Another epoch is ahead: the next word asks above it.
+            if self.held.is_none() && w.epoch >= epoch {
+                self.epoch = self.epoch.max(w.epoch);
+                self.asks = Some((w.epoch + 1, asked, at));
+            }
+            return false;
+        }
+        self.yes.insert(from, now);
+        if !most(self.yes.keys().copied().collect()) {
+            return false;
+        }
+        let new = self.holds(now).is_none();
+        self.held = Some((epoch, at + LEASE - EARLY));
+        new
+    }
+
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+}
