A front that ends closes connections between two requests, and answers what it has begun

Now each connection is told that nothing new is read, and the end waits for requests at work. Ruled out: grace (6 s) too short, the exit came 2.6 s after SIGTERM; replicas breaking off, they ran till cut.

--- a/crates/sonnblick/src/desk.rs
+++ b/crates/sonnblick/src/desk.rs
@@ -129,11 +129,6 @@
         desk
     }
 
-    /// So many lookups are not answered yet.
-    pub fn open(&self) -> usize {
-        self.open.get()
-    }
-
     pub fn allot(&self, free: f64, own: usize, fronts: usize) {
         self.inner.borrow_mut().coordinator.allot(free, own, fronts);
     }
--- a/crates/sonnblick/src/front.rs
+++ b/crates/sonnblick/src/front.rs
@@ -13,7 +13,7 @@
 use crate::control::{life, pause};
 use crate::desk::Reply;
 use crate::errors::{Error, step};
-use crate::plane::Plane;
+use crate::plane::{AtWork, Plane};
 use crate::pool::Request;
 use crate::signals::Ends;
 use crate::wire::{Stop, Wire};
@@ -48,8 +48,13 @@
     }
     let serving = plane.clone();
     spawn_local(async move {
+        let mut closing = serving.closing.subscribe();
         loop {
-            match clients.accept().await {
+            let accepted = tokio::select! {
+                _ = closing.wait_for(|c| *c) => return,
+                accepted = clients.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => drop(spawn_local(serve(stream, serving.clone()))),
                 Err(e) => pause(&e).await,
             }
@@ -72,11 +77,12 @@
     let began = Instant::now();
     let latest = began + Duration::from_millis(grace_ms.saturating_sub(600));
     tokio::time::sleep_until((began + STILL_COMING).min(latest)).await;
-    while plane.open() > 0 && Instant::now() < latest {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+    // From here on connections end between two requests, and what was begun is answered.
+    plane.closing.send_replace(true);
+    tokio::task::yield_now().await;
+    while plane.at_work.get() > 0 && Instant::now() < latest {
+        tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    // What is written goes out.
-    tokio::time::sleep(Duration::from_millis(20)).await;
 }
 
 async fn readiness(stream: TcpStream, plane: Rc<Plane>) {
@@ -137,6 +143,7 @@
 /// One client's connection.
 async fn serve(stream: TcpStream, plane: Rc<Plane>) {
     let mut wire = Wire::new(stream);
+    let mut closing = plane.closing.subscribe();
     loop {
         let (head_most, body_most, whole, quiet) = match plane.plan() {
             Some(plan) => {
@@ -146,6 +153,15 @@
             }
             None => (HEAD, 262_144, HEADER, QUIET),
         };
+        let begun = tokio::select! {
+            biased;
+            begun = wire.begun(quiet) => begun,
+            _ = closing.wait_for(|c| *c) => return,
+        };
+        if begun.is_err() {
+            return;
+        }
+        let _at_work = AtWork::new(&plane);
         let head = match wire.request(head_most, quiet, whole).await {
             Ok(head) => head,
             Err(Stop::Refused(refusal)) => {
--- a/crates/sonnblick/src/plane.rs
+++ b/crates/sonnblick/src/plane.rs
@@ -7,7 +7,7 @@
 
 use kew::{Configuration, Plan, Planned, Settings, Target};
 use linenthread_core::interface::{Tenths, WayTo};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::desk::{Desk, Reply};
 use crate::pool::{Request, Slot};
@@ -60,6 +60,26 @@
     /// The newest configuration was in hand at some moment of this life.
     pub confirmed: Cell<bool>,
     pub ending: Cell<bool>,
+    /// Nothing new is read any more.
+    pub closing: watch::Sender<bool>,
+    /// Requests of which something was read and whose answers are not written yet.
+    pub at_work: Cell<usize>,
+}
+
+/// One request at work.
+pub struct AtWork(Rc<Plane>);
+
+impl AtWork {
+    pub fn new(plane: &Rc<Plane>) -> AtWork {
+        plane.at_work.set(plane.at_work.get() + 1);
+        AtWork(plane.clone())
+    }
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        self.0.at_work.set(self.0.at_work.get() - 1);
+    }
 }
 
 impl Plane {
@@ -77,6 +97,8 @@
             share: Cell::default(),
             confirmed: Cell::new(false),
             ending: Cell::new(false),
+            closing: watch::Sender::new(false),
+            at_work: Cell::new(0),
         })
     }
 
@@ -92,11 +114,6 @@
         self.confirmed.get() && !self.ending.get() && self.plan.borrow().is_some()
     }
 
-    /// Lookups that are open at all desks.
-    pub fn open(&self) -> usize {
-        self.desks.borrow().values().map(|d| d.open()).sum()
-    }
-
     /// A configuration that was agreed on. Never an older one.
     pub fn adopt(&self, document: &[u8]) {
         match Configuration::read(document) {
--- a/crates/sonnblick/src/wire.rs
+++ b/crates/sonnblick/src/wire.rs
@@ -40,14 +40,17 @@
         }
     }
 
-    /// A request's head: its first byte may take `quiet`, all of it `whole` from there.
-    pub async fn request(&mut self, most: usize, quiet: Duration, whole: Duration) -> Result<Head, Stop> {
+    /// Something of the next message has come within so long.
+    pub async fn begun(&mut self, quiet: Duration) -> Result<(), Stop> {
         if self.buffer.is_empty() {
-            self.more(Instant::now() + quiet).await.map_err(|s| match s {
-                Stop::Cut => Stop::Closed,
-                other => other,
-            })?;
+            self.more(Instant::now() + quiet).await?;
         }
+        Ok(())
+    }
+
+    /// A request's head: its first byte may take `quiet`, all of it `whole` from there.
+    pub async fn request(&mut self, most: usize, quiet: Duration, whole: Duration) -> Result<Head, Stop> {
+        self.begun(quiet).await.map_err(|s| if s == Stop::Cut { Stop::Closed } else { s })?;
         let by = Instant::now() + whole;
         loop {
             if let Some(head) = Head::request(&mut self.buffer, most).map_err(Stop::Refused)? {
