--- a/crates/linenthread-core/src/lib.rs
+++ b/crates/linenthread-core/src/lib.rs
@@ -3,10 +3,9 @@
 //! [`Coordinator`] decides; [`interface`] holds the plain types that go in and the [`Writer`] that
 //! decisions come out through. Nothing here does I/O, reads a clock or knows a protocol.
 
-pub mod coordinator;
 pub mod interface;
 pub mod policy;
 mod state;
 
-pub use coordinator::Coordinator;
 pub use interface::Writer;
+pub use policy::Coordinator;
--- /dev/null
+++ b/crates/linenthread-core/src/policy/hear.rs
@@ -0,0 +1,197 @@
+//! What comes in: the roster's news, lookups, parts, their returns and probes.
+
+use super::*;
+
+impl Coordinator {
+    pub(super) fn hear_roster(&mut self, news: &RosterNews) {
+        let (listed, whole) = match news {
+            RosterNews::Changes(listed) => (listed, false),
+            RosterNews::Whole(listed) => (listed, true),
+            RosterNews::Remembered(listed) => {
+                // Restarts may come together: their questions to the roster are spread out.
+                self.due.ask = self.deployment.watch_roster.then(|| self.now + self.chance_up_to(2_000));
+                (listed, true)
+            }
+            RosterNews::Failed => {
+                self.due.ask_failures = (self.due.ask_failures + 1).min(4);
+                let wait = 2_500 << self.due.ask_failures;
+                self.due.ask = Some(self.now + wait / 2 + self.chance_up_to(wait / 2));
+                return;
+            }
+        };
+        // Only news that came without delay leaves some of the grace: the rest counts as told before.
+        let grace = if whole || self.due.ask_failures > 0 { 0 } else { self.deployment.drain_grace / 2 };
+        (self.due.ask_failures, self.due.tick) = (0, self.now);
+        if whole {
+            self.replicas.iter_mut().for_each(|r| r.listed.phase = Phase::Gone);
+        }
+        for entry in listed {
+            self.replicas.resize_with(self.replicas.len().max(entry.replica + 1), Replica::default);
+            self.sites.resize(self.sites.len().max(entry.site + 1), Seen::default());
+            let replica = &mut self.replicas[entry.replica];
+            if replica.listed.id != entry.id {
+                *replica = Replica::default(); // Another replica has the index now.
+            }
+            if replica.listed.started != entry.started {
+                // A new process: nothing seen of the old one counts against it.
+                (replica.seen, replica.down, replica.returned) = (Seen::default(), None, None);
+            }
+            if !whole && replica.ready() && entry.phase == Phase::Gone {
+                self.fleet.falls.add(self.now, WARY, 1.0);
+            }
+            if replica.ready() {
+                replica.last_call = self.now + grace;
+            }
+            replica.listed = entry.clone();
+        }
+    }
+
+    pub(super) fn take(&mut self, new: &NewLookup) {
+        self.lookups.resize_with(self.lookups.len().max(new.lookup + 1), || None);
+        self.lookups[new.lookup] = Some(Lookup {
+            index: new.index,
+            customer: new.customer,
+            key: new.key.unwrap_or_else(|| mix([new.number, 0, 1])),
+            soft: self.now + self.deployment.indexes[new.index].soft_deadline - MARGIN,
+            hard: new.hard_deadline - MARGIN,
+            ..Lookup::default()
+        });
+        self.open.push(new.lookup);
+        if let Some(came) = self.fleet.customers.get_mut(new.customer) {
+            came.add(self.now, SHARES, 1.0);
+        }
+    }
+
+    pub(super) fn take_part(&mut self, new: &NewPart) {
+        if let Some(Some(lookup)) = self.lookups.get_mut(new.lookup) {
+            lookup.parts.push(Part { shard: new.shard, weight: new.weight, ..Part::default() });
+        }
+    }
+
+    /// An answered part is wanted once more: only where it may run again, and not beyond the lookup's end.
+    pub(super) fn ask_on(&mut self, l: usize, p: usize) {
+        if let Some(Some(lookup)) = self.lookups.get_mut(l)
+            && self.deployment.indexes[lookup.index].effect == Effect::Idempotent
+            && let Some(part) = lookup.parts.get_mut(p).filter(|part| part.answered)
+        {
+            part.onward = Some(part.calls.len());
+        }
+    }
+
+    pub(super) fn hear(&mut self, back: &Return, writer: &mut impl Writer) {
+        let (now, slow, span) = (self.now, self.time_of_most(2.0), self.fleet.span);
+        let Some(Some(lookup)) = self.lookups.get_mut(back.lookup) else { return };
+        let Some(part) = lookup.parts.get_mut(back.part) else { return };
+        let Some(call) = part.calls.get_mut(back.call) else { return };
+        call.ending = Some(back.ending);
+        let (r, took) = (call.replica, back.took.max(1) as f64);
+        let came_to = match back.ending {
+            Ending::Answered => Some(0.0),
+            Ending::Broken if call.rested == Some(true) => Some(1.0),
+            Ending::Unconnected if call.rested == Some(false) => Some(1.0),
+            Ending::TimedOut | Ending::Withdrawn if took >= slow => Some(1.0),
+            _ => None,
+        };
+        if let (Some(nothing), Some(rested)) = (came_to, call.rested) {
+            let sort = if rested { &mut self.fleet.rested } else { &mut self.fleet.fresh };
+            sort.add(now, WARY, nothing);
+        }
+        let replica = &mut self.replicas[r];
+        let site = &mut self.sites[replica.listed.site];
+        replica.out -= 1;
+        replica.used = now;
+        // A part took what its first call and all after it did: a copy that is quicker mends a slow one.
+        let (delays, age) = (&mut self.fleet.delays, (now - part.calls[0].sent).max(1) as f64);
+        let last = part.out() == 0 && matches!(back.ending, Ending::TimedOut | Ending::Withdrawn);
+        if back.ending == Ending::TurnedAway {
+            replica.last_call = now;
+            delays.add(now, RECENT, self.soft.ln());
+            replica.seen.times.add(now, span, self.soft.ln());
+        } else if !part.answered && (last || back.ending == Ending::Answered) {
+            delays.add(now, RECENT, age.ln());
+        }
+        let usual = replica.seen.times.shape(HEARD).or(self.fleet.times.shape(HEARD));
+        let late = usual.is_some_and(|(median, _)| took.ln() > median);
+        match back.ending {
+            Ending::Answered => {
+                // A copy that came first was needed: it makes room for two more.
+                let passed = |c: &Call| c.ending.is_none() || c.moved && took < slow;
+                if back.call > 0 && !part.answered && part.calls[..back.call].iter().any(passed) {
+                    self.fleet.copies.relieve(now, RECENT, 2.0);
+                }
+                part.answered |= !lookup.over;
+                part.onward = part.onward.filter(|from| back.call < *from);
+                replica.heard = now;
+                replica.answers(now, back.queue);
+                for seen in [&mut replica.seen, site] {
+                    seen.failures.add(now, span, 0.0);
+                    seen.times.add(now, span, took.ln());
+                }
+                self.fleet.times.add(now, RECENT, took.ln());
+                if self.deployment.allowance.withdraw && !lookup.over {
+                    part.withdraw(back.lookup, back.part, writer);
+                }
+            }
+            // It would have taken longer still: that much is known. A client that left early, or a copy that
+            // was quicker, says no more of the replica.
+            Ending::Withdrawn | Ending::TimedOut if back.ending == Ending::Withdrawn || took < slow => {
+                for seen in [&mut replica.seen, site].into_iter().filter(|_| late) {
+                    seen.times.add(now, span, took.ln());
+                }
+            }
+            Ending::Unsent => {}
+            _ => {
+                replica.seen.failures.add(now, span, 1.0);
+                site.failures.add(now, span, 1.0);
+            }
+        }
+        let broken = back.ending == Ending::Broken;
+        if broken && !lookup.broke.contains(&r) {
+            lookup.broke.push(r);
+            replica.broke_under = self.deployment.allowance.probes;
+        }
+        if broken || back.ending == Ending::Unconnected {
+            replica.down.get_or_insert((now, now));
+        }
+    }
+
+    pub(super) fn hear_probe(&mut self, back: &ProbeReturn) {
+        let now = self.now;
+        self.due.tick = now;
+        let Some(replica) = self.replicas.get_mut(back.replica) else { return };
+        let since = replica.asked.take().unwrap_or(now);
+        self.fleet.unsure.add(now, SHARES, f64::from(now - since >= ASK));
+        // A replica that broke off and is gone may have been brought down; one that answers was not.
+        if replica.broke_under && back.ending != Ending::TurnedAway {
+            replica.broke_under = false;
+            replica.died = back.ending != Ending::Answered;
+            self.fleet.falls.add(now, WARY, f64::from(replica.died));
+        }
+        match back.ending {
+            Ending::Answered => replica.answers(now, back.queue),
+            _ if replica.told_at >= since => {}
+            Ending::Unconnected | Ending::Broken => {
+                replica.down.get_or_insert((now, now + PROBE));
+            }
+            // Too busy for a probe: nothing is known but that much waits there.
+            _ => replica.tell(now, self.soft / self.fleet.quick),
+        }
+    }
+
+    /// Probes what is down: a part sent there would be lost time and a spent call.
+    pub(super) fn probe(&mut self, writer: &mut impl Writer) {
+        for r in 0..self.replicas.len() {
+            if self.deployment.allowance.probes
+                && self.replicas[r].ready()
+                && let Some((since, next)) = self.replicas[r].down
+                && next <= self.now
+            {
+                let share = (self.deployment.co_ordinators as Tenths / 4).max(1);
+                let wait = PROBE.max((self.now - since) / 4) * share;
+                self.replicas[r].down = Some((since, self.now + wait + self.chance_up_to(wait)));
+                self.replicas[r].asked.get_or_insert(self.now);
+                writer.probe(r);
+            }
+        }
+    }
+}
--- a/crates/linenthread-core/src/state.rs
+++ b/crates/linenthread-core/src/state.rs
@@ -110,6 +110,20 @@
     pub room: f64,
 }
 
+impl Fleet {
+    /// Of so many customers; replicas are remembered for so long at first, and nothing is bounded yet.
+    pub fn new(customers: usize, span: f64) -> Fleet {
+        Fleet {
+            customers: vec![Fading::default(); customers],
+            span,
+            quick: f64::INFINITY,
+            jam: f64::INFINITY,
+            room: f64::INFINITY,
+            ..Fleet::default()
+        }
+    }
+}
+
 /// When things began, and are due again.
 #[derive(Default)]
 pub struct Due {
--- a/crates/sonnblick/src/desk.rs
+++ b/crates/sonnblick/src/desk.rs
@@ -7,18 +7,18 @@
 use std::time::Duration;
 
 use eskdalemuir::{greatest, number};
-use kew::{Mode, Planned, Settings, Target};
+use kew::{Planned, Settings, Target};
 use linenthread_core::interface::{
     Arrivals, Index, Listed, NewLookup, NewPart, Phase, Return, RosterNews, Tenths,
 };
-use linenthread_core::{Coordinator, Writer, policy};
+use linenthread_core::{Coordinator, Writer};
 use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 
-use crate::clock;
 use crate::plane::Sites;
 use crate::pool::{Answer, Done, Request, Slot};
+use crate::{clock, terms};
 
 /// What a client gets: a status, headers and a body.
 pub struct Reply {
@@ -107,8 +107,7 @@
 
 impl Desk {
     pub fn new(services: Rc<[Rc<str>]>, tries: usize, settings: &Settings, seed: u64) -> Rc<Desk> {
-        let (ratio, window) = (settings.retry_ratio, settings.retry_window_ms as f64);
-        let deployment = policy::front::deployment(services.len(), tries, ratio, window);
+        let deployment = terms::deployment(services.len(), tries, settings);
         let desk = Rc::new(Desk {
             services,
             inner: RefCell::new(Inner {
@@ -173,13 +172,7 @@
         let (reply, answer) = oneshot::channel();
         let mut inner = self.inner.borrow_mut();
         let inner = &mut *inner;
-        let route = &planned.route;
-        let least = match planned.target {
-            Target::All(_) => route.min_coverage,
-            Target::One(_) => 1.0,
-        };
-        let target = route.target_ms.unwrap_or(route.limit_ms);
-        let index = policy::front::index(route.mode == Mode::Mutating, target, route.rank, least);
+        let index = terms::index(planned);
         let index = inner.indexes.iter().position(|i| *i == index).unwrap_or_else(|| {
             inner.indexes.push(index.clone());
             inner.coordinator.add_index(index)
--- a/crates/sonnblick/src/main.rs
+++ b/crates/sonnblick/src/main.rs
@@ -13,6 +13,7 @@
 mod plane;
 mod pool;
 mod signals;
+mod terms;
 mod wire;
 
 use std::process::ExitCode;
--- a/crates/sonnblick/src/pool.rs
+++ b/crates/sonnblick/src/pool.rs
@@ -7,7 +7,7 @@
 
 use eskdalemuir::{Head, answer_framing, number};
 use linenthread_core::interface::Ending;
-use linenthread_core::policy::front::CONNECT;
+use linenthread_core::policy::CONNECT;
 use tokio::net::TcpStream;
 
 use crate::wire::{Stop, Wire};
