Replicas are on disk, a young hub's list ends nobody, and what waits is looked at every 25 ms

Retries and back-off of the register ran on the 200 ms tick: what was due soon was measured from now, so it was never due.

--- a/crates/lerwick/src/control.rs
+++ b/crates/lerwick/src/control.rs
@@ -15,6 +15,8 @@
 pub const SILENT: u64 = 1_600;
 /// How long a call of the operator or a replica is worked on before it is told to go elsewhere.
 const CALL: u64 = 900;
+/// What waits for words that may be lost is looked at this often.
+const SOON: u64 = 25;
 /// Signs of life go to the other hubs in batches.
 const BATCH: u64 = 200;
 /// A counted machine that is out of touch for so long gives way to one that stands by.
@@ -23,6 +25,8 @@
 const FORGET: u64 = 20_000;
 /// Places that the log of changes remembers.
 const PLACES: usize = 4_096;
+/// How often replicas are written to disk at most.
+const WRITTEN: u64 = 1_000;
 /// How often whole tables go to a hub that knows something else.
 const SWEEP: u64 = 1_500;
 
@@ -150,15 +154,20 @@
     began: u64,
     /// Since when it has been in touch with more than half of the counted disks.
     whole_since: Option<u64>,
+    last: u64,
     ticked: u64,
     batched: u64,
     voting: bool,
     given: BTreeMap<(String, u64), u64>,
     own_words: VecDeque<Word>,
+    /// The place in the log up to which replicas are on disk, and when they were last written.
+    written: (u64, u64),
+    settled: bool,
 }
 
 impl Control {
-    pub fn new(local: Local, id: u64, kept: Kept, genesis: Option<Value>, now: u64) -> Control {
+    pub fn new(local: Local, id: u64, mut kept: Kept, genesis: Option<Value>, now: u64) -> Control {
+        let replicas = std::mem::take(&mut kept.replicas);
         let budget = Budget::new(local.retry_allowance, local.retry_window);
         let mut control = Control {
             duty: Duty::new(id, now, local.first_of_all, kept.epoch),
@@ -178,11 +187,14 @@
             receipts: 0,
             began: now,
             whole_since: None,
+            last: 0,
             ticked: 0,
             batched: 0,
             voting: false,
             given: BTreeMap::new(),
             own_words: VecDeque::new(),
+            written: (0, now),
+            settled: false,
             local,
         };
         for address in control.local.bootstrap.clone() {
@@ -191,6 +203,10 @@
         for voter in control.register.voters().to_vec() {
             control.learn_hub(now, &voter.address);
         }
+        // Replicas of before may be there still: they have as long as any to say so.
+        for replica in &replicas {
+            control.cells.hear(now, replica, &mut Vec::new());
+        }
         control
     }
 
@@ -272,7 +288,9 @@
     /// An address could not be reached.
     pub fn unreached(&mut self, now: u64, address: &str) {
         if let Some(hub) = self.hubs.get_mut(address) {
-            hub.wait = (hub.wait * 2).clamp(200, 1_600);
+            // Machines that start together find each other soon.
+            let most = if now < self.began + 3_000 { 100 } else { 1_600 };
+            hub.wait = (hub.wait * 2).clamp(50, most);
             hub.next = now + hub.wait;
         }
     }
@@ -281,7 +299,7 @@
         if address != self.local.control && !address.is_empty() && !self.hubs.contains_key(address) {
             // The one with the lower address opens the connection, the other later if need be.
             let wait = if self.local.control.as_str() < address { 0 } else { 300 };
-            self.hubs.insert(address.to_owned(), Try { next: now + wait, wait: 100, since: now });
+            self.hubs.insert(address.to_owned(), Try { next: now + wait, wait: 50, since: now });
             self.hubs_version += 1;
         }
     }
@@ -648,6 +666,7 @@
             value,
             hubs: if new_hubs { hubs } else { Vec::new() },
             confirmed: peer.confirmed,
+            settled: self.settled,
         };
         out.push(Out::Send { link, word: Word::News(news) });
     }
@@ -903,14 +922,23 @@
 
     /// When [`Control::tick`] is due at the latest.
     pub fn due(&self, now: u64) -> u64 {
-        let soon = if self.register.is_busy() || !self.drains.is_empty() { now + 25 } else { u64::MAX };
+        let begins = now < self.began + 3_000 && !self.is_whole();
+        let soon = if begins || self.register.is_busy() || !self.drains.is_empty() {
+            self.last + SOON
+        } else {
+            u64::MAX
+        };
         soon.min(self.batched + BATCH)
     }
 
     /// All that is due by time.
     pub fn tick(&mut self, now: u64, out: &mut Vec<Out>) {
+        self.last = now;
         self.agree(now, |register, outs| register.tick(now, outs), out);
         self.settle_drains(now, out);
+        if now < self.began + 3_000 && !self.is_whole() {
+            self.dial(now, out);
+        }
         if now < self.batched + BATCH {
             return;
         }
@@ -928,7 +956,13 @@
         }
         // Silence counts only where it could have been heard.
         let silence = 3 * self.local.heartbeat + 1_000;
-        if self.whole_since.is_some_and(|since| now > since + silence) {
+        let settled = self.whole_since.is_some_and(|since| now > since + silence);
+        if settled && !self.settled {
+            // From now on what is not named is not there: all fronts hear everything once more.
+            self.peers.values_mut().filter(|p| !p.hub).for_each(|p| p.place = None);
+        }
+        self.settled = settled;
+        if settled {
             let gone = self.cells.expire(now, silence);
             for ident in &gone {
                 out.push(Out::Note(format!("event=replica_silent ident={ident}")));
@@ -937,6 +971,7 @@
         }
         self.dial(now, out);
         self.flush(now, out);
+        self.write_replicas(now, out);
         if now < self.ticked + TICK {
             return;
         }
@@ -974,6 +1009,19 @@
         }
     }
 
+    /// Replicas are on disk so that a start of all machines at once need not wait for their beats.
+    fn write_replicas(&mut self, now: u64, out: &mut Vec<Out>) {
+        let place = self.changes.place();
+        if place == self.written.0 || now < self.written.1 + WRITTEN {
+            return;
+        }
+        self.written = (place, now);
+        let here = self.cells.iter().filter(|k| !k.told.gone);
+        let replicas: Vec<Replica> =
+            here.map(|k| Replica { age_ms: 0, warmup_ms: 0, ..k.tell(now) }).collect();
+        out.push(Out::Keep { record: Record { replicas, ..Record::default() }, then: Vec::new() });
+    }
+
     fn dial(&mut self, now: u64, out: &mut Vec<Out>) {
         let linked: BTreeSet<String> = self.live_hubs().map(|(_, p)| p.hello.control.clone()).collect();
         let counted: Vec<String> = self.register.voters().iter().map(|v| v.address.clone()).collect();
@@ -981,7 +1029,7 @@
         let mut forgotten = false;
         self.hubs.retain(|address, hub| {
             if linked.contains(address) {
-                (hub.since, hub.wait, hub.next) = (now, 100, now + 300);
+                (hub.since, hub.wait, hub.next) = (now, 50, now + 300);
                 return true;
             }
             let keep = now < hub.since + FORGET || counted.contains(address) || bootstrap.contains(address);
--- a/crates/sonnblick/src/follow.rs
+++ b/crates/sonnblick/src/follow.rs
@@ -167,7 +167,7 @@
                 );
                 *following.hubs.borrow_mut() = hubs;
             }
-            plane.hear(&news.replicas, news.whole);
+            plane.hear(&news.replicas, news.whole && news.settled);
             if let Some(value) = news.value {
                 plane.adopt(&value.document);
             }
--- a/crates/valentia/src/words.rs
+++ b/crates/valentia/src/words.rs
@@ -75,6 +75,9 @@
     /// The greatest epoch of the duty that was supported.
     #[prost(uint64, tag = "6")]
     pub epoch: u64,
+    /// All replicas that were known, where this record tells them.
+    #[prost(message, repeated, tag = "7")]
+    pub replicas: Vec<Replica>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -285,6 +288,9 @@
     /// The value was the newest at some moment since the session began.
     #[prost(bool, tag = "7")]
     pub confirmed: bool,
+    /// The hub has listened for so long that what it does not name is not there.
+    #[prost(bool, tag = "8")]
+    pub settled: bool,
 }
 
 /// From hub to hub.
--- a/crates/zugspitze/src/register.rs
+++ b/crates/zugspitze/src/register.rs
@@ -2,8 +2,8 @@
 
 use oorandom::Rand64;
 use valentia::{
-    Accept, Accepted, Ask, Ballot, Lacking, Prepare, Promise, Record, Refused, Taken, Told, Took, Value,
-    Voter, Word,
+    Accept, Accepted, Ask, Ballot, Lacking, Prepare, Promise, Record, Refused, Replica, Taken, Told, Took,
+    Value, Voter, Word,
 };
 
 /// A word that got no answer is said again after so long.
@@ -81,6 +81,8 @@
     promised: Option<Ballot>,
     accepted: Option<Accepted>,
     pub epoch: u64,
+    /// Replicas as they were last written.
+    pub replicas: Vec<Replica>,
 }
 
 impl Kept {
@@ -88,6 +90,9 @@
     pub fn add(&mut self, record: Record) {
         self.id = record.id.or(self.id);
         self.epoch = self.epoch.max(record.epoch);
+        if !record.replicas.is_empty() {
+            self.replicas = record.replicas;
+        }
         if record.decided.as_ref().is_some_and(|v| self.decided.as_ref().is_none_or(|d| d.number < v.number))
         {
             self.decided = record.decided;
