--- a/crates/sonnblick/src/control.rs
+++ b/crates/sonnblick/src/control.rs
@@ -19,7 +19,7 @@
 use crate::disk::Disk;
 use crate::errors::{Error, step};
 use crate::wire::{Stop, Wire};
-use crate::{clock, disk, links};
+use crate::{clock, disk, links, logs};
 
 const COMMANDS: usize = 4_096;
 const HEAD: usize = 16_384;
@@ -105,6 +105,7 @@
     let calls = TcpListener::bind(address).await.map_err(step("binding", address))?;
     let peers = SocketAddr::new(address.ip(), settings.peers_port);
     let peers = TcpListener::bind(peers).await.map_err(step("binding", peers))?;
+    log::info!(calls = address.to_string(), peers = settings.peers_port; "event=control_open");
     let hub = Hub {
         control,
         disk,
@@ -285,7 +286,8 @@
     loop {
         let head = match wire.request(HEAD, QUIET, SLOW).await {
             Ok(head) => head,
-            Err(Stop::Refused(_)) => {
+            Err(Stop::Refused(refusal)) => {
+                logs::refused("reading a call's head", from, format_args!("{refusal:?}"));
                 let _ = answer(&mut wire, 400, &json!({"error": "not a request"}), false).await;
                 return;
             }
@@ -294,6 +296,7 @@
         let framing = match request_framing(&head, BODY) {
             Ok(framing) => framing,
             Err(refusal) => {
+                logs::refused("judging a call's head", from, format_args!("{refusal:?}"));
                 let status = if refusal == eskdalemuir::Refusal::BodyTooLong { 413 } else { 400 };
                 let _ = answer(&mut wire, status, &json!({"error": "body refused"}), false).await;
                 return;
@@ -307,7 +310,11 @@
         }
         let Ok(body) = wire.body(framing, BODY, SLOW, None).await else { return };
         let keep = head.keeps();
-        let done = match dispatch(&head, body, &commands).await {
+        let reply = dispatch(&head, body, &commands).await;
+        if let Reply::Json(status @ (400 | 404 | 405), value) = &reply {
+            logs::refused("taking a call", from, format_args!("{status} {} {value}", head.path()));
+        }
+        let done = match reply {
             Reply::Json(status, value) => answer(&mut wire, status, &value, keep).await,
             Reply::Raw(document) => raw(&mut wire, 200, &document, keep).await,
         };
@@ -357,10 +364,7 @@
                     let (revision, document) = (read.revision, body);
                     asked(commands, |reply| Command::Replace { base, revision, document, reply }).await
                 }
-                Err(fault) => {
-                    log::info!(cause = fault.to_string(); "event=configuration_refused");
-                    refuse(400, fault)
-                }
+                Err(fault) => refuse(400, fault),
             }
         }
         ("GET", ["Configuration.Read"]) => asked(commands, Command::Read).await,
--- a/crates/sonnblick/src/desk.rs
+++ b/crates/sonnblick/src/desk.rs
@@ -36,6 +36,8 @@
 }
 
 struct Open {
+    /// How manieth it is.
+    number: u64,
     reply: Option<oneshot::Sender<Reply>>,
     request: Rc<Request>,
     planned: Rc<Planned>,
@@ -92,6 +94,9 @@
     arrivals: Arrivals,
     slots: Vec<Rc<Slot>>,
     numbers: HashMap<String, usize>,
+    /// Numbers of replicas that are gone, and how many lookups had been taken by then; and those free again.
+    gone: Vec<(usize, u64)>,
+    spare: Vec<usize>,
     lookups: Vec<Option<Open>>,
     free: Vec<usize>,
     acts: Acts,
@@ -116,6 +121,8 @@
                 arrivals: Arrivals::default(),
                 slots: Vec::new(),
                 numbers: HashMap::new(),
+                gone: Vec::new(),
+                spare: Vec::new(),
                 lookups: Vec::new(),
                 free: Vec::new(),
                 acts: Acts::default(),
@@ -139,10 +146,22 @@
         for slot in slots {
             let Some(cell) = self.services.iter().position(|s| *s == slot.backend) else { continue };
             let inner = &mut *inner;
-            let next = inner.slots.len();
-            let replica = *inner.numbers.entry(slot.ident.clone()).or_insert(next);
-            if replica == next {
-                inner.slots.push(slot.clone());
+            let replica = match inner.numbers.get(&slot.ident) {
+                Some(replica) => *replica,
+                None if slot.gone.get() => continue,
+                None => {
+                    let replica = inner.spare.pop().unwrap_or(inner.slots.len());
+                    if replica == inner.slots.len() {
+                        inner.slots.push(slot.clone());
+                    }
+                    inner.slots[replica] = slot.clone();
+                    inner.numbers.insert(slot.ident.clone(), replica);
+                    replica
+                }
+            };
+            inner.gone.retain(|(r, _)| *r != replica);
+            if slot.gone.get() {
+                inner.gone.push((replica, self.taken.get()));
             }
             let phase = match (slot.gone.get(), slot.draining.get()) {
                 (true, _) => Phase::Gone,
@@ -189,6 +208,7 @@
         let parts = self.services.len();
         inner.arrivals.parts.extend((0..parts).map(|shard| NewPart { lookup, shard, weight: 1.0 }));
         inner.lookups[lookup] = Some(Open {
+            number,
             reply: Some(reply),
             request,
             planned: planned.clone(),
@@ -200,6 +220,25 @@
         (lookup, answer)
     }
 
+    /// Numbers of replicas that are gone are free again when every lookup taken before that has ended.
+    pub fn tidy(&self) {
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        if inner.gone.is_empty() {
+            return;
+        }
+        let oldest = inner.lookups.iter().flatten().map(|o| o.number).min().unwrap_or(u64::MAX);
+        let (slots, numbers, spare) = (&inner.slots, &mut inner.numbers, &mut inner.spare);
+        inner.gone.retain(|&(replica, taken)| {
+            let over = taken < oldest;
+            if over {
+                numbers.remove(&slots[replica].ident);
+                spare.push(replica);
+            }
+            !over
+        });
+    }
+
     /// The client has left.
     pub fn lapse(&self, lookup: usize) {
         let mut inner = self.inner.borrow_mut();
--- a/crates/sonnblick/src/front.rs
+++ b/crates/sonnblick/src/front.rs
@@ -13,11 +13,11 @@
 use crate::control::{life, pause};
 use crate::desk::Reply;
 use crate::errors::{Error, step};
-use crate::plane::{AtWork, Plane};
+use crate::plane::{AtWork, Client, Plane};
 use crate::pool::Request;
 use crate::signals::Ends;
 use crate::wire::{Stop, Wire};
-use crate::{clock, follow};
+use crate::{clock, follow, logs};
 
 /// What is not passed on to replicas: it is this connection's, or written anew.
 const OURS: [&str; 4] = ["x-remaining-ms", "x-target-replica", "expect", "host"];
@@ -25,6 +25,8 @@
 const QUIET: Duration = Duration::from_secs(15);
 const HEADER: Duration = Duration::from_secs(3);
 const HEAD: usize = 16_384;
+/// Clients' connections at once.
+const CLIENTS: usize = 2_500;
 /// How long an answer may take to be read.
 const WRITE: Duration = Duration::from_secs(10);
 /// After the end was asked for: so long new connections still come, since those who hand them out look once a second.
@@ -55,7 +57,10 @@
                 accepted = clients.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => drop(spawn_local(serve(stream, serving.clone()))),
+                Ok(_) if serving.clients.get() >= CLIENTS => {
+                    logs::refused("accepting", address, "too many clients")
+                }
+                Ok((stream, peer)) => drop(spawn_local(serve(stream, peer, serving.clone()))),
                 Err(e) => pause(&e).await,
             }
         }
@@ -141,8 +146,9 @@
 }
 
 /// One client's connection.
-async fn serve(stream: TcpStream, plane: Rc<Plane>) {
+async fn serve(stream: TcpStream, peer: SocketAddr, plane: Rc<Plane>) {
     let mut wire = Wire::new(stream);
+    let _client = Client::new(&plane);
     let mut closing = plane.closing.subscribe();
     loop {
         let (head_most, body_most, whole, quiet) = match plane.plan() {
@@ -165,6 +171,7 @@
         let head = match wire.request(head_most, quiet, whole).await {
             Ok(head) => head,
             Err(Stop::Refused(refusal)) => {
+                logs::refused("reading a head", peer, format_args!("{refusal:?}"));
                 let status = if refusal == Refusal::TooLong { 431 } else { 400 };
                 let _ = respond(&mut wire, &bare(status), false, false).await;
                 return;
@@ -174,6 +181,7 @@
         let framing = match request_framing(&head, body_most) {
             Ok(framing) => framing,
             Err(refusal) => {
+                logs::refused("judging a head", peer, format_args!("{refusal:?}"));
                 let status = if refusal == Refusal::BodyTooLong { 413 } else { 400 };
                 let _ = respond(&mut wire, &bare(status), false, false).await;
                 return;
@@ -188,6 +196,7 @@
         let body = match wire.body(framing, body_most, quiet, None).await {
             Ok(body) => body,
             Err(Stop::Refused(refusal)) => {
+                logs::refused("reading a body", peer, format_args!("{refusal:?}"));
                 let status = if refusal == Refusal::BodyTooLong { 413 } else { 400 };
                 let _ = respond(&mut wire, &bare(status), false, false).await;
                 return;
--- a/crates/sonnblick/src/plane.rs
+++ b/crates/sonnblick/src/plane.rs
@@ -9,6 +9,7 @@
 use linenthread_core::interface::{Tenths, WayTo};
 use tokio::sync::{oneshot, watch};
 
+use crate::clock;
 use crate::desk::{Desk, Reply};
 use crate::pool::{Request, Slot};
 
@@ -64,6 +65,24 @@
     pub closing: watch::Sender<bool>,
     /// Requests of which something was read and whose answers are not written yet.
     pub at_work: Cell<usize>,
+    /// Clients' connections.
+    pub clients: Cell<usize>,
+}
+
+/// One client's connection.
+pub struct Client(Rc<Plane>);
+
+impl Client {
+    pub fn new(plane: &Rc<Plane>) -> Client {
+        plane.clients.set(plane.clients.get() + 1);
+        Client(plane.clone())
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.0.clients.set(self.0.clients.get() - 1);
+    }
 }
 
 /// One request at work.
@@ -99,6 +118,7 @@
             ending: Cell::new(false),
             closing: watch::Sender::new(false),
             at_work: Cell::new(0),
+            clients: Cell::new(0),
         })
     }
 
@@ -135,6 +155,7 @@
             let gone = replica.gone || replica.ended;
             let slot = match slots.get(&replica.ident) {
                 Some(slot) => slot.clone(),
+                None if gone => continue,
                 None => {
                     let Ok(address) = replica.address.parse::<SocketAddr>() else { continue };
                     let mut services = self.services.borrow_mut();
@@ -143,21 +164,20 @@
                     let slot = Rc::new(Slot::new(replica, backend.clone(), address));
                     services.entry(backend).or_default().push(slot.clone());
                     slots.insert(replica.ident.clone(), slot.clone());
-                    slot.gone.set(gone);
                     changed.push(slot);
                     continue;
                 }
             };
             if slot.draining.get() != replica.draining || slot.gone.get() != gone {
                 slot.draining.set(replica.draining);
-                slot.gone.set(gone);
+                slot.set_gone(gone);
                 changed.push(slot);
             }
         }
         if whole {
             let named: std::collections::HashSet<&str> = replicas.iter().map(|r| r.ident.as_str()).collect();
             for slot in slots.values().filter(|s| !s.gone.get() && !named.contains(s.ident.as_str())) {
-                slot.gone.set(true);
+                slot.set_gone(true);
                 changed.push(slot.clone());
             }
         }
@@ -166,6 +186,8 @@
             slot.close_idle();
         }
         if !changed.is_empty() {
+            let here = self.slots.borrow().values().filter(|s| !s.gone.get()).count();
+            log::info!(here = here, changed = changed.len(); "event=replicas");
             self.desks.borrow().values().for_each(|d| d.list(&changed, &self.sites));
             self.bound_connections();
         }
@@ -241,8 +263,16 @@
         (desk, lookup, reply)
     }
 
-    /// Lets go of connections that their replicas are about to end.
+    /// Lets go of connections that their replicas are about to end, and of replicas that have been gone for long.
     pub fn tidy(&self) {
-        self.slots.borrow().values().for_each(|s| s.tidy());
+        self.desks.borrow().values().for_each(|d| d.tidy());
+        let mut slots = self.slots.borrow_mut();
+        slots.values().for_each(|s| s.tidy());
+        let now = clock::ms();
+        let before = slots.len();
+        slots.retain(|_, s| !s.is_past(now));
+        if slots.len() < before {
+            self.services.borrow_mut().values_mut().for_each(|all| all.retain(|s| !s.is_past(now)));
+        }
     }
 }
--- a/crates/sonnblick/src/pool.rs
+++ b/crates/sonnblick/src/pool.rs
@@ -10,6 +10,7 @@
 use linenthread_core::policy::CONNECT;
 use tokio::net::TcpStream;
 
+use crate::clock;
 use crate::wire::{Stop, Wire};
 
 const HEAD: usize = 16_384;
@@ -17,6 +18,8 @@
 const BODY: usize = 8 << 20;
 /// A replica ends by itself at the time it was handed: its word on that is waited for so much longer.
 const SLACK: Duration = Duration::from_millis(40);
+/// A replica that is gone is remembered for so many milliseconds.
+const REMEMBERED: u64 = 120_000;
 /// A connection whose end was told is not used so shortly before it.
 const EARLY: Duration = Duration::from_millis(700);
 
@@ -28,6 +31,7 @@
     pub zone: String,
     pub draining: Cell<bool>,
     pub gone: Cell<bool>,
+    gone_at: Cell<u64>,
     idle: RefCell<Vec<Idle>>,
     open: Cell<usize>,
     pub most: Cell<usize>,
@@ -78,12 +82,23 @@
             zone: replica.zone.clone(),
             draining: Cell::new(replica.draining),
             gone: Cell::new(replica.gone),
+            gone_at: Cell::new(0),
             idle: RefCell::default(),
             open: Cell::new(0),
             most: Cell::new(usize::MAX),
         }
     }
 
+    pub fn set_gone(&self, gone: bool) {
+        self.gone.set(gone);
+        self.gone_at.set(clock::ms());
+    }
+
+    /// It has been gone for so long that nothing is heard of it any more.
+    pub fn is_past(&self, now: u64) -> bool {
+        self.gone.get() && now > self.gone_at.get() + REMEMBERED
+    }
+
     /// Lets go of what nothing is out on.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
--- /dev/null
+++ b/crates/sonnblick/tests/system.rs
@@ -0,0 +1,208 @@
+//! The system as processes on loopback: what only real sockets, signals and disks can show. Waits are for lines
+//! that the processes write, each with a bound.
+
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::path::Path;
+use std::time::Duration;
+
+use neumayer::{Rig, records};
+
+const SOON: Duration = Duration::from_secs(20);
+const SERVICES: [&str; 3] = ["s1", "s2", "s3"];
+
+fn rig(hubs: usize, fronts: usize) -> Rig {
+    let mut rig = Rig::new(Path::new(env!("CARGO_BIN_EXE_sonnblick"))).unwrap();
+    rig.start(hubs, fronts).unwrap();
+    for n in 1..=hubs {
+        assert!(rig.wait_for(&format!("hub-{n}"), &["event=control_open"], SOON));
+    }
+    for service in SERVICES {
+        rig.serve(service, 2).unwrap();
+    }
+    assert_eq!(rig.configure(0, 1, &SERVICES).unwrap().status, 200);
+    for n in 1..=fronts {
+        assert!(rig.wait_for(&format!("front-{n}"), &["event=configuration", "revision=1"], SOON));
+        assert!(rig.wait_for(&format!("front-{n}"), &["event=confirmed"], SOON));
+        assert!(rig.wait_for(&format!("front-{n}"), &["event=replicas", "here=6"], SOON));
+    }
+    rig
+}
+
+/// The five greatest of all records that the services have.
+fn expected(path: &str) -> Vec<u8> {
+    let all: Vec<u8> = SERVICES.iter().flat_map(|s| records(s, path)).collect();
+    let mut records: Vec<&[u8]> = all.chunks(16).collect();
+    records.sort();
+    records.iter().rev().take(5).flat_map(|r| r.iter().copied()).collect()
+}
+
+/// Asks until a whole answer comes, a bounded number of times.
+fn whole(rig: &Rig, front: &str, path: &str, name: &str) -> Option<brocken::Reply> {
+    (0..200).find_map(|n| {
+        let reply = rig.ask(front, path, &format!("{name}-{n}")).ok()?;
+        (reply.status == 200 && reply.head.header("x-missing-parts") == Some("0")).then_some(reply)
+    })
+}
+
+#[test]
+fn a_lookup_is_merged_and_every_part_ran_where_it_was_meant_to() {
+    let rig = rig(3, 1);
+    let reply = whole(&rig, "front-1", "/all/x?y=1", "a").expect("a whole answer");
+    assert_eq!(reply.body, expected("/all/x?y=1"));
+    let attempt = reply.head.header("x-attempt-id").unwrap().to_owned();
+    let seals = reply.head.header("x-part-seals").unwrap();
+    let services: BTreeSet<&str> = seals.split(", ").map(|s| s.split('.').next().unwrap()).collect();
+    assert_eq!(services, BTreeSet::from(SERVICES));
+    let ran = |r: &neumayer::Replica| r.ran().iter().any(|r| r.attempt == attempt && r.path == "/all/x?y=1");
+    for seal in seals.split(", ") {
+        let ident = seal.split('.').nth(1).unwrap();
+        assert!(rig.replicas.iter().any(|r| r.ident == ident && ran(r)), "{seal}");
+    }
+}
+
+#[test]
+fn a_replica_that_crashed_costs_no_answer() {
+    let mut rig = rig(3, 1);
+    whole(&rig, "front-1", "/all/x", "a").expect("a whole answer");
+    rig.replicas[0].crash();
+    let reply = whole(&rig, "front-1", "/all/y", "b").expect("a whole answer from the others");
+    assert_eq!(reply.body, expected("/all/y"));
+}
+
+#[test]
+fn a_hub_that_lost_its_disk_is_counted_under_its_new_name_and_nothing_is_lost() {
+    let mut rig = rig(3, 1);
+    rig.kill("hub-1");
+    rig.wipe("hub-1").unwrap();
+    assert_eq!(rig.configure(1, 4, &SERVICES).unwrap().status, 200);
+    rig.forget("hub-2");
+    rig.run("hub-1").unwrap();
+    assert!(rig.wait_for("hub-1", &["event=control_start", "empty=true", "first=false"], SOON));
+    // The swap is a value of its own, which the empty one learns.
+    assert!(rig.wait_for("hub-1", &["event=decided", "number=3", "revision=4"], SOON));
+    // Now another may go: the one that came back and the third are more than half.
+    rig.kill("hub-2");
+    assert_eq!(rig.configure(4, 9, &SERVICES).unwrap().status, 200);
+    assert!(rig.wait_for("front-1", &["event=configuration", "revision=9"], SOON));
+}
+
+#[test]
+fn all_hubs_at_once_come_back_with_what_was_acknowledged() {
+    let mut rig = rig(3, 1);
+    for hub in ["hub-1", "hub-2", "hub-3"] {
+        rig.kill(hub);
+    }
+    // The front goes on with what it has.
+    assert!(whole(&rig, "front-1", "/all/z", "a").is_some());
+    for hub in ["hub-1", "hub-2", "hub-3"] {
+        rig.run(hub).unwrap();
+    }
+    let client = brocken::Client { addresses: rig.control(), within: Duration::from_secs(2) };
+    let read = (0..200).find_map(|_| {
+        client.call("GET", "/Configuration.Read", &[], &[], 5).ok().filter(|r| r.status == 200)
+    });
+    let read: serde_json::Value = serde_json::from_slice(&read.expect("an answer").body).unwrap();
+    assert_eq!(read["revision"], 1);
+    assert_eq!(rig.configure(0, 5, &SERVICES).unwrap().status, 412);
+}
+
+#[test]
+fn a_front_that_is_to_end_answers_what_it_has_read_and_ends_well() {
+    let mut rig = rig(1, 1);
+    whole(&rig, "front-1", "/all/x", "a").expect("a whole answer");
+    let ingress = rig.ingress("front-1").unwrap();
+    let mut open = TcpStream::connect(ingress).unwrap();
+    let mut idle = TcpStream::connect(ingress).unwrap();
+    let request = |a: &str| {
+        format!(
+            "GET /s1/x HTTP/1.1\r\nHost: index.example\r\nX-Attempt-Id: {a}\r\nX-Remaining-Ms: 3000\r\n\r\n"
+        )
+    };
+    // Half a request is read when the end is asked for; the rest comes after.
+    let text = request("half");
+    open.write_all(&text.as_bytes()[..20]).unwrap();
+    let ending = std::thread::spawn(move || {
+        let well = rig.end("front-1");
+        (rig, well)
+    });
+    open.write_all(&text.as_bytes()[20..]).unwrap();
+    let mut answer = Vec::new();
+    open.read_to_end(&mut answer).unwrap();
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("s1.i-s1-"), "{answer}");
+    let mut rest = Vec::new();
+    idle.read_to_end(&mut rest).unwrap();
+    assert!(rest.is_empty());
+    assert!(ending.join().unwrap().1);
+}
+
+#[test]
+fn bad_input_is_refused_and_harms_nobody() {
+    let mut rig = rig(1, 1);
+    whole(&rig, "front-1", "/all/x", "a").expect("a whole answer");
+    let host = "Host: index.example\r\nX-Remaining-Ms: 900\r\n";
+    let front = [
+        ("\0\0\0\r\n\r\n".to_owned(), "400"),
+        (
+            format!(
+                "GET /s1/x HTTP/1.1\r\n{host}X-Attempt-Id: q\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"
+            ),
+            "400",
+        ),
+        (format!("POST /s1/x HTTP/1.1\r\n{host}X-Attempt-Id: q\r\nContent-Length: 2001\r\n\r\n"), "413"),
+        (
+            format!(
+                "POST /s1/x HTTP/1.1\r\n{host}X-Attempt-Id: q\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+            ),
+            "400",
+        ),
+        (
+            format!("GET /s1/x HTTP/1.1\r\n{host}X-Attempt-Id: q\r\nX-Long: {}\r\n\r\n", "x".repeat(5_000)),
+            "431",
+        ),
+        (format!("GET /s1/x HTTP/1.1\r\n{host}Connection: close\r\n\r\n"), "400"),
+        (format!("GET /none/x HTTP/1.1\r\n{host}X-Attempt-Id: q\r\nConnection: close\r\n\r\n"), "404"),
+    ];
+    let beat = |body: &str| {
+        format!(
+            "POST /Replicas.Heartbeat/i-9 HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    let control = [
+        ("\x16\x03\x01\r\n\r\n".to_owned(), "400"),
+        (beat("{}"), "400"),
+        (beat(r#"{"backend":"s","address":"here","zone":"z","phase":"available","call_count":1}"#), "400"),
+        (beat(r#"{"backend":"s","address":"1.2.3.4:5","zone":"z","phase":"asleep","call_count":1}"#), "400"),
+        ("GET /Replicas.Heartbeat/i HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".to_owned(), "405"),
+        ("GET /What.Else HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".to_owned(), "404"),
+    ];
+    let (ingress, calls) = (rig.ingress("front-1").unwrap(), rig.control()[0]);
+    for (peer, cases) in [(ingress, &front[..]), (calls, &control[..])] {
+        for (sent, status) in cases {
+            let mut stream = TcpStream::connect(peer).unwrap();
+            stream.write_all(sent.as_bytes()).unwrap();
+            let mut answer = Vec::new();
+            let _ = stream.read_to_end(&mut answer);
+            let answer = String::from_utf8_lossy(&answer).into_owned();
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{sent:?}: {answer:?}");
+        }
+    }
+    // Frames that are none end their connection.
+    let peers = std::net::SocketAddr::new(calls.ip(), 17_120);
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0, 0, 0, 3, 0xff, 0xff, 0xff], &[0, 0, 0, 0]] {
+        let mut stream = TcpStream::connect(peers).unwrap();
+        stream.write_all(bytes).unwrap();
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+    }
+    assert!(rig.wait_for("front-1", &["event=refused", "peer="], SOON));
+    assert!(rig.wait_for("hub-1", &["event=refused", "taking a call"], SOON));
+    assert!(rig.wait_for("hub-1", &["event=link_ended", "frame"], SOON));
+    assert!(rig.runs("front-1") && rig.runs("hub-1"));
+    assert!(whole(&rig, "front-1", "/all/after", "z").is_some());
+    // Nothing of it ran anywhere.
+    assert!(rig.replicas.iter().all(|r| r.ran().iter().all(|ran| ran.attempt != "q")));
+}
--- a/crates/zugspitze/src/register.rs
+++ b/crates/zugspitze/src/register.rs
@@ -10,6 +10,8 @@
 const AGAIN: u64 = 150;
 /// A round that comes to nothing is begun anew after so long.
 const ROUND: u64 = 450;
+/// A read that finds something half done asks again after so long, or when it is decided.
+const HALF_DONE: u64 = 20;
 /// Two that clash wait up to so long, more with each clash.
 const BACK_OFF: u64 = 25;
 /// Jobs that may wait.
@@ -165,6 +167,8 @@
     question: Option<Question>,
     readers: Vec<(Job, u64)>,
     questions: u64,
+    /// No question before this: what is half done takes a while.
+    ask_from: u64,
     chance: Rand64,
 }
 
@@ -189,6 +193,7 @@
             question: None,
             readers: Vec::new(),
             questions: seed >> 16 << 16,
+            ask_from: 0,
             chance: Rand64::new(u128::from(seed)),
         }
     }
@@ -256,7 +261,7 @@
             let old = self.question.take().expect("was there");
             self.readers.extend(old.jobs);
         }
-        if self.question.is_none() && !self.readers.is_empty() {
+        if self.question.is_none() && !self.readers.is_empty() && now >= self.ask_from {
             self.questions += 1;
             let question = Question {
                 number: self.questions,
@@ -505,7 +510,7 @@
         }
         self.decided = Some(value.clone());
         (self.promised, self.accepted, self.round) = (None, None, None);
-        (self.pending, self.highest, self.rest) = (false, 0, 0);
+        (self.pending, self.highest, self.rest, self.ask_from) = (false, 0, 0, 0);
         let record = Record { decided: Some(value.clone()), ..Record::default() };
         out.push(Out::Keep { record, then: Vec::new() });
         out.push(Out::Decided(value));
@@ -554,6 +559,7 @@
         if question.told.values().any(|(_, pending)| *pending) {
             self.pending = true;
             self.readers.extend(question.jobs);
+            self.ask_from = now + HALF_DONE;
             self.tick(now, out);
             return;
         }
--- a/crates/zugspitze/tests/register.rs
+++ b/crates/zugspitze/tests/register.rs
@@ -115,6 +115,39 @@
     assert_eq!(three.all[2].decided().map(|d| d.number), Some(1));
 }
 
+#[test]
+fn a_read_does_not_ask_on_and_on_while_a_disk_is_slow() {
+    let voters = vec![Voter { id: 1, address: "10.0.0.1:80".into() }];
+    let mut one = Register::new(1, Kept::default(), Some(Value { voters, ..Value::default() }), 5);
+    let change = Change::Document { base: 0, revision: 3, document: "3".into() };
+    let (mut outs, mut asked, mut unsynced) = (Vec::new(), 0, Vec::new());
+    one.propose(0, 1, change, 900, &mut outs);
+    one.read(0, 2, 900, &mut outs);
+    // Words to itself arrive at once; what waits for the disk's second sync does not.
+    for _ in 0..100 {
+        for out in std::mem::take(&mut outs) {
+            match out {
+                Out::Send { word, .. } => {
+                    asked += usize::from(matches!(word, Word::Ask(_)));
+                    one.hear(0, 1, word, &mut outs);
+                }
+                Out::Keep { then, .. } => {
+                    for (_, word) in then {
+                        match word {
+                            Word::Took(_) => unsynced.push(word),
+                            word => one.hear(0, 1, word, &mut outs),
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!(outs.is_empty() && asked <= 2, "asked {asked} times");
+    one.hear(5, 1, unsynced.remove(0), &mut outs);
+    assert!(outs.iter().any(|o| matches!(o, Out::Reply { job: 1, outcome: Outcome::Taken(3) })));
+}
+
 #[test]
 fn a_greater_promise_refuses_an_older_ballot() {
     let (mut one, mut outs) = (register(1), Vec::new());
