--- a/crates/kew/src/settings.rs
+++ b/crates/kew/src/settings.rs
@@ -29,6 +29,8 @@
     pub retry_ratio: f64,
     pub retry_window_ms: u64,
     pub retry_allowance: f64,
+    /// Requests are passed on with no decision, for measurements; no file says this.
+    pub pass_through: bool,
 }
 
 impl Settings {
@@ -100,6 +102,7 @@
             retry_ratio: number("limits_table.retry_ratio", 0.0)?,
             retry_window_ms: (number("limits_table.retry_window_s", 10.0)? * 1_000.0).max(1.0) as u64,
             retry_allowance: number("limits_table.retry_allowance", 0.0)?,
+            pass_through: false,
         };
         if settings.ingress.is_none() && settings.control.is_none() {
             return Err(fault(
--- a/crates/sonnblick/src/desk.rs
+++ b/crates/sonnblick/src/desk.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
 
+use crate::pass_through::PassThrough;
 use crate::plane::Sites;
 use crate::pool::{Answer, Done, Request, Slot};
 use crate::{clock, terms};
@@ -90,6 +91,8 @@
 
 struct Inner {
     coordinator: Coordinator,
+    /// Decides in its place while something is measured.
+    stand_in: Option<PassThrough>,
     indexes: Vec<Index>,
     arrivals: Arrivals,
     slots: Vec<Rc<Slot>>,
@@ -117,6 +120,7 @@
             services,
             inner: RefCell::new(Inner {
                 coordinator: Coordinator::new(deployment, seed),
+                stand_in: settings.pass_through.then(PassThrough::default),
                 indexes: Vec::new(),
                 arrivals: Arrivals::default(),
                 slots: Vec::new(),
@@ -276,7 +280,10 @@
         inner.arrivals.now = clock::tenths();
         let arrivals = std::mem::take(&mut inner.arrivals);
         inner.acts.wake = None;
-        inner.coordinator.round(&arrivals, &mut inner.acts);
+        match &mut inner.stand_in {
+            None => inner.coordinator.round(&arrivals, &mut inner.acts),
+            Some(stand_in) => stand_in.round(&arrivals, &mut inner.acts),
+        }
         for act in std::mem::take(&mut inner.acts.acts) {
             match act {
                 Act::Call { lookup, part, replica, time_out } => {
--- a/crates/sonnblick/src/main.rs
+++ b/crates/sonnblick/src/main.rs
@@ -10,6 +10,7 @@
 mod front;
 mod links;
 mod logs;
+mod pass_through;
 mod plane;
 mod pool;
 mod signals;
@@ -34,6 +35,8 @@
             default cmd serve {
                 /// The settings file; else the variable LINENTHREAD_BOOT names it.
                 optional --settings path: PathBuf
+                /// Passes requests on with no decision: only to measure beside.
+                optional --pass-through
             }
             /// Judges a configuration as a control call would; exit 2 and one line if it is bad.
             cmd check {
@@ -55,7 +58,7 @@
         Err(e) => e.exit(),
     };
     let done = match flags.subcommand {
-        flags::SonnblickCmd::Serve(serve) => run(serve.settings),
+        flags::SonnblickCmd::Serve(serve) => run(serve.settings, serve.pass_through),
         flags::SonnblickCmd::Check(check) => errors::read(&check.configuration).and_then(|bytes| {
             Configuration::judge(&bytes)
                 .map(drop)
@@ -82,10 +85,10 @@
     Settings::read(&text).map_err(|source| Error::Fault { file: path.display().to_string(), source })
 }
 
-fn run(path: Option<std::path::PathBuf>) -> Result<(), Error> {
+fn run(path: Option<std::path::PathBuf>, pass_through: bool) -> Result<(), Error> {
     let path =
         path.or_else(|| std::env::var_os("LINENTHREAD_BOOT").map(Into::into)).ok_or(Error::NoSettings)?;
-    let settings = Rc::new(settings(&path)?);
+    let settings = Rc::new(Settings { pass_through, ..settings(&path)? });
     logs::start();
     log::info!(node = settings.node_name, zone = settings.zone; "event=start");
     let runtime = tokio::runtime::Builder::new_current_thread()
