--- a/crates/brocken/src/lib.rs
+++ b/crates/brocken/src/lib.rs
@@ -87,8 +87,8 @@
 }
 
 impl Client {
-    /// The answer of the first address that has one to give: silence, a failure, a 5xx, 408 or 429 goes on to the
-    /// next, round after round while there is time.
+    /// The answer of the first address that has one to give: silence, a failure, a 5xx, 408 or 429 goes on to
+    /// the next, round after round while there is time.
     ///
     /// # Errors
     /// What the last address failed at.
--- a/crates/brocken/src/main.rs
+++ b/crates/brocken/src/main.rs
@@ -1,4 +1,5 @@
-//! `brocken`, the operators' client. Exit codes: 0 done; 1 refused or different; 2 the call is wrong; 3 nobody answered.
+//! `brocken`, the operators' client. Exit codes: 0 done; 1 refused or different; 2 the call is wrong; 3
+//! nobody answered.
 
 use std::fmt::Write;
 use std::net::SocketAddr;
--- a/crates/eskdalemuir/tests/bytes.rs
+++ b/crates/eskdalemuir/tests/bytes.rs
@@ -12,12 +12,27 @@
 #[parameterized(
     plain = { "GET /a?b HTTP/1.1\nHost: h\n\n", Ok(Framing::Length(0)) },
     length = { "POST /a HTTP/1.1\nHost: h\nContent-Length: 7\n\n", Ok(Framing::Length(7)) },
-    same_length_twice = { "POST /a HTTP/1.1\nHost: h\nContent-Length: 7\nContent-Length: 7\n\n", Ok(Framing::Length(7)) },
-    two_lengths = { "POST /a HTTP/1.1\nHost: h\nContent-Length: 7\nContent-Length: 8\n\n", Err(Refusal::Malformed) },
+    same_length_twice = {
+        "POST /a HTTP/1.1\nHost: h\nContent-Length: 7\nContent-Length: 7\n\n",
+        Ok(Framing::Length(7))
+    },
+    two_lengths = {
+        "POST /a HTTP/1.1\nHost: h\nContent-Length: 7\nContent-Length: 8\n\n",
+        Err(Refusal::Malformed)
+    },
     chunks = { "POST /a HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\n\n", Ok(Framing::Chunked) },
-    both = { "POST /a HTTP/1.1\nHost: h\nContent-Length: 7\nTransfer-Encoding: chunked\n\n", Err(Refusal::Malformed) },
-    other_coding = { "POST /a HTTP/1.1\nHost: h\nTransfer-Encoding: gzip, chunked\n\n", Err(Refusal::Malformed) },
-    two_codings = { "POST /a HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\nTransfer-Encoding: x\n\n", Err(Refusal::Malformed) },
+    both = {
+        "POST /a HTTP/1.1\nHost: h\nContent-Length: 7\nTransfer-Encoding: chunked\n\n",
+        Err(Refusal::Malformed)
+    },
+    other_coding = {
+        "POST /a HTTP/1.1\nHost: h\nTransfer-Encoding: gzip, chunked\n\n",
+        Err(Refusal::Malformed)
+    },
+    two_codings = {
+        "POST /a HTTP/1.1\nHost: h\nTransfer-Encoding: chunked\nTransfer-Encoding: x\n\n",
+        Err(Refusal::Malformed)
+    },
     old_chunks = { "POST /a HTTP/1.0\nHost: h\nTransfer-Encoding: chunked\n\n", Err(Refusal::Malformed) },
     signed = { "POST /a HTTP/1.1\nHost: h\nContent-Length: +7\n\n", Err(Refusal::Malformed) },
     no_host = { "GET /a HTTP/1.1\n\n", Err(Refusal::Malformed) },
@@ -49,7 +64,8 @@
 
 #[test]
 fn what_concerns_one_connection_is_not_passed_on() {
-    let text = "GET / HTTP/1.1\nHost: h\nX-One: 1\nConnection: close, X-Hop\nX-Hop: no\nKeep-Alive: 5\nTE: x\n\
+    let text = "GET / HTTP/1.1\nHost: h\nX-One: 1\nConnection: close, X-Hop\nX-Hop: no\n\
+        Keep-Alive: 5\nTE: x\n\
         Upgrade: y\nContent-Length: 0\nX-Ours: no\nX-Two: 2\n\n";
     let mut passed = Vec::new();
     head(text).unwrap().pass_on(&mut passed, &["x-ours", "host"]);
@@ -60,7 +76,10 @@
 #[parameterized(
     whole = { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", Ok(Framing::Length(3)) },
     until_the_end = { "HTTP/1.1 200 OK\r\n\r\n", Err(Refusal::Malformed) },
-    after_a_hint = { "HTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", Ok(Framing::Chunked) },
+    after_a_hint = {
+        "HTTP/1.1 103 Hint\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        Ok(Framing::Chunked)
+    },
     nothing_to_say = { "HTTP/1.1 204 No Content\r\n\r\n", Ok(Framing::Length(0)) },
 )]
 fn an_answer_must_say_where_it_ends(text: &str, framing: Result<Framing, Refusal>) {
--- a/crates/kew/src/lib.rs
+++ b/crates/kew/src/lib.rs
@@ -1,5 +1,6 @@
-//! What the system is told: the settings file of each process, and the operator's configuration. Both are held
-//! to a schema file that stands beside the code, then to what no schema says, and each fault names its place.
+//! What the system is told: the settings file of each process, and the operator's configuration. Both are
+//! held to a schema file that stands beside the code, then to what no schema says, and each fault names its
+//! place.
 
 mod configuration;
 mod settings;
--- a/crates/kew/tests/told.rs
+++ b/crates/kew/tests/told.rs
@@ -43,7 +43,8 @@
 
 fn route(host: &str, prefix: &str, rest: &str) -> String {
     format!(
-        r#"{{"label":"r","host":"{host}","path_prefix":"{prefix}","mode":"idempotent","limit_ms":600,{rest}}}"#
+        r#"{{"label":"r","host":"{host}","path_prefix":"{prefix}","mode":"idempotent",
+            "limit_ms":600,{rest}}}"#
     )
 }
 
@@ -52,7 +53,9 @@
     unknown_service = { configuration(&route("h", "/a/", r#""backend":"s9""#)), "/route_table/0", "s9" },
     unknown_shard = { configuration(&route("h", "/a/", r#""fanout":["s1","s9"]"#)), "/route_table/0", "s9" },
     one_place_twice = {
-        configuration(&[route("h", "/a/", r#""backend":"s1""#), route("H", "/a/", r#""backend":"s2""#)].join(",")),
+        configuration(
+            &[route("h", "/a/", r#""backend":"s1""#), route("H", "/a/", r#""backend":"s2""#)].join(",")
+        ),
         "/route_table/1", "twice"
     },
     no_weight = {
@@ -60,7 +63,8 @@
         "/route_table/0", "sum to 0"
     },
     no_time = {
-        configuration(&route("h", "/a/", r#""backend":"s1""#)).replace(r#""limit_ms":600"#, r#""limit_ms":0"#),
+        configuration(&route("h", "/a/", r#""backend":"s1""#))
+            .replace(r#""limit_ms":600"#, r#""limit_ms":0"#),
         "/route_table/0/limit_ms", "0"
     },
     no_target = { configuration(&route("h", "/a/", r#""tries":2"#)), "/route_table/0", "" },
--- a/crates/lerwick/src/control.rs
+++ b/crates/lerwick/src/control.rs
@@ -876,7 +876,8 @@
         first.is_some_and(|v| v.id == self.register.id())
     }
 
-    /// The holder of the duty keeps the set of counted disks to the machines that are there: one change at a time.
+    /// The holder of the duty keeps the set of counted disks to the machines that are there: one change at a
+    /// time.
     fn keep_voters(&mut self, now: u64, out: &mut Vec<Out>) {
         if self.voting || !self.is_whole() {
             return;
@@ -994,6 +995,8 @@
                 out.push(Out::Send { link: *link, word: Word::Gossip(gossip) });
             }
         }
+        let (safe, cells) = (&mut self.safe, &self.cells);
+        safe.retain(|ident| cells.get(ident).is_some());
         let fronts: Vec<Link> = self.peers.iter().filter(|(_, p)| !p.hub).map(|(l, _)| *l).collect();
         fronts.into_iter().for_each(|link| self.confirm(now, link, out));
         let first = self.is_first();
--- a/crates/lerwick/src/replicas.rs
+++ b/crates/lerwick/src/replicas.rs
@@ -143,8 +143,8 @@
         }
     }
 
-    /// Replicas that were silent for too long are gone from now on, unless most are silent at once: then it is
-    /// the news that does not come. What ended long ago is forgotten.
+    /// Replicas that were silent for too long are gone from now on, unless most are silent at once: then it
+    /// is the news that does not come. What ended long ago is forgotten.
     pub fn expire(&mut self, now: u64, silence: u64) -> Vec<String> {
         self.known.retain(|_, k| !k.told.ended || now < k.ended_at + REMEMBERED);
         let here = self.known.values().filter(|k| !k.told.gone).count();
--- a/crates/neumayer/src/lib.rs
+++ b/crates/neumayer/src/lib.rs
@@ -1,5 +1,5 @@
-//! The system at work on loopback: hubs and fronts as real processes, each at an address of its own in 127.0.0.0/8,
-//! stand-in replicas that note what they ran, and calls as clients and operators make them.
+//! The system at work on loopback: hubs and fronts as real processes, each at an address of its own in
+//! 127.0.0.0/8, stand-in replicas that note what they ran, and calls as clients and operators make them.
 
 mod replica;
 
@@ -223,7 +223,8 @@
         Ok(())
     }
 
-    /// Sends a configuration until a hub has taken it: routes of one index over some services, and of single ones.
+    /// Sends a configuration until a hub has taken it: routes of one index over some services, and of single
+    /// ones.
     ///
     /// # Errors
     /// No hub could be asked.
--- a/crates/sonnblick/src/control.rs
+++ b/crates/sonnblick/src/control.rs
@@ -1,5 +1,5 @@
-//! Control on sockets: the hub with its queue of commands, replicas' and operators' calls, links with other hubs
-//! and fronts.
+//! Control on sockets: the hub with its queue of commands, replicas' and operators' calls, links with other
+//! hubs and fronts.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/sonnblick/src/desk.rs
+++ b/crates/sonnblick/src/desk.rs
@@ -1,5 +1,5 @@
-//! The desk of services that are asked together: it owns their decision module, hands in what came and carries out
-//! what is decided.
+//! The desk of services that are asked together: it owns their decision module, hands in what came and
+//! carries out what is decided.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/sonnblick/src/follow.rs
+++ b/crates/sonnblick/src/follow.rs
@@ -1,5 +1,5 @@
-//! A front's session with a hub: it follows the log of changes from its place on, and goes elsewhere when the hub is
-//! silent or out of touch with the others.
+//! A front's session with a hub: it follows the log of changes from its place on, and goes elsewhere when the
+//! hub is silent or out of touch with the others.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
--- a/crates/sonnblick/src/front.rs
+++ b/crates/sonnblick/src/front.rs
@@ -29,7 +29,8 @@
 const CLIENTS: usize = 2_500;
 /// How long an answer may take to be read.
 const WRITE: Duration = Duration::from_secs(10);
-/// After the end was asked for: so long new connections still come, since those who hand them out look once a second.
+/// After the end was asked for: so long new connections still come, since those who hand them out look once a
+/// second.
 const STILL_COMING: Duration = Duration::from_millis(2_600);
 
 pub async fn start(settings: &Rc<Settings>, address: SocketAddr, ends: &Ends) -> Result<Rc<Plane>, Error> {
--- a/crates/sonnblick/src/main.rs
+++ b/crates/sonnblick/src/main.rs
@@ -1,5 +1,6 @@
-//! The daemon of the search front: one program for all machines. What its settings bind decides what it serves:
-//! `bind.ingress` the traffic, `bind.control_plane` replicas and operators, with the state on its disk.
+//! The daemon of the search front: one program for all machines. What its settings bind decides what it
+//! serves: `bind.ingress` the traffic, `bind.control_plane` replicas and operators, with the state on its
+//! disk.
 
 mod clock;
 mod control;
--- a/crates/sonnblick/src/pass_through.rs
+++ b/crates/sonnblick/src/pass_through.rs
@@ -1,5 +1,5 @@
-//! A stand-in for the decision module, to measure what it costs beside: each part goes once to the replica that a
-//! hash names, nothing is scored, repeated or refused. Not for service.
+//! A stand-in for the decision module, to measure what it costs beside: each part goes once to the replica
+//! that a hash names, nothing is scored, repeated or refused. Not for service.
 
 use linenthread_core::Writer;
 use linenthread_core::interface::{Arrivals, Ending, Listed, Phase, RosterNews, Tenths};
--- a/crates/sonnblick/src/plane.rs
+++ b/crates/sonnblick/src/plane.rs
@@ -263,7 +263,8 @@
         (desk, lookup, reply)
     }
 
-    /// Lets go of connections that their replicas are about to end, and of replicas that have been gone for long.
+    /// Lets go of connections that their replicas are about to end, and of replicas that have been gone for
+    /// long.
     pub fn tidy(&self) {
         self.desks.borrow().values().for_each(|d| d.tidy());
         let mut slots = self.slots.borrow_mut();
--- a/crates/sonnblick/tests/system.rs
+++ b/crates/sonnblick/tests/system.rs
@@ -1,5 +1,5 @@
-//! The system as processes on loopback: what only real sockets, signals and disks can show. Waits are for lines
-//! that the processes write, each with a bound.
+//! The system as processes on loopback: what only real sockets, signals and disks can show. Waits are for
+//! lines that the processes write, each with a bound.
 
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
@@ -147,7 +147,8 @@
         ("\0\0\0\r\n\r\n".to_owned(), "400"),
         (
             format!(
-                "GET /s1/x HTTP/1.1\r\n{host}X-Attempt-Id: q\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"
+                "GET /s1/x HTTP/1.1\r\n{host}X-Attempt-Id: q\r\nContent-Length: 1\r\n\
+                 Content-Length: 2\r\n\r\n"
             ),
             "400",
         ),
@@ -167,7 +168,8 @@
     ];
     let beat = |body: &str| {
         format!(
-            "POST /Replicas.Heartbeat/i-9 HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            "POST /Replicas.Heartbeat/i-9 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\
+             Content-Length: {}\r\n\r\n{body}",
             body.len()
         )
     };
--- a/crates/zugspitze/src/duty.rs
+++ b/crates/zugspitze/src/duty.rs
@@ -25,8 +25,8 @@
 }
 
 impl Duty {
-    /// Whom an earlier life supported is not known any more, only under which epoch: nobody new is supported until
-    /// that has ended.
+    /// Whom an earlier life supported is not known any more, only under which epoch: nobody new is supported
+    /// until that has ended.
     pub fn new(id: u64, now: u64, first_of_all: bool, epoch: u64) -> Duty {
         let until = if first_of_all { now } else { now + LEASE };
         Duty {
--- a/crates/zugspitze/src/register.rs
+++ b/crates/zugspitze/src/register.rs
@@ -50,7 +50,8 @@
     Conflict(u64),
     /// The newest value, as of some moment since it was asked for.
     Newest(Value),
-    /// No word of more than half of the counted disks in time, or too much waits: it may or may not come to be.
+    /// No word of more than half of the counted disks in time, or too much waits: it may or may not come to
+    /// be.
     Unclear,
 }
 
@@ -339,7 +340,8 @@
 
     // --- acceptor ---
 
-    /// Whether this disk may say anything on a value; otherwise the other side is told what it lacks, or we do.
+    /// Whether this disk may say anything on a value; otherwise the other side is told what it lacks, or we
+    /// do.
     fn takes_part(&self, from: u64, number: u64, out: &mut Vec<Out>) -> bool {
         let Some(decided) = &self.decided else {
             out.push(Out::Send { to: from, word: Word::Lacking(Lacking::default()) });
--- a/crates/zugspitze/tests/register.rs
+++ b/crates/zugspitze/tests/register.rs
@@ -182,7 +182,8 @@
     let ballot = Ballot { round: 9, proposer: 2 };
     three.all[0].hear(0, 2, Word::Prepare(Prepare { number: 2, ballot }), &mut outs);
     three.settle(1, outs.split_off(0));
-    // Every beginning of what was synced is a state that may be found; whole, it refuses what it promised away.
+    // Every beginning of what was synced is a state that may be found; whole, it refuses what it promised
+    // away.
     for cut in 0..=three.disks[0].len() {
         let mut kept = Kept::default();
         three.disks[0][..cut].iter().for_each(|r| kept.add(r.clone()));
