A drain is not acknowledged by the word of a hub that has gone; dead state is out

What a hub has said counts no more once its session has ended. Test fails without the line. Out with it: Peer.said, Answer::Bad, Body::is_chunked, which nothing read.

--- a/crates/eskdalemuir/src/body.rs
+++ b/crates/eskdalemuir/src/body.rs
@@ -22,7 +22,6 @@
 #[derive(Debug)]
 pub struct Body {
     state: State,
-    chunked: bool,
     most: usize,
     pub read: Vec<u8>,
 }
@@ -37,11 +36,7 @@
             Framing::Length(n) => (State::Bytes(n), n.min(65_536) as usize),
             Framing::Chunked => (State::Size, 0),
         };
-        Body { state, chunked: framing == Framing::Chunked, most, read: Vec::with_capacity(room) }
-    }
-
-    pub fn is_chunked(&self) -> bool {
-        self.chunked
+        Body { state, most, read: Vec::with_capacity(room) }
     }
 
     /// Takes what belongs to the body off the buffer; true when it is whole.
--- a/crates/lerwick/src/control.rs
+++ b/crates/lerwick/src/control.rs
@@ -57,8 +57,6 @@
     Taken(u64),
     Document(Value),
     Conflict(u64),
-    /// The call is wrong.
-    Bad(String),
     /// This hub can't say; another may.
     NotNow(&'static str),
 }
@@ -87,7 +85,6 @@
     hello: Hello,
     hub: bool,
     heard: u64,
-    said: u64,
     /// Hubs: it is in touch with more than half. Fronts: it has the newest value.
     whole: bool,
     /// The newest value that it has, as far as is known: a hub's by number, a front's by revision.
@@ -277,10 +274,12 @@
         self.sessions.remove(&link);
         if let Some(peer) = self.peers.remove(&link) {
             out.push(Out::Note(format!("event=session_ended peer={} hub={}", peer.hello.name, peer.hub)));
-            if peer.hub
-                && let Some(seen) = self.seen.get_mut(&peer.hello.control)
-            {
-                seen.at = now.min(peer.heard + TICK);
+            if peer.hub {
+                if let Some(seen) = self.seen.get_mut(&peer.hello.control) {
+                    seen.at = now.min(peer.heard + TICK);
+                }
+                // What it knew may have gone with it.
+                self.drains.iter_mut().for_each(|d| _ = d.got.remove(&peer.hello.disk));
             }
         }
     }
@@ -374,7 +373,6 @@
         let peer = Peer {
             hub,
             heard: now,
-            said: now,
             whole: false,
             value: hello.value,
             place,
@@ -657,7 +655,7 @@
             return;
         }
         (peer.value, peer.place) = (value.as_ref().map_or(peer.value, |v| v.revision), Some(place));
-        (peer.whole, peer.hubs, peer.said) = (peer.confirmed, self.hubs_version, now);
+        (peer.whole, peer.hubs) = (peer.confirmed, self.hubs_version);
         let news = News {
             log: self.local.life,
             place,
@@ -681,7 +679,6 @@
                     continue;
                 }
                 let dirty = std::mem::take(&mut peer.dirty);
-                peer.said = now;
                 let replicas = dirty.iter().filter_map(|i| self.cells.get(i)).map(|k| k.tell(now)).collect();
                 out.push(Out::Send { link, word: Word::Gossip(Gossip { replicas, ..Gossip::default() }) });
             } else {
--- a/crates/lerwick/tests/control.rs
+++ b/crates/lerwick/tests/control.rs
@@ -98,7 +98,11 @@
 }
 
 fn hub() -> Control {
-    let bootstrap: Vec<String> = (1..=3).map(address).collect();
+    hub_of(3)
+}
+
+fn hub_of(core: usize) -> Control {
+    let bootstrap: Vec<String> = (1..=core).map(address).collect();
     let voters: Vec<Voter> =
         bootstrap.iter().map(|a| Voter { id: genesis_id(a), address: a.clone() }).collect();
     let local = Local {
@@ -175,6 +179,21 @@
     assert!(matches!(answers(&out)[..], [Answer::NotNow(_)]));
 }
 
+#[test]
+fn a_drain_is_not_acknowledged_by_the_word_of_one_that_has_gone() {
+    let (mut control, mut out) = (hub_of(5), Vec::new());
+    for n in 2..=4 {
+        meet(&mut control, 0, n as u64, n, VERSION);
+    }
+    control.beat(0, 1, "i", beat("draining", 1), &mut out);
+    control.hear(10, 2, Word::Heard(Receipt { receipt: 1 }), &mut out);
+    control.closed(20, 2, &mut out);
+    control.hear(30, 3, Word::Heard(Receipt { receipt: 1 }), &mut out);
+    assert!(answers(&out).is_empty());
+    control.hear(40, 4, Word::Heard(Receipt { receipt: 1 }), &mut out);
+    assert_eq!(answers(&out), [&Answer::Heard(None)]);
+}
+
 #[test]
 fn another_version_and_its_own_life_are_let_go() {
     let mut control = hub();
--- a/crates/sonnblick/src/control.rs
+++ b/crates/sonnblick/src/control.rs
@@ -406,7 +406,6 @@
         Ok(Answer::Conflict(revision)) => {
             Reply::Json(412, json!({"error": "another version is in place", "revision": revision}))
         }
-        Ok(Answer::Bad(cause)) => refuse(400, cause),
         Ok(Answer::NotNow(cause)) => refuse(503, cause),
         Err(_) => refuse(503, "ending"),
     }
