Given up by cause; a downed replica is tried by one part at a time, falls prove nothing unprobed

Fronts now count what they give up by cause, a line a second (event=given_up). It showed: (1) 3 s after a replica was found down all parts went there at once, each for a connect of 300 ms, and until then lookups waited for it; (2) as the replicas came back and reset connections, 150 lookups in a second ended as 'fells', two replicas having broken off under them, which without probes counted as proof; (3) for 20 s after two unannounced ends each fan-out sent one part first: p50 28 ms became 45 to 56. Change, where nothing probes (all earlier deployments probe): a part tries a downed replica after 250 ms, then less and less often, one at a time, and others do without at once; replicas that fall prove nothing. Ruled out: the cut of the core and the clocks that jump in the same seconds (fronts elsewhere alike).

--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -229,8 +229,25 @@
     pub lapsed: Vec<usize>,
 }
 
+/// Why a lookup is turned away or given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Its time is up.
+    Late,
+    /// It may be what brings replicas down.
+    Fells,
+    /// No further part call can bring what an answer needs.
+    Hopeless,
+    /// Its slowest part is expected too late.
+    Slow,
+    /// Too much is out from here, at a shard's holders or in all.
+    Full,
+}
+
 /// Where decisions go, in the order they are taken.
 pub trait Writer {
+    /// The cause of the nack or abort that comes next.
+    fn given_up(&mut self, _lookup: usize, _why: Why) {}
     fn call(&mut self, lookup: usize, part: usize, replica: usize, time_out: Tenths);
     fn withdraw(&mut self, lookup: usize, part: usize, call: usize);
     /// Answer from the parts that are in. With a second step to come this is not yet the final answer.
--- a/crates/linenthread-core/src/policy/gate.rs
+++ b/crates/linenthread-core/src/policy/gate.rs
@@ -21,14 +21,22 @@
             && !self.too_late(lookup, part, r)
     }
 
-    /// It is down to the lookup's end; or the part's next call is a further one and would come too late: work
-    /// that no withdrawal may stop.
+    /// It is down to the lookup's end; or the part's next call is a further one that would come too late.
     pub(super) fn too_late(&self, lookup: &Lookup, part: &Part, r: usize) -> bool {
         let (end, replica) = (given_up_at(lookup, &self.deployment.indexes[lookup.index]), &self.replicas[r]);
-        replica.down.is_some_and(|(since, _)| since + GIVEN_UP >= end)
+        replica.down.is_some()
+            && !self.is_up(r, if self.deployment.allowance.probes { end } else { self.now })
             || !part.calls.is_empty() && replica.expected > (end - self.now) as f64
     }
 
+    /// Parts may go there at some time: it is not down, or for so long that a part may try it. Where nothing
+    /// probes it parts do, one at a time, soon and then less and less often.
+    pub(super) fn is_up(&self, r: usize, at: Tenths) -> bool {
+        let (replica, probes) = (&self.replicas[r], self.deployment.allowance.probes);
+        let up = |(since, next)| if probes { at > since + GIVEN_UP } else { at >= next && replica.out == 0 };
+        replica.down.is_none_or(up)
+    }
+
     /// Whether the effect of its index lets a part be sent, after what became of its calls so far.
     pub(super) fn may_run_again(&self, lookup: &Lookup, part: &Part) -> bool {
         match self.deployment.indexes[lookup.index].effect {
@@ -48,8 +56,7 @@
             .then(|| cold.share + (1.0 - cold.share) * age.max(0) as f64 / cold.warm_up as f64)
     }
 
-    /// Whether a cold replica has room for one more within each window. Capacity is not told; what warm ones
-    /// get from here is never more than they can do, and each co-ordinator keeps to its own part of it.
+    /// Whether a cold replica has room for one more: its share of what warm ones get from here, at most.
     fn cold_room(&self, r: usize) -> bool {
         let Some(share) = self.cold_share(r) else { return true };
         let cold = &self.deployment.cold;
@@ -95,13 +102,8 @@
         if reaped {
             writer.close(r);
         }
-        part.calls.push(Call {
-            replica: r,
-            sent: now,
-            rested: alone.then_some(rested && !reaped),
-            ending: None,
-            moved: false,
-        });
+        let rested = alone.then_some(rested && !reaped);
+        part.calls.push(Call { replica: r, sent: now, rested, ending: None, moved: false });
         replica.used = now;
         if alone {
             replica.heard = now;
--- a/crates/linenthread-core/src/policy/hear.rs
+++ b/crates/linenthread-core/src/policy/hear.rs
@@ -36,7 +36,8 @@
                 // A new process: nothing seen of the old one counts against it.
                 (replica.seen, replica.down, replica.returned) = (Seen::default(), None, None);
             }
-            if !whole && replica.ready() && entry.phase == Phase::Gone {
+            let falls = self.deployment.allowance.probes && !whole;
+            if falls && replica.ready() && entry.phase == Phase::Gone {
                 self.fleet.falls.add(self.now, WARY, 1.0);
             }
             if replica.ready() {
@@ -132,8 +133,7 @@
                     part.withdraw(back.lookup, back.part, writer);
                 }
             }
-            // It would have taken longer still: that much is known. A client that left early, or a copy that
-            // was quicker, says no more of the replica.
+            // It would have taken longer still: a client that left early, or a quicker copy, says no more.
             Ending::Withdrawn | Ending::TimedOut if back.ending == Ending::Withdrawn || took < slow => {
                 for seen in [&mut replica.seen, site].into_iter().filter(|_| late) {
                     seen.times.add(now, span, took.ln());
@@ -151,7 +151,9 @@
             replica.broke_under = self.deployment.allowance.probes;
         }
         if broken || back.ending == Ending::Unconnected {
-            replica.down.get_or_insert((now, now));
+            let (since, next) = replica.down.unwrap_or((now, now));
+            let trial = now + (TRIAL + (now - since) / 4).min(GIVEN_UP);
+            replica.down = Some((since, if self.deployment.allowance.probes { next } else { trial }));
         }
     }
 
@@ -170,9 +172,7 @@
         match back.ending {
             Ending::Answered => replica.answers(now, back.queue),
             _ if replica.told_at >= since => {}
-            Ending::Unconnected | Ending::Broken => {
-                replica.down.get_or_insert((now, now + PROBE));
-            }
+            Ending::Unconnected | Ending::Broken => _ = replica.down.get_or_insert((now, now + PROBE)),
             // Too busy for a probe: nothing is known but that much waits there.
             _ => replica.tell(now, self.soft / self.fleet.quick),
         }
--- a/crates/linenthread-core/src/policy/mod.rs
+++ b/crates/linenthread-core/src/policy/mod.rs
@@ -1,7 +1,7 @@
 //! The decisions of one co-ordinator.
 //!
-//! Make a [`Coordinator`] from what its deployment states and a seed, then call [`Coordinator::round`] with all
-//! that came in since ([`crate::interface`]) and a [`Writer`]. It asks to be woken by itself; it reads no clock.
+//! Make a [`Coordinator`] of a deployment and a seed, then call [`Coordinator::round`] with all that came in
+//! since ([`crate::interface`]) and a [`Writer`]. It asks to be woken by itself; it reads no clock.
 //!
 //! The ordinary path is dynamic snitching: each part has a natural replica, the first in a hash of shard and
 //! key, and leaves it only while that replica's score is worse than the best by more than [`BADNESS`].
@@ -37,6 +37,7 @@
 /// What is down is probed after so long, and as much again by chance, times a quarter of the co-ordinators.
 const PROBE: Tenths = 1_500;
 const GIVEN_UP: Tenths = 30_000; // After so long parts may try what is down: it may be bad to probes only.
+const TRIAL: Tenths = 2_500; // Where nothing probes, the first part tries it so soon.
 const PAUSE: Tenths = 1_000; // Before a replica that failed a part is asked for the same part again.
 /// Share of parts that may have a second copy sent because the first is late, and of a lookup's last ones ...
 const COPIES: (f64, f64) = (0.005, 0.02);
@@ -48,22 +49,18 @@
 const PATIENT: f64 = 1.4; // How many slow answers' time a first answer leaves for its second step.
 const SPARE: f64 = 0.25; // Where so many parts are a whole answer: share of the others asked for at first.
 const LATE_PAYS: f64 = 0.15; // An index whose late answers earn no more is given up at its soft deadline.
-/// Parts out at one replica are held to its even share of what comes back within this share of the shortest
-/// soft deadline, twice that where the median answer takes half of the other, or so many at the least.
+/// Parts out at a replica: its share of what comes back in so much of a soft deadline, twice that if quick.
 const JAM: f64 = 0.45;
 const QUICK: f64 = 0.3;
 const FEW: f64 = 5.0;
-/// In all, a lone co-ordinator may always have so many out a replica; of many, each its part of that, and
-/// more by the root of their number since they are not all at it at once.
+/// In all, a lone co-ordinator may have so many out a replica, of many each that by the root of their number.
 const ROOM: f64 = 3.0;
-/// How many parts of usual delay, as a share of the shortest soft deadline and as its spread, weigh in what
-/// a lookup's slowest part is expected to take.
+/// So many parts of usual delay (share of the shortest soft deadline, spread) weigh in what one may take.
 const UNTOLD: f64 = 6.0;
 const USUAL: (f64, f64) = (0.2, 0.6);
 const IN_TIME: f64 = 0.75; // Share of the time left within which a lookup's slowest part is to be expected.
-const UNSEEN: i32 = 3; // How often a slower shard counts where no queue is told: it shows by delay alone, late.
-/// A connection has rested when nothing went or came on it for so long. Where calls on rested ones come to
-/// nothing more often than others, by so much of all, they are closed first, for a new one.
+const UNSEEN: i32 = 3; // How often a slower shard counts where no queue is told: it shows by delay, late.
+/// A connection has rested after so long. Where rested ones fail more often, by so much, they go.
 const REST: Tenths = 7_500;
 const REAPED: f64 = 0.08;
 const MARGIN: Tenths = 150; // A client's answer leaves this long before the moment that it must be there.
--- a/crates/linenthread-core/src/policy/score.rs
+++ b/crates/linenthread-core/src/policy/score.rs
@@ -23,8 +23,7 @@
         }
         self.count_lost(slow);
         let sites = &self.sites;
-        // An unheard replica counts as its site's average, and one of few answers leans on it, as the site
-        // does on the fleet's: a slow or lossy way to a site shows there first.
+        // One unheard, or of few answers, leans on its site's average, and a site on the fleet's.
         let lean = |s: &Fading, weight: f64, mean: f64| (s.sum + weight * mean) / (s.weight + weight);
         let median = |s: &Seen, site: &Seen| lean(&s.times, LEAN, lean(&site.times, SITE_LEAN, mean)).exp();
         let ready = || self.replicas.iter().filter(|r| r.ready());
@@ -127,7 +126,7 @@
         if turned > 1 && within(PAUSE << turned) {
             return None;
         }
-        let up = |r: usize| self.replicas[r].down.is_none_or(|(since, _)| self.now > since + GIVEN_UP);
+        let up = |r: usize| self.is_up(r, self.now);
         let (score, waiting) = (|r: usize| self.replicas[r].score, |r: usize| self.replicas[r].waiting());
         // A part also leaves for a good twin that has two fewer of ours waiting.
         (0..3).find_map(|level| {
--- a/crates/linenthread-core/src/policy/settle.rs
+++ b/crates/linenthread-core/src/policy/settle.rs
@@ -44,24 +44,30 @@
             lookup.over = ends;
             lookup.first_whole = Some(marked_whole);
             lookup.step = lookup.parts.len();
-        } else if self.now >= end
-            || self.fells(lookup, true) && !lookup.out()
-            || !enough(1.0 - lost, floor)
-            || !lookup.admitted && !self.admits(l)
-        {
-            self.give_up(l, writer);
-        } else {
-            self.lookups[l].as_mut().expect("open").admitted = true;
-            self.send(l, writer);
+            return;
+        }
+        let why = match () {
+            _ if self.now >= end => Some(Why::Late),
+            _ if self.fells(lookup, true) && !lookup.out() => Some(Why::Fells),
+            _ if !enough(1.0 - lost, floor) => Some(Why::Hopeless),
+            _ if !lookup.admitted => self.refuses(l),
+            _ => None,
+        };
+        if let Some(why) = why {
+            return self.give_up(l, why, writer);
         }
+        self.lookups[l].as_mut().expect("open").admitted = true;
+        self.send(l, writer);
     }
 
     /// It may be what brings replicas down: two broke off under it, or are proven gone by probes, unanswered;
-    /// while others fall, one.
+    /// while others fall, one. Where nothing probes there is no proof, and resets alone end nothing.
     fn fells(&self, lookup: &Lookup, proven: bool) -> bool {
         let felled = |r: &Replica| r.down.is_some() && (!proven || !r.broke_under);
         let most = usize::from(self.fleet.falls.sum <= 1.0);
-        lookup.unanswered() && lookup.broke.iter().filter(|&&r| felled(&self.replicas[r])).count() > most
+        self.deployment.allowance.probes
+            && lookup.unanswered()
+            && lookup.broke.iter().filter(|&&r| felled(&self.replicas[r])).count() > most
     }
 
     /// No further part call can bring this part's answer.
@@ -73,14 +79,13 @@
                 || self.holders(lookup, part).all(|r| self.too_late(lookup, part, r)))
     }
 
-    /// Whether a new lookup is taken on: not when its slowest part, or any index's, can be expected after its
-    /// client wants it, nor when a shard's holders are jammed, by what is out from here or by their own word.
-    fn admits(&mut self, l: usize) -> bool {
+    /// Why a new lookup is not taken on: its slowest part would come too late, or a shard's holders jam.
+    fn refuses(&mut self, l: usize) -> Option<Why> {
         let now = self.now;
         self.fleet.delays.fade(now, RECENT);
         self.fleet.costs.fade(now, SHARES);
         self.fleet.customers.iter_mut().for_each(|c| c.fade(now, SHARES));
-        let Some(Some(lookup)) = self.lookups.get(l) else { return false };
+        let lookup = self.lookups[l].as_ref()?;
         let (indexes, delays) = (&self.deployment.indexes, &self.fleet.delays);
         let (index, parts) = (&indexes[lookup.index], lookup.parts.len() as f64);
         let (mean, deviation) = delays.shape(HEARD).unwrap_or((0.0, 0.0));
@@ -114,15 +119,14 @@
         let owed = all / quotas.iter().sum::<f64>().max(0.001);
         let over = |(q, came): (&f64, &Fading)| all > 8.0 && came.weight > 1.25 * owed * q;
         let over_share = quotas.get(lookup.customer).zip(customers.get(lookup.customer)).is_some_and(over);
-        // What it costs for its gain, beside what all do: the dear are refused first. All co-ordinators see
-        // much the same delays: by chance they turn away no more than it takes.
+        // What it costs for its gain, beside what all do: the dear are refused first, by chance.
         let cost = if self.deployment.gain_by_work { 1.0 } else { parts } / index.gain.max(0.001);
         let costs = &mut self.fleet.costs;
         (costs.weight, costs.sum) = (costs.weight + parts, costs.sum + parts * cost);
         let dear = cost * costs.weight / costs.sum.max(0.001);
         let dear = if over_share { dear / self.deployment.over_share_gain.max(0.1) } else { dear };
         if self.chance.rand_float() > pressure.powf(-3.0 * dear) {
-            return false;
+            return Some(Why::Slow);
         }
         let favour = if dear < 1.0 { 1.25 } else { 1.0 };
         let favour = if over_share { self.deployment.over_share_gain.max(0.6) } else { favour };
@@ -135,11 +139,10 @@
             out > 0.0 || told.is_finite() && told > favour * self.soft / self.fleet.quick
         };
         let waiting: f64 = self.replicas.iter().map(Replica::waiting).sum();
-        waiting < favour * self.fleet.room && !lookup.parts.iter().any(jammed)
+        (waiting >= favour * self.fleet.room || lookup.parts.iter().any(jammed)).then_some(Why::Full)
     }
 
-    /// Holds a lookup while the holders that told nothing of late are probed, and shortly waited for: where
-    /// each is seen seldom, what is remembered is too old to tell a sick one by.
+    /// Holds a lookup while holders that told nothing of late are probed, where each is seen seldom.
     fn asks(&mut self, l: usize, writer: &mut impl Writer) -> bool {
         let (now, most) = (self.now, (ASK_MOST * self.soft) as Tenths);
         let Some(Some(lookup)) = self.lookups.get(l) else { return false };
@@ -177,8 +180,7 @@
         self.fleet.copies.fade(now, RECENT);
         self.fleet.falls.fade(now, WARY);
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
-        // Several replicas that fall may be the work of what lookups ask for: one part goes first then, and
-        // the others once it outlasts a slow one's time.
+        // Replicas that fall may be the work of lookups: one part goes first, the others when it lasts.
         let wary = lookup.unanswered() && self.fleet.falls.sum > 1.0;
         let lasts = |c: &Call, time: f64| c.ending.is_none() && (now - c.sent) as f64 <= time;
         let mut calls = lookup.parts.iter().flat_map(|p| &p.calls);
@@ -223,8 +225,7 @@
         }
     }
 
-    /// As many calls are out as may be, and one is as good as lost: it is called off, and the part goes to
-    /// another holder once that is known.
+    /// As many calls are out as may be, and one is as good as lost: it is called off for another holder.
     fn moves(&self, l: usize, p: usize, slow: f64) -> bool {
         let lookup = self.lookups[l].as_ref().expect("open");
         let part = &lookup.parts[p];
@@ -238,8 +239,9 @@
     }
 
     /// Ends a lookup without an answer, at once: a nack where asking again is harmless.
-    fn give_up(&mut self, l: usize, writer: &mut impl Writer) {
+    fn give_up(&mut self, l: usize, why: Why, writer: &mut impl Writer) {
         let Some(Some(lookup)) = self.lookups.get(l) else { return };
+        writer.given_up(l, why);
         let idempotent = self.deployment.indexes[lookup.index].effect == Effect::Idempotent;
         if idempotent || lookup.parts.iter().all(Part::never_ran) {
             let wait = self.time_of_most(2.0) as Tenths;
--- a/crates/sonnblick/src/desk.rs
+++ b/crates/sonnblick/src/desk.rs
@@ -9,7 +9,7 @@
 use eskdalemuir::{greatest, number};
 use kew::{Planned, Settings, Target};
 use linenthread_core::interface::{
-    Arrivals, Index, Listed, NewLookup, NewPart, Phase, Return, RosterNews, Tenths,
+    Arrivals, Index, Listed, NewLookup, NewPart, Phase, Return, RosterNews, Tenths, Why,
 };
 use linenthread_core::{Coordinator, Writer};
 use smallvec::SmallVec;
@@ -60,6 +60,17 @@
 struct Acts {
     acts: Vec<Act>,
     wake: Option<Tenths>,
+    given_up: GivenUp,
+}
+
+/// Lookups that were turned away or given up, by cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GivenUp {
+    pub late: u64,
+    pub fells: u64,
+    pub hopeless: u64,
+    pub slow: u64,
+    pub full: u64,
 }
 
 impl Writer for Acts {
@@ -70,6 +81,15 @@
     fn satisfy(&mut self, lookup: usize, _whole: bool) {
         self.acts.push(Act::Satisfy { lookup });
     }
+    fn given_up(&mut self, _: usize, why: Why) {
+        *match why {
+            Why::Late => &mut self.given_up.late,
+            Why::Fells => &mut self.given_up.fells,
+            Why::Hopeless => &mut self.given_up.hopeless,
+            Why::Slow => &mut self.given_up.slow,
+            Why::Full => &mut self.given_up.full,
+        } += 1;
+    }
     fn nack(&mut self, lookup: usize, after: Option<Tenths>) {
         self.acts.push(Act::Nack { lookup, after });
     }
@@ -228,6 +248,12 @@
     pub fn tidy(&self) {
         let mut inner = self.inner.borrow_mut();
         let inner = &mut *inner;
+        let given_up = std::mem::take(&mut inner.acts.given_up);
+        if given_up != GivenUp::default() {
+            let GivenUp { late, fells, hopeless, slow, full } = given_up;
+            log::info!(service = &*self.services[0], of = self.services.len(), late = late, fells = fells,
+                hopeless = hopeless, slow = slow, full = full; "event=given_up");
+        }
         if inner.gone.is_empty() {
             return;
         }
