Who counts changes by one, an epoch is one life's, and the drill judges who holds the duty

Change: a word that asks names the life and the value; supporter and asker have the same value; who counts changes by one that comes or goes, by a holder supported by those who count now; a refused epoch voids what was said to it. Ruled out: a wrong budget of losses in the drill (the first breaches of all-comes-back were that: disks lost while the last one was not yet replaced; it now asks whether all that count are there by name).

--- a/crates/lerwick/src/control.rs
+++ b/crates/lerwick/src/control.rs
@@ -155,6 +155,8 @@
     ticked: u64,
     batched: u64,
     voting: bool,
+    /// The epoch under which this life last held the duty.
+    held: Option<u64>,
     given: BTreeMap<(String, u64), u64>,
     own_words: VecDeque<Word>,
     /// The place in the log up to which replicas are on disk, and when they were last written.
@@ -167,7 +169,7 @@
         let replicas = std::mem::take(&mut kept.replicas);
         let budget = Budget::new(local.retry_allowance, local.retry_window);
         let mut control = Control {
-            duty: Duty::new(id, now, local.first_of_all, kept.epoch),
+            duty: Duty::new(id, local.life, now, local.first_of_all, kept.epoch),
             register: Register::new(id, kept, genesis, local.life),
             budget,
             cells: Cells::default(),
@@ -188,6 +190,7 @@
             ticked: 0,
             batched: 0,
             voting: false,
+            held: None,
             given: BTreeMap::new(),
             own_words: VecDeque::new(),
             written: (0, now),
@@ -215,6 +218,11 @@
         &self.cells
     }
 
+    /// The epoch under which this hub holds the duty.
+    pub fn holds_duty(&self, now: u64) -> Option<u64> {
+        self.duty.holds(now)
+    }
+
     /// What this hub knows of machines, for operators.
     pub fn members(&self, now: u64) -> serde_json::Value {
         let hub = |p: &Peer| {
@@ -812,6 +820,8 @@
         for voter in &value.voters {
             self.learn_hub(now, &voter.address);
         }
+        // The duty is asked for anew, of those who count now.
+        self.ticked = 0;
         let links: Vec<(Link, bool)> = self.peers.iter().map(|(l, p)| (*l, p.hub)).collect();
         for (link, hub) in links {
             if hub { self.send_value(link, out) } else { self.tell(now, link, out) }
@@ -844,7 +854,7 @@
     /// Supports who asks for the duty, or not; a new epoch is on disk before it is said.
     fn support(&mut self, now: u64, from: u64, ask: &DutyAsk, out: &mut Vec<Out>) {
         let before = self.duty.epoch();
-        let say = Word::DutySay(self.duty.hear_ask(now, from, ask));
+        let say = Word::DutySay(self.duty.hear_ask(now, from, ask, self.value_number()));
         let epoch = self.duty.epoch();
         if epoch > before {
             out.push(Out::Keep { record: Record { epoch, ..Record::default() }, then: vec![(from, say)] });
@@ -855,14 +865,21 @@
     }
 
     fn hear_say(&mut self, now: u64, disk: u64, w: &valentia::DutySay, out: &mut Vec<Out>) {
-        let register = &self.register;
-        if self.duty.hear_say(now, disk, w, |ids| register.is_most(ids)) {
-            let first = self.local.first_of_all && self.duty.holds(now) == Some(1);
-            self.budget.begin(now, first);
-            self.given.clear();
+        let (register, number, before) = (&self.register, self.value_number(), self.duty.holds(now));
+        if self.duty.hear_say(now, disk, w, number, |ids| register.is_most(ids)) {
             // What it has to do does not wait for the next tick.
             self.ticked = 0;
-            out.push(Out::Note(format!("event=duty_taken epoch={}", self.duty.holds(now).unwrap_or(0))));
+            if before.is_some() {
+                return;
+            }
+            let epoch = self.duty.holds(now).unwrap_or(0);
+            // Under the very next epoch nobody can have held it in between: what this hub gave is all there is.
+            if self.held != Some(epoch - 1) {
+                self.budget.begin(now, self.local.first_of_all && epoch == 1);
+            }
+            self.held = Some(epoch);
+            self.given.clear();
+            out.push(Out::Note(format!("event=duty_taken epoch={epoch}")));
         }
     }
 
@@ -876,7 +893,7 @@
     /// The holder of the duty keeps the set of counted disks to the machines that are there: one change at a
     /// time.
     fn keep_voters(&mut self, now: u64, out: &mut Vec<Out>) {
-        if self.voting || !self.is_whole() {
+        if self.voting || !self.is_whole() || !self.duty.holds_on(now, self.value_number()) {
             return;
         }
         let Some(value) = self.register.decided() else { return };
@@ -892,21 +909,13 @@
             let at = self.seen.get(&v.address).map_or(self.began, |s| s.at);
             !disks.contains(&v.id) && now > at.max(self.whole_since.unwrap_or(now)) + LOST
         };
+        // One comes or one goes: any two sets in a row have more than half in common.
         let mut next = voters.clone();
-        if let Some(i) =
-            voters.iter().position(|v| replaced(v) && spare.iter().any(|s| s.address == v.address))
-        {
-            next[i] = spare.iter().find(|s| s.address == voters[i].address).expect("was found").clone();
-        } else if let Some(i) = voters.iter().position(lost) {
-            match spare.first() {
-                Some(new) => next[i] = new.clone(),
-                None if voters.len() > self.local.least => drop(next.remove(i)),
-                None => return,
-            }
-        } else if let Some(new) = spare.first() {
-            next.push(new.clone());
-        } else {
-            return;
+        let gone = voters.iter().position(|v| replaced(v) || lost(v));
+        match (gone, spare.first()) {
+            (Some(gone), _) if voters.len() > self.local.least => drop(next.remove(gone)),
+            (_, Some(new)) => next.push(new.clone()),
+            _ => return,
         }
         self.voting = true;
         self.jobs += 1;
@@ -997,7 +1006,7 @@
         let fronts: Vec<Link> = self.peers.iter().filter(|(_, p)| !p.hub).map(|(l, _)| *l).collect();
         fronts.into_iter().for_each(|link| self.confirm(now, link, out));
         let first = self.is_first();
-        if let Some(ask) = self.duty.tick(now, first) {
+        if let Some(ask) = self.duty.tick(now, first, self.value_number()) {
             for (link, _) in self.live_hubs() {
                 out.push(Out::Send { link: *link, word: Word::DutyAsk(ask.clone()) });
             }
--- a/crates/linenthread-drill/src/system.rs
+++ b/crates/linenthread-drill/src/system.rs
@@ -5,6 +5,7 @@
 //! Rules judged: *one-value-a-number*, *acked-lasts* (each acknowledged configuration is in the chain),
 //! *one-a-base* (no two acknowledged on top of the same), *reads-are-newest*, *nothing-goes-back*,
 //! *drains-are-known* (more than half of the counted know of an acknowledged drain),
+//! *one-holder-an-epoch* (at no moment two hold the duty, and no epoch is held by two lives),
 //! *shares-within-the-whole*, *all-comes-back* (after the troubles a change is acknowledged, read back, and
 //! in force at every front).
 
@@ -31,18 +32,55 @@
 
 #[derive(Clone)]
 enum Event {
-    Opened { to: usize, life: u64, link: u64 },
-    Word { to: usize, life: u64, link: u64, word: Word },
-    Closed { to: usize, life: u64, link: u64 },
-    Unreached { to: usize, life: u64, address: String },
-    Synced { to: usize, life: u64, upto: usize, then: Vec<(u64, Word)> },
-    Start { node: usize },
-    Front { front: usize },
-    Operator { operator: usize },
+    Opened {
+        to: usize,
+        life: u64,
+        link: u64,
+    },
+    Word {
+        to: usize,
+        life: u64,
+        link: u64,
+        word: Word,
+    },
+    Closed {
+        to: usize,
+        life: u64,
+        link: u64,
+    },
+    Unreached {
+        to: usize,
+        life: u64,
+        address: String,
+    },
+    Synced {
+        to: usize,
+        life: u64,
+        upto: usize,
+        then: Vec<(u64, Word)>,
+    },
+    Start {
+        node: usize,
+    },
+    Front {
+        front: usize,
+    },
+    Operator {
+        operator: usize,
+    },
     Replica,
     Trouble,
-    Heal { a: usize, b: usize },
-    Disk { node: usize },
+    Heal {
+        a: usize,
+        b: usize,
+    },
+    Disk {
+        node: usize,
+    },
+    /// Right after it acknowledged something its disk is lost; another may end as well, with its disk.
+    Wipe {
+        node: usize,
+    },
 }
 
 struct Node {
@@ -58,8 +96,11 @@
     removed: bool,
     frozen: u64,
     sync_ms: u64,
+    /// Its steady clock: where it began, and by how many parts of a million it runs ahead.
+    clock: (u64, i64),
     /// Lost, or had lost its disk, until then.
     lost_until: u64,
+    wiped_until: u64,
     seen: u64,
 }
 
@@ -126,6 +167,8 @@
     operators: Vec<Operator>,
     calls: BTreeMap<u64, (usize, u64, Call)>,
     values: BTreeMap<u64, Value>,
+    /// Which life held the duty under which epoch.
+    holders: BTreeMap<u64, u64>,
     acked: BTreeMap<u64, Change>,
     counts: BTreeMap<String, u64>,
     draining: BTreeSet<String>,
@@ -164,6 +207,7 @@
             operators: Vec::new(),
             calls: BTreeMap::new(),
             values: BTreeMap::new(),
+            holders: BTreeMap::new(),
             acked: BTreeMap::new(),
             counts: BTreeMap::new(),
             draining: BTreeSet::new(),
@@ -201,7 +245,9 @@
     }
 
     fn add_node(&mut self, address: String, initial: bool) {
+        let clock = (self.up_to(1 << 40), self.up_to(401) as i64 - 200);
         self.nodes.push(Node {
+            clock,
             address,
             control: None,
             life: 0,
@@ -214,6 +260,7 @@
             frozen: 0,
             sync_ms: self.sync_ms,
             lost_until: 0,
+            wiped_until: 0,
             seen: 0,
         });
     }
@@ -222,6 +269,12 @@
         self.chance.rand_range(0..n.max(1))
     }
 
+    /// What a machine's own steady clock shows: no two agree, and none runs true.
+    fn clock(&self, n: usize) -> u64 {
+        let (offset, ahead) = self.nodes[n].clock;
+        (offset + self.now).saturating_add_signed((self.now - 1_000_000) as i64 * ahead / 1_000_000)
+    }
+
     fn push(&mut self, at: u64, event: Event) {
         self.order += 1;
         self.events.insert((at, self.order), event);
@@ -248,7 +301,7 @@
         if self.nodes[n].removed || self.nodes[n].control.is_some() {
             return;
         }
-        let life = self.chance.rand_u64() | 1;
+        let (life, clock) = (self.chance.rand_u64() | 1, self.clock(n));
         let mut kept = Kept::default();
         self.nodes[n].disk.iter().for_each(|r| kept.add(r.clone()));
         let node = &self.nodes[n];
@@ -270,7 +323,7 @@
             retry_window: WINDOW,
         };
         let empty = kept.id.is_none();
-        let control = Control::new(local, id, kept, genesis.clone(), self.now);
+        let control = Control::new(local, id, kept, genesis.clone(), clock);
         let node = &mut self.nodes[n];
         (node.control, node.life, node.seen, node.frozen) = (Some(control), life, 0, 0);
         node.began = self.now;
@@ -343,10 +396,10 @@
 
     /// Runs something at a hub and carries out what it says.
     fn at(&mut self, n: usize, run: impl FnOnce(&mut Control, u64, &mut Vec<Out>)) {
-        let now = self.now;
+        let (now, clock) = (self.now, self.clock(n));
         let mut out = Vec::new();
         let Some(control) = self.nodes[n].control.as_mut() else { return };
-        run(control, now, &mut out);
+        run(control, clock, &mut out);
         if let Some(decided) = control.register().decided().cloned() {
             let seen = self.nodes[n].seen;
             if decided.number < seen {
@@ -363,6 +416,7 @@
             }
         }
         let life = self.nodes[n].life;
+        self.judge_holders();
         for o in out {
             match o {
                 Out::Send { link, word } => self.send(n, link, word),
@@ -398,6 +452,22 @@
         }
     }
 
+    /// At no moment two machines hold the duty, and an epoch belongs to one life.
+    fn judge_holders(&mut self) {
+        let held = |n: usize| self.nodes[n].control.as_ref()?.holds_duty(self.clock(n));
+        let holders: Vec<(usize, u64)> =
+            (0..self.nodes.len()).filter_map(|n| held(n).map(|e| (n, e))).collect();
+        if holders.len() > 1 {
+            self.breach(format!("one-holder-an-epoch: hubs and their epochs {holders:?} at once"));
+        }
+        for (n, epoch) in holders {
+            let life = self.nodes[n].life;
+            if *self.holders.entry(epoch).or_insert(life) != life {
+                self.breach(format!("one-holder-an-epoch: {epoch} is held by a second life, of hub {n}"));
+            }
+        }
+    }
+
     fn call(&mut self, n: usize, call: Call) -> Option<u64> {
         self.nodes[n].control.as_ref()?;
         self.next += 1;
@@ -422,6 +492,9 @@
                 self.operators[o].current = change.revision;
                 (self.operators[o].change, self.operators[o].waits) = (None, None);
                 self.acked.insert(change.revision, change);
+                if !self.calm && self.up_to(12) == 0 {
+                    self.push(self.now + 1, Event::Wipe { node: n });
+                }
             }
             (Call::Replace(o, _), Answer::Conflict(revision)) => {
                 self.operators[o].current = revision;
@@ -649,10 +722,12 @@
         self.nodes.iter().filter(|n| lost(n)).count()
     }
 
-    /// Each machine that is there counts: the budget holds from then on.
+    /// Each machine that is there counts, by its disk's name: the budget holds from then on.
     fn all_count(&self) -> bool {
-        let newest = self.values.last_key_value().map_or(0, |(_, v)| v.voters.len());
-        newest == self.nodes.iter().filter(|n| !n.removed).count()
+        let Some((_, newest)) = self.values.last_key_value() else { return false };
+        let live = self.nodes.iter().filter(|n| !n.removed);
+        let ids: Vec<Option<u64>> = live.map(|n| n.disk.iter().find_map(|r| r.id)).collect();
+        newest.voters.len() == ids.len() && newest.voters.iter().all(|v| ids.contains(&Some(v.id)))
     }
 
     fn trouble(&mut self) {
@@ -675,6 +750,7 @@
                 self.crash(n, if elsewhere { None } else { Some(back) });
                 let node = &mut self.nodes[n];
                 (node.disk, node.synced, node.initial) = (Vec::new(), 0, false);
+                node.wiped_until = now + back + 4_000;
                 if elsewhere {
                     node.removed = true;
                     let address = format!("10.0.1.{}:80", self.nodes.len() + 1);
@@ -740,6 +816,30 @@
         }
     }
 
+    /// Slow disks and ways are no loss: those that have not yet heard of what was acknowledged are there.
+    fn wipe_after_ack(&mut self, n: usize) {
+        if self.calm || self.nodes[n].control.is_none() || !self.all_count() {
+            return;
+        }
+        let gone = |n: &Node| !n.removed && (n.control.is_none() || n.wiped_until > self.now);
+        if self.nodes.iter().filter(|n| gone(n)).count() >= self.budget {
+            return;
+        }
+        let others: Vec<usize> =
+            (0..self.nodes.len()).filter(|&o| o != n && self.nodes[o].control.is_some()).collect();
+        let wiped = if self.up_to(2) == 0 { n } else { others[self.up_to(others.len() as u64) as usize] };
+        let back = 20 + self.up_to(600);
+        self.crash(wiped, Some(back));
+        let node = &mut self.nodes[wiped];
+        (node.disk, node.synced, node.initial) = (Vec::new(), 0, false);
+        node.wiped_until = self.now + back + 4_000;
+        let other = others[self.up_to(others.len() as u64) as usize];
+        if other != wiped && self.up_to(2) == 0 {
+            let back = 500 + self.up_to(3_000);
+            self.crash(other, Some(back));
+        }
+    }
+
     fn heal_all(&mut self) {
         self.calm = true;
         self.cuts.clear();
@@ -827,6 +927,7 @@
             Event::Replica => self.replica(),
             Event::Trouble => self.trouble(),
             Event::Disk { node } => self.nodes[node].sync_ms = self.sync_ms,
+            Event::Wipe { node } => self.wipe_after_ack(node),
             Event::Heal { a, b } => {
                 self.cuts.remove(&(a, b));
                 self.cuts.remove(&(b, a));
@@ -842,7 +943,8 @@
             if next > tick {
                 self.now = tick.min(end);
                 for n in 0..self.nodes.len() {
-                    let due = self.nodes[n].control.as_ref().is_some_and(|c| self.now >= c.due(self.now));
+                    let clock = self.clock(n);
+                    let due = self.nodes[n].control.as_ref().is_some_and(|c| clock >= c.due(clock));
                     if due && self.nodes[n].frozen <= self.now {
                         self.at(n, |c, now, out| c.tick(now, out));
                     }
--- a/crates/valentia/src/words.rs
+++ b/crates/valentia/src/words.rs
@@ -158,6 +158,12 @@
     pub asked: u64,
     #[prost(uint32, tag = "3")]
     pub lease_ms: u32,
+    /// The asker's life: an epoch is one life's only.
+    #[prost(fixed64, tag = "4")]
+    pub life: u64,
+    /// The newest value that the asker has: it names those whose support counts.
+    #[prost(uint64, tag = "5")]
+    pub on: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/zugspitze/src/duty.rs
+++ b/crates/zugspitze/src/duty.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use valentia::{DutyAsk, DutySay};
 
@@ -8,18 +8,27 @@
 const RENEW: u64 = 450;
 const EARLY: u64 = 200;
 
+#[derive(Clone, Copy)]
+struct Held {
+    epoch: u64,
+    until: u64,
+    /// The value whose disks gave the support.
+    on: u64,
+}
+
 /// One machine's part in the lease of a duty: it supports one holder at a time, and may hold it itself.
 pub struct Duty {
     id: u64,
-    /// Whom it supports, under which epoch and until when; nobody new before then.
-    supports: Option<u64>,
+    life: u64,
+    /// Which disk's machine it supports, in which life, under which epoch and until when; nobody new before then.
+    supports: Option<(u64, u64)>,
     epoch: u64,
     until: u64,
-    /// What it asks for itself: epoch, the word's number, when it was said.
-    asks: Option<(u64, u64, u64)>,
+    /// What it asks for itself, and since when.
+    asks: Option<(DutyAsk, u64)>,
     words: u64,
-    yes: BTreeMap<u64, u64>,
-    held: Option<(u64, u64)>,
+    yes: BTreeSet<u64>,
+    held: Option<Held>,
     /// The last epoch that it held and lost.
     past: u64,
 }
@@ -27,16 +36,17 @@
 impl Duty {
     /// Whom an earlier life supported is not known any more, only under which epoch: nobody new is supported
     /// until that has ended.
-    pub fn new(id: u64, now: u64, first_of_all: bool, epoch: u64) -> Duty {
+    pub fn new(id: u64, life: u64, now: u64, first_of_all: bool, epoch: u64) -> Duty {
         let until = if first_of_all { now } else { now + LEASE };
         Duty {
             id,
+            life,
             supports: None,
             epoch,
             until,
             asks: None,
             words: 0,
-            yes: BTreeMap::new(),
+            yes: BTreeSet::new(),
             held: None,
             past: 0,
         }
@@ -44,31 +54,40 @@
 
     /// The epoch under which this machine holds the duty now.
     pub fn holds(&self, now: u64) -> Option<u64> {
-        self.held.filter(|(_, until)| now < *until).map(|(epoch, _)| epoch)
+        self.held.filter(|held| now < held.until).map(|held| held.epoch)
+    }
+
+    /// Whether it holds it by the support of those whom the value of this number names. Only then may it change
+    /// who they are: any two sets of supporters in a row have one in common, *one-holder-an-epoch*.
+    pub fn holds_on(&self, now: u64, number: u64) -> bool {
+        self.held.is_some_and(|held| now < held.until && held.on == number)
     }
 
-    /// Asks for the duty, or for more time; `first` says that nobody before it in the order is in touch.
-    pub fn tick(&mut self, now: u64, first: bool) -> Option<DutyAsk> {
+    /// Asks for the duty, or for more time, of those whom the value of this number names; `first` says that
+    /// nobody before it in the order is in touch.
+    pub fn tick(&mut self, now: u64, first: bool, number: u64) -> Option<DutyAsk> {
         let holds = self.holds(now).is_some();
-        if let Some((epoch, _)) = self.held.filter(|_| !holds) {
-            (self.held, self.asks, self.past) = (None, None, epoch);
+        if let Some(held) = self.held.filter(|_| !holds) {
+            (self.held, self.asks, self.past) = (None, None, held.epoch);
         }
         if !first && !holds {
             self.asks = None;
             return None;
         }
-        if self.asks.is_some_and(|(_, _, at)| now < at + RENEW) {
+        if self.asks.as_ref().is_some_and(|(ask, at)| now < at + RENEW && ask.on == number) {
             return None;
         }
-        let epoch = match (self.held, self.asks) {
-            (Some((epoch, _)), _) => epoch,
-            (None, Some((epoch, _, _))) if epoch > self.epoch => epoch,
+        let epoch = match (self.held, &self.asks) {
+            (Some(held), _) => held.epoch,
+            (None, Some((ask, _))) if ask.epoch > self.epoch => ask.epoch,
             _ => self.epoch.max(self.past) + 1,
         };
         self.words += 1;
-        self.asks = Some((epoch, self.words, now));
+        let (asked, life) = (self.words, self.life);
+        let ask = DutyAsk { epoch, asked, lease_ms: LEASE as u32, life, on: number };
+        self.asks = Some((ask.clone(), now));
         self.yes.clear();
-        Some(DutyAsk { epoch, asked: self.words, lease_ms: LEASE as u32 })
+        Some(ask)
     }
 
     /// The greatest epoch that was supported, to be synced before a support under a new one is said.
@@ -76,39 +95,49 @@
         self.epoch
     }
 
-    pub fn hear_ask(&mut self, now: u64, from: u64, w: &DutyAsk) -> DutySay {
+    /// Another's wish, or its own, where the newest value here has this number. Both must have the same one.
+    pub fn hear_ask(&mut self, now: u64, from: u64, w: &DutyAsk, number: u64) -> DutySay {
         // Who is supported may go on, under a new epoch as well: two that wait for each other's leases to end
-        // would else never end together.
-        let same = self.supports == Some(from) && w.epoch >= self.epoch;
-        let yes = same || (now >= self.until && w.epoch > self.epoch);
+        // would else never end together. A new life of it needs an epoch of its own.
+        let same = self.supports == Some((from, w.life)) && w.epoch >= self.epoch;
+        let again = self.supports.is_some_and(|(disk, _)| disk == from) || now >= self.until;
+        let yes = w.on == number && (same || again && w.epoch > self.epoch);
         if yes {
-            (self.supports, self.epoch) = (Some(from), w.epoch);
+            (self.supports, self.epoch) = (Some((from, w.life)), w.epoch);
             self.until = now + u64::from(w.lease_ms).min(LEASE);
         }
         DutySay { epoch: self.epoch, asked: w.asked, yes }
     }
 
-    /// An answer; true if the duty is this machine's from now on and was not before.
-    pub fn hear_say(&mut self, now: u64, from: u64, w: &DutySay, most: impl Fn(Vec<u64>) -> bool) -> bool {
-        let Some((epoch, asked, at)) = self.asks else { return false };
+    /// An answer; true if the duty is this machine's from now on, or by the support that this value asks for,
+    /// and was not before.
+    pub fn hear_say(
+        &mut self,
+        now: u64,
+        from: u64,
+        w: &DutySay,
+        number: u64,
+        most: impl Fn(Vec<u64>) -> bool,
+    ) -> bool {
+        let Some((ask, at)) = &self.asks else { return false };
         // What has lapsed is not held again under the same epoch.
-        if w.asked != asked || self.held.is_some_and(|(_, until)| now >= until) {
+        if w.asked != ask.asked || ask.on != number || self.held.is_some_and(|held| now >= held.until) {
             return false;
         }
         if !w.yes {
-            // Another epoch is ahead: the next word asks above it.
-            if self.held.is_none() && w.epoch >= epoch {
+            // Another epoch is ahead: the next word asks above it, and what was said to this one is void.
+            if self.held.is_none() && w.epoch >= ask.epoch {
                 self.epoch = self.epoch.max(w.epoch);
-                self.asks = Some((w.epoch + 1, asked, at));
+                self.asks = None;
             }
             return false;
         }
-        self.yes.insert(from, now);
-        if !most(self.yes.keys().copied().collect()) {
+        self.yes.insert(from);
+        if !most(self.yes.iter().copied().collect()) {
             return false;
         }
-        let new = self.holds(now).is_none();
-        self.held = Some((epoch, at + LEASE - EARLY));
+        let new = self.held.is_none_or(|held| held.on != number);
+        self.held = Some(Held { epoch: ask.epoch, until: *at + LEASE - EARLY, on: ask.on });
         new
     }
 
--- a/crates/zugspitze/tests/register.rs
+++ b/crates/zugspitze/tests/register.rs
@@ -201,32 +201,69 @@
 }
 
 #[parameterized(
-    nobody_yet = { 5_000, 1, 1, true },
-    just_started = { 500, 1, 1, false },
-    another_in_its_lease = { 5_100, 2, 2, false },
-    another_later = { 8_000, 2, 2, true },
-    an_epoch_of_before = { 8_000, 2, 1, false },
-    the_same_anew = { 5_100, 1, 4, true },
+    nobody_yet = { 5_000, 1, 7, 1, true },
+    just_started = { 500, 1, 7, 1, false },
+    another_in_its_lease = { 5_100, 2, 8, 2, false },
+    another_later = { 8_000, 2, 8, 2, true },
+    an_epoch_of_before = { 8_000, 2, 8, 1, false },
+    the_same_again = { 5_100, 1, 7, 1, true },
+    the_same_anew = { 5_100, 1, 7, 4, true },
+    a_new_life_under_its_old_epoch = { 5_100, 1, 6, 1, false },
+    a_new_life_under_a_new_one = { 5_100, 1, 6, 2, true },
 )]
-fn a_duty_is_supported_for_one_at_a_time(now: u64, from: u64, epoch: u64, yes: bool) {
-    let mut duty = Duty::new(3, 0, false, 0);
+fn a_duty_is_supported_for_one_at_a_time(now: u64, from: u64, life: u64, epoch: u64, yes: bool) {
+    let mut duty = Duty::new(3, 9, 0, false, 0);
     if now > 5_000 {
-        duty.hear_ask(5_000, 1, &DutyAsk { epoch: 1, asked: 1, lease_ms: 2_000 });
+        duty.hear_ask(5_000, 1, &DutyAsk { epoch: 1, asked: 1, lease_ms: 2_000, life: 7, on: 0 }, 0);
     }
-    assert_eq!(duty.hear_ask(now, from, &DutyAsk { epoch, asked: 2, lease_ms: 2_000 }).yes, yes);
+    assert_eq!(
+        duty.hear_ask(now, from, &DutyAsk { epoch, asked: 2, lease_ms: 2_000, life, on: 0 }, 0).yes,
+        yes
+    );
 }
 
 #[test]
 fn what_has_lapsed_is_not_held_again_by_a_late_word() {
-    let mut duty = Duty::new(1, 0, true, 0);
-    let ask = duty.tick(0, true).expect("asks");
+    let mut duty = Duty::new(1, 9, 0, true, 0);
+    let ask = duty.tick(0, true, 0).expect("asks");
     let yes = DutySay { epoch: ask.epoch, asked: ask.asked, yes: true };
     let most = |ids: Vec<u64>| ids.len() >= 2;
-    assert!(!duty.hear_say(1, 1, &yes, most));
-    assert!(duty.hear_say(2, 2, &yes, most));
+    assert!(!duty.hear_say(1, 1, &yes, 0, most));
+    assert!(duty.hear_say(2, 2, &yes, 0, most));
     assert_eq!(duty.holds(1_000), Some(1));
     assert_eq!(duty.holds(3_000), None);
-    assert!(!duty.hear_say(3_000, 3, &yes, most));
-    let next = duty.tick(3_000, true).expect("asks anew");
+    assert!(!duty.hear_say(3_000, 3, &yes, 0, most));
+    let next = duty.tick(3_000, true, 0).expect("asks anew");
     assert!(next.epoch > ask.epoch);
 }
+
+#[test]
+fn who_counts_is_changed_only_by_the_support_of_those_who_count() {
+    let mut duty = Duty::new(1, 9, 0, true, 0);
+    let most = |ids: Vec<u64>| ids.len() >= 2;
+    let say = |ask: &DutyAsk| DutySay { epoch: ask.epoch, asked: ask.asked, yes: true };
+    let on_7 = duty.tick(0, true, 7).expect("asks");
+    duty.hear_say(1, 1, &say(&on_7), 7, most);
+    assert!(duty.hear_say(2, 2, &say(&on_7), 7, most) && duty.holds_on(3, 7));
+    // The next value may name others: they are asked at once, and words about the last one count for nothing.
+    assert!(duty.holds(3).is_some() && !duty.holds_on(3, 8));
+    let on_8 = duty.tick(4, true, 8).expect("asks anew");
+    duty.hear_say(5, 1, &say(&on_7), 8, most);
+    assert!(!duty.hear_say(5, 2, &say(&on_7), 8, most));
+    duty.hear_say(6, 1, &say(&on_8), 8, most);
+    assert!(duty.hear_say(6, 2, &say(&on_8), 8, most) && duty.holds_on(7, 8));
+    assert_eq!((on_8.epoch, duty.holds(7)), (on_7.epoch, Some(on_7.epoch)));
+}
+
+#[test]
+fn support_under_one_epoch_does_not_count_under_another() {
+    let mut duty = Duty::new(1, 9, 0, true, 0);
+    let most = |ids: Vec<u64>| ids.len() >= 2;
+    let ask = duty.tick(0, true, 0).expect("asks");
+    let yes = DutySay { epoch: ask.epoch, asked: ask.asked, yes: true };
+    duty.hear_say(1, 1, &yes, 0, most);
+    duty.hear_say(2, 2, &DutySay { epoch: 6, yes: false, ..yes.clone() }, 0, most);
+    assert!(!duty.hear_say(3, 3, &yes, 0, most));
+    let next = duty.tick(500, true, 0).expect("asks above it");
+    assert_eq!((next.epoch, duty.holds(500)), (7, None));
+}
