--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -96,6 +96,8 @@
     pub cold: ColdStart,
     /// Replicas tell how many parts wait at them, in answers or to probes.
     pub queue_told: bool,
+    /// Replicas hold few parts that wait and turn the others away, so that nothing piles up there.
+    pub short_queues: bool,
     /// Nothing new may go to a replica later than this after it was told as draining or gone.
     pub drain_grace: Tenths,
     pub further_calls: Option<FurtherCalls>,
--- a/crates/linenthread-core/src/policy/settle.rs
+++ b/crates/linenthread-core/src/policy/settle.rs
@@ -119,13 +119,13 @@
         let owed = all / quotas.iter().sum::<f64>().max(0.001);
         let over = |(q, came): (&f64, &Fading)| all > 8.0 && came.weight > 1.25 * owed * q;
         let over_share = quotas.get(lookup.customer).zip(customers.get(lookup.customer)).is_some_and(over);
-        // What it costs for its gain, beside what all do: the dear are refused first, by chance.
         let cost = if self.deployment.gain_by_work { 1.0 } else { parts } / index.gain.max(0.001);
         let costs = &mut self.fleet.costs;
         (costs.weight, costs.sum) = (costs.weight + parts, costs.sum + parts * cost);
         let dear = cost * costs.weight / costs.sum.max(0.001);
         let dear = if over_share { dear / self.deployment.over_share_gain.max(0.1) } else { dear };
-        if self.chance.rand_float() > pressure.powf(-3.0 * dear) {
+        // The dear for their gain are refused first, by chance; none where queues are short.
+        if !self.deployment.short_queues && self.chance.rand_float() > pressure.powf(-3.0 * dear) {
             return Some(Why::Slow);
         }
         let favour = if dear < 1.0 { 1.25 } else { 1.0 };
--- a/crates/linenthread-drill/src/failover.rs
+++ b/crates/linenthread-drill/src/failover.rs
@@ -240,6 +240,7 @@
             },
             cold: ColdStart { share: COLD, warm_up: WARM_UP, multiple: 2.0, window: SECOND },
             queue_told: true,
+            short_queues: false,
             drain_grace: 0,
             further_calls: None,
             watch_roster: false,
--- a/crates/linenthread-drill/src/fleet.rs
+++ b/crates/linenthread-drill/src/fleet.rs
@@ -144,6 +144,7 @@
         },
         cold: ColdStart { share: 0.5, warm_up: 10_000, multiple: 2.0, window: 10_000 },
         queue_told: true,
+        short_queues: false,
         drain_grace: 20_000,
         further_calls: Some(FURTHER),
         watch_roster: false,
--- a/crates/linenthread-terms/src/lib.rs
+++ b/crates/linenthread-terms/src/lib.rs
@@ -169,6 +169,7 @@
             window: time(root, "safety.tip-after-ms")?,
         },
         queue_told: queue_told(root)?,
+        short_queues: false,
         drain_grace: find(root, "safety.drain-grace-ms").and_then(Value::as_f64).map_or(0, tenths),
         further_calls,
         watch_roster: need(root, "membership-mode", Value::as_str)? == "on_request",
--- a/crates/linenthread-terms/tests/settings.rs
+++ b/crates/linenthread-terms/tests/settings.rs
@@ -49,6 +49,7 @@
         },
         cold: ColdStart { share: 0.3, warm_up: 60_000, multiple: 2.5, window: 8_000 },
         queue_told: true,
+        short_queues: false,
         drain_grace: 6_000,
         further_calls: Some(FurtherCalls { free: 4.0, share: 0.1, window: 30_000 }),
         watch_roster: false,
--- a/crates/sonnblick/src/terms.rs
+++ b/crates/sonnblick/src/terms.rs
@@ -49,6 +49,7 @@
         // Replicas say when they are slow after their start; nothing says that they fall over.
         cold: ColdStart { share: 1.0, warm_up: 0, multiple: 1.0, window: 10_000 },
         queue_told: false,
+        short_queues: true,
         drain_grace: 0,
         further_calls: Some(FurtherCalls {
             free: 0.0,
