--- a/crates/linenthread-drill/src/system.rs
+++ b/crates/linenthread-drill/src/system.rs
@@ -722,12 +722,17 @@
         self.nodes.iter().filter(|n| lost(n)).count()
     }
 
-    /// Each machine that is there counts, by its disk's name: the budget holds from then on.
+    /// Each machine that is there counts, by its disk's name, and more than half have that on disk: the budget
+    /// holds from then on.
     fn all_count(&self) -> bool {
         let Some((_, newest)) = self.values.last_key_value() else { return false };
-        let live = self.nodes.iter().filter(|n| !n.removed);
-        let ids: Vec<Option<u64>> = live.map(|n| n.disk.iter().find_map(|r| r.id)).collect();
-        newest.voters.len() == ids.len() && newest.voters.iter().all(|v| ids.contains(&Some(v.id)))
+        let live = || self.nodes.iter().filter(|n| !n.removed);
+        let ids: Vec<Option<u64>> = live().map(|n| n.disk.iter().find_map(|r| r.id)).collect();
+        let has = |r: &Record| r.decided.as_ref().is_some_and(|d| d.number == newest.number);
+        let have = live().filter(|n| n.disk.iter().any(has)).count();
+        newest.voters.len() == ids.len()
+            && newest.voters.iter().all(|v| ids.contains(&Some(v.id)))
+            && have * 2 > ids.len()
     }
 
     fn trouble(&mut self) {
