--- a/crates/sonnblick/src/clock.rs
+++ b/crates/sonnblick/src/clock.rs
@@ -3,9 +3,14 @@
 
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
 
+/// Milliseconds since the process first asked, about its start.
+pub fn age_ms() -> u64 {
+    START.elapsed().as_millis() as u64
+}
+
 /// Milliseconds of the steady clock; the first is not 0, so that ages can be taken off.
 pub fn ms() -> u64 {
-    1_000_000 + START.elapsed().as_millis() as u64
+    1_000_000 + age_ms()
 }
 
 /// Tenths of a millisecond, as the decision module counts.
--- a/crates/sonnblick/src/links.rs
+++ b/crates/sonnblick/src/links.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 use valentia::{Word, decode, encode};
 
+use crate::clock;
 use crate::errors::{Error, step};
 
 /// Words that may wait to be written; a peer that lets more wait is let go.
@@ -26,7 +27,16 @@
     let _ = socket.set_tcp_keepalive(&keep);
 }
 
+/// A process that has just started may have company in that: who is still dark says nothing, and is back soon.
+const YOUNG: (u64, Duration) = (3_000, Duration::from_millis(120));
+
+/// How long a dial is waited for, by the age of this process.
+fn patience(age: u64, within: Duration) -> Duration {
+    if age < YOUNG.0 { within.min(YOUNG.1) } else { within }
+}
+
 pub async fn dial(address: SocketAddr, within: Duration) -> Result<TcpStream, Error> {
+    let within = patience(clock::age_ms(), within);
     let connect = TcpStream::connect(address);
     let stream = match tokio::time::timeout(within, connect).await {
         Ok(done) => done.map_err(step("dialling", address))?,
@@ -77,3 +87,21 @@
     };
     tokio::select! { done = reading => done, done = writing => done }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use yare::parameterized;
+
+    #[parameterized(
+        young = { 0, 600, 120 },
+        still_young = { 2_999, 700, 120 },
+        grown = { 3_000, 600, 600 },
+        in_more_of_a_hurry = { 10, 50, 50 },
+    )]
+    fn a_young_process_does_not_wait_long_for_one_that_is_dark(age: u64, within: u64, waits: u64) {
+        let ms = Duration::from_millis;
+        assert_eq!(super::patience(age, ms(within)), ms(waits));
+    }
+}
