--- a/crates/sonnblick/src/links.rs
+++ b/crates/sonnblick/src/links.rs
@@ -94,6 +94,8 @@
 
     use yare::parameterized;
 
+    use super::patience;
+
     #[parameterized(
         young = { 0, 600, 120 },
         still_young = { 2_999, 700, 120 },
@@ -102,6 +104,6 @@
     )]
     fn a_young_process_does_not_wait_long_for_one_that_is_dark(age: u64, within: u64, waits: u64) {
         let ms = Duration::from_millis;
-        assert_eq!(super::patience(age, ms(within)), ms(waits));
+        assert_eq!(patience(age, ms(within)), ms(waits));
     }
 }
