A replaced disk is swapped in one step again; the duty follows the chain of values instead

Change: the swap is one value as before. That two lots of supporters then need not meet is covered by: no support while a value is in doubt, a lease's wait of a disk that counts anew, and the epoch of the change in the value. What stays in doubt for a second is completed, so that the duty is not held up by it.

--- a/crates/lerwick/src/control.rs
+++ b/crates/lerwick/src/control.rs
@@ -155,6 +155,10 @@
     ticked: u64,
     batched: u64,
     voting: bool,
+    /// Its disk counts, by the newest value.
+    counted: bool,
+    /// For so many ticks in a row a value has been in doubt.
+    doubts: u32,
     /// The epoch under which this life last held the duty.
     held: Option<u64>,
     given: BTreeMap<(String, u64), u64>,
@@ -190,6 +194,8 @@
             ticked: 0,
             batched: 0,
             voting: false,
+            counted: false,
+            doubts: 0,
             held: None,
             given: BTreeMap::new(),
             own_words: VecDeque::new(),
@@ -203,6 +209,9 @@
         for voter in control.register.voters().to_vec() {
             control.learn_hub(now, &voter.address);
         }
+        control.counted = control.register.voters().iter().any(|v| v.id == id);
+        let floor = control.register.decided().map_or(0, |d| d.epoch);
+        control.duty.decided(now, floor, false);
         // Replicas of before may be there still: they have as long as any to say so.
         for replica in &replicas {
             control.cells.hear(now, replica, &mut Vec::new());
@@ -822,6 +831,9 @@
         }
         // The duty is asked for anew, of those who count now.
         self.ticked = 0;
+        let counts = value.voters.iter().any(|v| v.id == self.register.id());
+        self.duty.decided(now, value.epoch, counts && !self.counted);
+        self.counted = counts;
         let links: Vec<(Link, bool)> = self.peers.iter().map(|(l, p)| (*l, p.hub)).collect();
         for (link, hub) in links {
             if hub { self.send_value(link, out) } else { self.tell(now, link, out) }
@@ -854,7 +866,8 @@
     /// Supports who asks for the duty, or not; a new epoch is on disk before it is said.
     fn support(&mut self, now: u64, from: u64, ask: &DutyAsk, out: &mut Vec<Out>) {
         let before = self.duty.epoch();
-        let say = Word::DutySay(self.duty.hear_ask(now, from, ask, self.value_number()));
+        let number = Some(self.value_number()).filter(|_| !self.register.in_doubt());
+        let say = Word::DutySay(self.duty.hear_ask(now, from, ask, number));
         let epoch = self.duty.epoch();
         if epoch > before {
             out.push(Out::Keep { record: Record { epoch, ..Record::default() }, then: vec![(from, say)] });
@@ -892,7 +905,7 @@
 
     /// The holder of the duty keeps the set of counted disks to the machines that are there: one change at a
     /// time.
-    fn keep_voters(&mut self, now: u64, out: &mut Vec<Out>) {
+    fn keep_voters(&mut self, now: u64, epoch: u64, out: &mut Vec<Out>) {
         if self.voting || !self.is_whole() || !self.duty.holds_on(now, self.value_number()) {
             return;
         }
@@ -909,12 +922,13 @@
             let at = self.seen.get(&v.address).map_or(self.began, |s| s.at);
             !disks.contains(&v.id) && now > at.max(self.whole_since.unwrap_or(now)) + LOST
         };
-        // One comes or one goes: any two sets in a row have more than half in common.
         let mut next = voters.clone();
-        let gone = voters.iter().position(|v| replaced(v) || lost(v));
-        match (gone, spare.first()) {
-            (Some(gone), _) if voters.len() > self.local.least => drop(next.remove(gone)),
-            (_, Some(new)) => next.push(new.clone()),
+        let there = |v: &Voter| spare.iter().find(|s| s.address == v.address);
+        let replaced = voters.iter().position(|v| replaced(v) && there(v).is_some());
+        match (replaced.or(voters.iter().position(lost)), spare.first()) {
+            (Some(gone), Some(new)) => next[gone] = there(&voters[gone]).unwrap_or(new).clone(),
+            (Some(gone), None) if voters.len() > self.local.least => drop(next.remove(gone)),
+            (None, Some(new)) => next.push(new.clone()),
             _ => return,
         }
         self.voting = true;
@@ -923,7 +937,7 @@
         self.wanted.insert(job, Wanted::Voters);
         let names: Vec<&str> = next.iter().map(|v| v.address.as_str()).collect();
         out.push(Out::Note(format!("event=counted_change on={on} counted={}", names.join(","))));
-        let change = Change::Voters { on, voters: next };
+        let change = Change::Voters { on, voters: next, epoch };
         self.agree(now, |register, outs| register.propose(now, job, change, now + 3 * CALL, outs), out);
     }
 
@@ -1005,6 +1019,11 @@
         safe.retain(|ident| cells.get(ident).is_some());
         let fronts: Vec<Link> = self.peers.iter().filter(|(_, p)| !p.hub).map(|(l, _)| *l).collect();
         fronts.into_iter().for_each(|link| self.confirm(now, link, out));
+        // What stays in doubt is decided one way or the other: nobody is supported meanwhile.
+        self.doubts = if self.register.in_doubt() { self.doubts + 1 } else { 0 };
+        if self.doubts > 1 {
+            self.agree(now, |register, outs| (register.complete(), register.tick(now, outs)).1, out);
+        }
         let first = self.is_first();
         if let Some(ask) = self.duty.tick(now, first, self.value_number()) {
             for (link, _) in self.live_hubs() {
@@ -1014,7 +1033,7 @@
         }
         if let Some(epoch) = self.duty.holds(now) {
             self.give(now, epoch, out);
-            self.keep_voters(now, out);
+            self.keep_voters(now, epoch, out);
         }
     }
 
--- a/crates/valentia/src/words.rs
+++ b/crates/valentia/src/words.rs
@@ -38,6 +38,9 @@
     /// What was taken of late, oldest first.
     #[prost(message, repeated, tag = "5")]
     pub taken: Vec<Taken>,
+    /// The epoch under which the voters were last changed: whoever has this value supports none below it.
+    #[prost(uint64, tag = "6")]
+    pub epoch: u64,
 }
 
 /// Greater rounds win; the proposer tells equal ones apart.
--- a/crates/zugspitze/src/duty.rs
+++ b/crates/zugspitze/src/duty.rs
@@ -58,7 +58,7 @@
     }
 
     /// Whether it holds it by the support of those whom the value of this number names. Only then may it change
-    /// who they are: any two sets of supporters in a row have one in common, *one-holder-an-epoch*.
+    /// who they are, *one-holder-an-epoch*.
     pub fn holds_on(&self, now: u64, number: u64) -> bool {
         self.held.is_some_and(|held| now < held.until && held.on == number)
     }
@@ -95,13 +95,23 @@
         self.epoch
     }
 
-    /// Another's wish, or its own, where the newest value here has this number. Both must have the same one.
-    pub fn hear_ask(&mut self, now: u64, from: u64, w: &DutyAsk, number: u64) -> DutySay {
+    /// A value is decided: nothing below its epoch is supported. A disk that counts only from now on has not been
+    /// asked so far, and supports nobody while others' earlier support may last.
+    pub fn decided(&mut self, now: u64, epoch: u64, counts_anew: bool) {
+        self.epoch = self.epoch.max(epoch);
+        if counts_anew {
+            self.until = self.until.max(now + LEASE);
+        }
+    }
+
+    /// Another's wish, or its own, where the newest value here has this number; none while another value is in
+    /// doubt. Both must have the same one.
+    pub fn hear_ask(&mut self, now: u64, from: u64, w: &DutyAsk, number: Option<u64>) -> DutySay {
         // Who is supported may go on, under a new epoch as well: two that wait for each other's leases to end
         // would else never end together. A new life of it needs an epoch of its own.
         let same = self.supports == Some((from, w.life)) && w.epoch >= self.epoch;
         let again = self.supports.is_some_and(|(disk, _)| disk == from) || now >= self.until;
-        let yes = w.on == number && (same || again && w.epoch > self.epoch);
+        let yes = number == Some(w.on) && (same || again && w.epoch > self.epoch);
         if yes {
             (self.supports, self.epoch) = (Some((from, w.life)), w.epoch);
             self.until = now + u64::from(w.lease_ms).min(LEASE);
--- a/crates/zugspitze/src/register.rs
+++ b/crates/zugspitze/src/register.rs
@@ -37,7 +37,7 @@
     /// A configuration, on top of the revision it builds on.
     Document { base: u64, revision: u64, document: Vec<u8> },
     /// Other disks to count, on top of the value of this number.
-    Voters { on: u64, voters: Vec<Voter> },
+    Voters { on: u64, voters: Vec<Voter>, epoch: u64 },
     /// Only what is half done.
     Completion,
 }
@@ -217,6 +217,16 @@
         known.collect::<BTreeSet<u64>>().len() * 2 > self.voters().len() && !self.voters().is_empty()
     }
 
+    /// Its disk took part in a value that, as far as it knows, is not decided.
+    pub fn in_doubt(&self) -> bool {
+        self.accepted.is_some()
+    }
+
+    /// Sees to it that what is in doubt is decided.
+    pub fn complete(&mut self) {
+        self.pending |= self.accepted.is_some();
+    }
+
     /// Something waits for words that may be lost.
     pub fn is_busy(&self) -> bool {
         !self.jobs.is_empty() || !self.readers.is_empty() || self.question.is_some() || self.pending
@@ -453,9 +463,9 @@
                         return Some(value);
                     }
                 }
-                Change::Voters { on, voters } if *on == decided.number && !voters.is_empty() => {
+                Change::Voters { on, voters, epoch } if *on == decided.number && !voters.is_empty() => {
                     let number = decided.number + 1;
-                    return Some(Value { number, voters: voters.clone(), ..decided.clone() });
+                    return Some(Value { number, voters: voters.clone(), epoch: *epoch, ..decided.clone() });
                 }
                 Change::Voters { .. } => Outcome::Conflict(decided.revision),
                 Change::Completion => Outcome::Taken(decided.revision),
--- a/crates/zugspitze/tests/register.rs
+++ b/crates/zugspitze/tests/register.rs
@@ -214,10 +214,10 @@
 fn a_duty_is_supported_for_one_at_a_time(now: u64, from: u64, life: u64, epoch: u64, yes: bool) {
     let mut duty = Duty::new(3, 9, 0, false, 0);
     if now > 5_000 {
-        duty.hear_ask(5_000, 1, &DutyAsk { epoch: 1, asked: 1, lease_ms: 2_000, life: 7, on: 0 }, 0);
+        duty.hear_ask(5_000, 1, &DutyAsk { epoch: 1, asked: 1, lease_ms: 2_000, life: 7, on: 0 }, Some(0));
     }
     assert_eq!(
-        duty.hear_ask(now, from, &DutyAsk { epoch, asked: 2, lease_ms: 2_000, life, on: 0 }, 0).yes,
+        duty.hear_ask(now, from, &DutyAsk { epoch, asked: 2, lease_ms: 2_000, life, on: 0 }, Some(0)).yes,
         yes
     );
 }
@@ -267,3 +267,19 @@
     let next = duty.tick(500, true, 0).expect("asks above it");
     assert_eq!((next.epoch, duty.holds(500)), (7, None));
 }
+
+#[parameterized(
+    sound = { Some(0), false, 1, true },
+    a_value_is_in_doubt = { None, false, 1, false },
+    another_value = { Some(1), false, 1, false },
+    counts_only_from_now_on = { Some(0), true, 1, false },
+    below_the_values_epoch = { Some(0), false, 0, false },
+)]
+fn support_waits_for_what_is_decided(number: Option<u64>, anew: bool, above: u64, yes: bool) {
+    let mut duty = Duty::new(3, 9, 0, false, 0);
+    duty.decided(5_000, 4, anew);
+    let ask = DutyAsk { epoch: 4 + above, asked: 1, lease_ms: 2_000, life: 7, on: 0 };
+    assert_eq!(duty.hear_ask(6_900, 1, &ask, number).yes, yes);
+    // Later it waits for nothing but a value that both have, and an epoch above.
+    assert_eq!(duty.hear_ask(7_100, 1, &ask, Some(0)).yes, above > 0);
+}
