--- a/crates/linenthread-drill/src/system.rs
+++ b/crates/linenthread-drill/src/system.rs
@@ -728,7 +728,7 @@
         let Some((_, newest)) = self.values.last_key_value() else { return false };
         let live = || self.nodes.iter().filter(|n| !n.removed);
         let ids: Vec<Option<u64>> = live().map(|n| n.disk.iter().find_map(|r| r.id)).collect();
-        let has = |r: &Record| r.decided.as_ref().is_some_and(|d| d.number == newest.number);
+        let has = |r: &Record| r.decided.as_ref().is_some_and(|d| d.voters == newest.voters);
         let have = live().filter(|n| n.disk.iter().any(has)).count();
         newest.voters.len() == ids.len()
             && newest.voters.iter().all(|v| ids.contains(&Some(v.id)))
