No panic where the words that give the duty come after its lease, nor on a desk of no service

Found on reading over: a frozen hub that wakes to the last yes would have taken epoch 0 (an underflow, in a build with checks a panic); the line of what was given up took the first service of a desk that may have none. Test: words_that_come_after_the_lease_give_no_duty.

--- a/crates/lerwick/src/control.rs
+++ b/crates/lerwick/src/control.rs
@@ -882,10 +882,8 @@
         if self.duty.hear_say(now, disk, w, number, |ids| register.is_most(ids)) {
             // What it has to do does not wait for the next tick.
             self.ticked = 0;
-            if before.is_some() {
-                return;
-            }
-            let epoch = self.duty.holds(now).unwrap_or(0);
+            // Held already, or the words came so late that it has ended.
+            let Some(epoch) = self.duty.holds(now).filter(|_| before.is_none()) else { return };
             // Under the very next epoch nobody can have held it in between: what this hub gave is all there is.
             if self.held != Some(epoch - 1) {
                 self.budget.begin(now, self.local.first_of_all && epoch == 1);
--- a/crates/sonnblick/src/desk.rs
+++ b/crates/sonnblick/src/desk.rs
@@ -251,7 +251,8 @@
         let given_up = std::mem::take(&mut inner.acts.given_up);
         if given_up != GivenUp::default() {
             let GivenUp { late, fells, hopeless, slow, full } = given_up;
-            log::info!(service = &*self.services[0], of = self.services.len(), late = late, fells = fells,
+            let service = self.services.first().map_or("", |s| s);
+            log::info!(service = service, of = self.services.len(), late = late, fells = fells,
                 hopeless = hopeless, slow = slow, full = full; "event=given_up");
         }
         if inner.gone.is_empty() {
--- a/crates/zugspitze/tests/register.rs
+++ b/crates/zugspitze/tests/register.rs
@@ -283,3 +283,16 @@
     // Later it waits for nothing but a value that both have, and an epoch above.
     assert_eq!(duty.hear_ask(7_100, 1, &ask, Some(0)).yes, above > 0);
 }
+
+#[test]
+fn words_that_come_after_the_lease_give_no_duty() {
+    let mut duty = Duty::new(1, 9, 0, true, 0);
+    let most = |ids: Vec<u64>| ids.len() >= 2;
+    let ask = duty.tick(0, true, 0).expect("asks");
+    let yes = DutySay { epoch: ask.epoch, asked: ask.asked, yes: true };
+    duty.hear_say(1, 1, &yes, 0, most);
+    // It was frozen meanwhile.
+    duty.hear_say(5_000, 2, &yes, 0, most);
+    assert_eq!(duty.holds(5_000), None);
+    assert!(!duty.holds_on(5_000, 0));
+}
