--- a/crates/kew/tests/told.rs
+++ b/crates/linenthread-config/tests/told.rs
@@ -1,6 +1,6 @@
 //! What the system is told: each fault names its place, and what is good is read as it was meant.
 
-use kew::{Configuration, Plan, Settings, Target};
+use linenthread_config::{Configuration, Plan, Settings, Target};
 use yare::parameterized;
 
 const SETTINGS: &str = "node_name=hub-1\nzone=a\nip_addr=10.1.0.3\nprovides=control\n\
--- a/crates/zugspitze/src/duty.rs
+++ b/crates/linenthread-consensus/src/lease.rs
@@ -1,10 +1,10 @@
 use std::collections::BTreeSet;
 
-use valentia::{DutyAsk, DutySay};
+use linenthread_messages::{LeaseRequest, LeaseVote};
 
 /// A support is given for so long, from when it is heard; the holder counts from when it asked.
 const LEASE: u64 = 2_000;
-/// The holder asks anew after so long, and gives up its duty so much before the lease ends.
+/// The holder asks anew after so long, and gives up its lease so much before the lease ends.
 const RENEW: u64 = 450;
 const EARLY: u64 = 200;
 
@@ -16,8 +16,8 @@
     on: u64,
 }
 
-/// One machine's part in the lease of a duty: it supports one holder at a time, and may hold it itself.
-pub struct Duty {
+/// One machine's part in the leader lease: it supports one holder at a time, and may hold it itself.
+pub struct LeaderLease {
     id: u64,
     life: u64,
     /// Which disk's machine it supports, in which life, under which epoch and until when; nobody new before then.
@@ -25,7 +25,7 @@
     epoch: u64,
     until: u64,
     /// What it asks for itself, and since when.
-    asks: Option<(DutyAsk, u64)>,
+    asks: Option<(LeaseRequest, u64)>,
     words: u64,
     yes: BTreeSet<u64>,
     held: Option<Held>,
@@ -33,12 +33,12 @@
     past: u64,
 }
 
-impl Duty {
+impl LeaderLease {
     /// Whom an earlier life supported is not known any more, only under which epoch: nobody new is supported
     /// until that has ended.
-    pub fn new(id: u64, life: u64, now: u64, first_of_all: bool, epoch: u64) -> Duty {
+    pub fn new(id: u64, life: u64, now: u64, first_of_all: bool, epoch: u64) -> LeaderLease {
         let until = if first_of_all { now } else { now + LEASE };
-        Duty {
+        LeaderLease {
             id,
             life,
             supports: None,
@@ -52,7 +52,7 @@
         }
     }
 
-    /// The epoch under which this machine holds the duty now.
+    /// The epoch under which this machine holds the lease now.
     pub fn holds(&self, now: u64) -> Option<u64> {
         self.held.filter(|held| now < held.until).map(|held| held.epoch)
     }
@@ -63,9 +63,9 @@
         self.held.is_some_and(|held| now < held.until && held.on == number)
     }
 
-    /// Asks for the duty, or for more time, of those whom the value of this number names; `first` says that
+    /// Asks for the lease, or for more time, of those whom the value of this number names; `first` says that
     /// nobody before it in the order is in touch.
-    pub fn tick(&mut self, now: u64, first: bool, number: u64) -> Option<DutyAsk> {
+    pub fn tick(&mut self, now: u64, first: bool, number: u64) -> Option<LeaseRequest> {
         let holds = self.holds(now).is_some();
         if let Some(held) = self.held.filter(|_| !holds) {
             (self.held, self.asks, self.past) = (None, None, held.epoch);
@@ -84,7 +84,7 @@
         };
         self.words += 1;
         let (asked, life) = (self.words, self.life);
-        let ask = DutyAsk { epoch, asked, lease_ms: LEASE as u32, life, on: number };
+        let ask = LeaseRequest { epoch, asked, lease_ms: LEASE as u32, life, on: number };
         self.asks = Some((ask.clone(), now));
         self.yes.clear();
         Some(ask)
@@ -106,7 +106,13 @@
 
     /// Another's wish, or its own, where the newest value here has this number; none while another value is in
     /// doubt. Both must have the same one.
-    pub fn hear_ask(&mut self, now: u64, from: u64, w: &DutyAsk, number: Option<u64>) -> DutySay {
+    pub fn on_lease_request(
+        &mut self,
+        now: u64,
+        from: u64,
+        w: &LeaseRequest,
+        number: Option<u64>,
+    ) -> LeaseVote {
         // Who is supported may go on, under a new epoch as well: two that wait for each other's leases to end
         // would else never end together. A new life of it needs an epoch of its own.
         let same = self.supports == Some((from, w.life)) && w.epoch >= self.epoch;
@@ -116,16 +122,16 @@
             (self.supports, self.epoch) = (Some((from, w.life)), w.epoch);
             self.until = now + u64::from(w.lease_ms).min(LEASE);
         }
-        DutySay { epoch: self.epoch, asked: w.asked, yes }
+        LeaseVote { epoch: self.epoch, asked: w.asked, yes }
     }
 
-    /// An answer; true if the duty is this machine's from now on, or by the support that this value asks for,
+    /// An answer; true if the lease is this machine's from now on, or by the support that this value asks for,
     /// and was not before.
-    pub fn hear_say(
+    pub fn on_lease_vote(
         &mut self,
         now: u64,
         from: u64,
-        w: &DutySay,
+        w: &LeaseVote,
         number: u64,
         most: impl Fn(Vec<u64>) -> bool,
     ) -> bool {
--- a/crates/zugspitze/src/register.rs
+++ b/crates/linenthread-consensus/src/register.rs
@@ -1,10 +1,10 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use oorandom::Rand64;
-use valentia::{
-    Accept, Accepted, Ask, Ballot, Lacking, Prepare, Promise, Record, Refused, Replica, Taken, Told, Took,
-    Value, Voter, Word,
+use linenthread_messages::{
+    Accept, AcceptAck, Accepted, Ballot, CatchUpRequest, PeerMessage, Prepare, Promise, ReadReply,
+    ReadRequest, Record, Rejected, Replica, Taken, Value, Voter,
 };
+use oorandom::Rand64;
 
 /// A word that got no answer is said again after so long.
 const AGAIN: u64 = 150;
@@ -56,16 +56,16 @@
 }
 
 #[derive(Debug)]
-pub enum Out {
+pub enum Effect {
     /// To the machine of this disk.
     Send {
         to: u64,
-        word: Word,
+        word: PeerMessage,
     },
     /// To be synced before the words behind it go out.
     Keep {
         record: Record,
-        then: Vec<(u64, Word)>,
+        then: Vec<(u64, PeerMessage)>,
     },
     /// The newest value now.
     Decided(Value),
@@ -77,7 +77,7 @@
 
 /// What a disk holds, record by record.
 #[derive(Clone, Debug, Default)]
-pub struct Kept {
+pub struct DurableState {
     pub id: Option<u64>,
     decided: Option<Value>,
     number: u64,
@@ -88,7 +88,7 @@
     pub replicas: Vec<Replica>,
 }
 
-impl Kept {
+impl DurableState {
     /// Takes the next record, oldest first.
     pub fn add(&mut self, record: Record) {
         self.id = record.id.or(self.id);
@@ -175,7 +175,7 @@
 
 impl Register {
     /// From what the disk holds; `genesis` is value 0 where all start for the first time.
-    pub fn new(id: u64, kept: Kept, genesis: Option<Value>, seed: u64) -> Register {
+    pub fn new(id: u64, kept: DurableState, genesis: Option<Value>, seed: u64) -> Register {
         let decided = kept.decided.or(genesis);
         let next = decided.as_ref().map_or(0, |d| d.number + 1);
         let current = kept.number == next && decided.is_some();
@@ -236,14 +236,14 @@
         self.decided.as_ref().map_or(0, |d| d.number + 1)
     }
 
-    fn to_all(&self, word: &Word, out: &mut Vec<Out>) {
-        out.extend(self.voters().iter().map(|v| Out::Send { to: v.id, word: word.clone() }));
+    fn to_all(&self, word: &PeerMessage, out: &mut Vec<Effect>) {
+        out.extend(self.voters().iter().map(|v| Effect::Send { to: v.id, word: word.clone() }));
     }
 
     /// Wants a change by then.
-    pub fn propose(&mut self, now: u64, job: Job, change: Change, until: u64, out: &mut Vec<Out>) {
+    pub fn propose(&mut self, now: u64, job: Job, change: Change, until: u64, out: &mut Vec<Effect>) {
         if self.jobs.len() >= WAITING || self.decided.is_none() {
-            out.push(Out::Reply { job, outcome: Outcome::Unclear });
+            out.push(Effect::Reply { job, outcome: Outcome::Unclear });
             return;
         }
         self.jobs.push_back(Waiting { job, change, until });
@@ -251,9 +251,9 @@
     }
 
     /// Wants the newest value by then.
-    pub fn read(&mut self, now: u64, job: Job, until: u64, out: &mut Vec<Out>) {
+    pub fn read(&mut self, now: u64, job: Job, until: u64, out: &mut Vec<Effect>) {
         if self.readers.len() >= WAITING || self.decided.is_none() {
-            out.push(Out::Reply { job, outcome: Outcome::Unclear });
+            out.push(Effect::Reply { job, outcome: Outcome::Unclear });
             return;
         }
         self.readers.push((job, until));
@@ -261,8 +261,8 @@
     }
 
     /// Ends what took too long, says again what got no answer, begins what waits.
-    pub fn tick(&mut self, now: u64, out: &mut Vec<Out>) {
-        let mut unclear = |job| out.push(Out::Reply { job, outcome: Outcome::Unclear });
+    pub fn tick(&mut self, now: u64, out: &mut Vec<Effect>) {
+        let mut unclear = |job| out.push(Effect::Reply { job, outcome: Outcome::Unclear });
         self.jobs.retain(|w| w.until > now || (unclear(w.job), false).1);
         self.readers.retain(|w| w.1 > now || (unclear(w.0), false).1);
         if let Some(question) = &mut self.question {
@@ -280,7 +280,7 @@
                 jobs: std::mem::take(&mut self.readers),
                 told: BTreeMap::new(),
             };
-            self.to_all(&Word::Ask(Ask { question: question.number }), out);
+            self.to_all(&PeerMessage::ReadRequest(ReadRequest { question: question.number }), out);
             self.question = Some(question);
         }
         if self.round.as_ref().is_some_and(|r| now >= r.began + ROUND) {
@@ -300,15 +300,15 @@
     }
 
     /// What the round on hand says to the counted disks.
-    fn round_word(&self) -> Option<Word> {
+    fn round_word(&self) -> Option<PeerMessage> {
         let round = self.round.as_ref()?;
         Some(match round.value.clone() {
-            Some(value) => Word::Accept(Accept { ballot: round.ballot, value }),
-            None => Word::Prepare(Prepare { number: self.next(), ballot: round.ballot }),
+            Some(value) => PeerMessage::Accept(Accept { ballot: round.ballot, value }),
+            None => PeerMessage::Prepare(Prepare { number: self.next(), ballot: round.ballot }),
         })
     }
 
-    fn begin(&mut self, now: u64, out: &mut Vec<Out>) {
+    fn begin(&mut self, now: u64, out: &mut Vec<Effect>) {
         self.highest += 1;
         let ballot = Ballot { round: self.highest, proposer: self.life };
         self.round = Some(Round {
@@ -320,30 +320,30 @@
             value: None,
             took: BTreeSet::new(),
         });
-        self.to_all(&Word::Prepare(Prepare { number: self.next(), ballot }), out);
+        self.to_all(&PeerMessage::Prepare(Prepare { number: self.next(), ballot }), out);
     }
 
     /// A word from the machine of a disk; what is not for the register is passed over.
-    pub fn hear(&mut self, now: u64, from: u64, word: Word, out: &mut Vec<Out>) {
+    pub fn on_message(&mut self, now: u64, from: u64, word: PeerMessage, out: &mut Vec<Effect>) {
         match word {
-            Word::Prepare(w) => self.hear_prepare(from, &w, out),
-            Word::Accept(w) => self.hear_accept(from, w, out),
-            Word::Promise(w) => self.hear_promise(now, from, w, out),
-            Word::Took(w) => self.hear_took(now, from, &w, out),
-            Word::Refused(w) => self.hear_refused(now, &w),
-            Word::Lacking(w) => self.hear_lacking(from, &w, out),
-            Word::Decided(value) => self.adopt(now, value, out),
-            Word::Ask(w) => {
+            PeerMessage::Prepare(w) => self.on_prepare(from, &w, out),
+            PeerMessage::Accept(w) => self.on_accept(from, w, out),
+            PeerMessage::Promise(w) => self.on_promise(now, from, w, out),
+            PeerMessage::AcceptAck(w) => self.on_accept_ack(now, from, &w, out),
+            PeerMessage::Rejected(w) => self.on_rejected(now, &w),
+            PeerMessage::CatchUpRequest(w) => self.on_catch_up_request(from, &w, out),
+            PeerMessage::Decided(value) => self.adopt(now, value, out),
+            PeerMessage::ReadRequest(w) => {
                 if let Some(decided) = &self.decided {
-                    let told = Told {
+                    let told = ReadReply {
                         question: w.question,
                         decided: decided.number,
                         pending: self.accepted.is_some(),
                     };
-                    out.push(Out::Send { to: from, word: Word::Told(told) });
+                    out.push(Effect::Send { to: from, word: PeerMessage::ReadReply(told) });
                 }
             }
-            Word::Told(w) => self.hear_told(now, from, &w, out),
+            PeerMessage::ReadReply(w) => self.on_read_reply(now, from, &w, out),
             _ => {}
         }
     }
@@ -352,66 +352,66 @@
 
     /// Whether this disk may say anything on a value; otherwise the other side is told what it lacks, or we
     /// do.
-    fn takes_part(&self, from: u64, number: u64, out: &mut Vec<Out>) -> bool {
+    fn takes_part(&self, from: u64, number: u64, out: &mut Vec<Effect>) -> bool {
         let Some(decided) = &self.decided else {
-            out.push(Out::Send { to: from, word: Word::Lacking(Lacking::default()) });
+            out.push(Effect::Send { to: from, word: PeerMessage::CatchUpRequest(CatchUpRequest::default()) });
             return false;
         };
         if number <= decided.number {
-            out.push(Out::Send { to: from, word: Word::Decided(decided.clone()) });
+            out.push(Effect::Send { to: from, word: PeerMessage::Decided(decided.clone()) });
             return false;
         }
         if number > decided.number + 1 {
-            let lacking = Lacking { number: decided.number };
-            out.push(Out::Send { to: from, word: Word::Lacking(lacking) });
+            let lacking = CatchUpRequest { number: decided.number };
+            out.push(Effect::Send { to: from, word: PeerMessage::CatchUpRequest(lacking) });
             return false;
         }
         decided.voters.iter().any(|v| v.id == self.id)
     }
 
-    fn hear_prepare(&mut self, from: u64, w: &Prepare, out: &mut Vec<Out>) {
+    fn on_prepare(&mut self, from: u64, w: &Prepare, out: &mut Vec<Effect>) {
         if !self.takes_part(from, w.number, out) {
             return;
         }
         if let Some(promised) = self.promised.filter(|p| *p > w.ballot) {
-            let refused = Refused { number: w.number, promised };
-            out.push(Out::Send { to: from, word: Word::Refused(refused) });
+            let refused = Rejected { number: w.number, promised };
+            out.push(Effect::Send { to: from, word: PeerMessage::Rejected(refused) });
             return;
         }
         self.promised = Some(w.ballot);
         let promise = Promise { number: w.number, ballot: w.ballot, accepted: self.accepted.clone() };
-        out.push(Out::Keep {
+        out.push(Effect::Keep {
             record: Record { number: w.number, promised: self.promised, ..Record::default() },
-            then: vec![(from, Word::Promise(promise))],
+            then: vec![(from, PeerMessage::Promise(promise))],
         });
     }
 
-    fn hear_accept(&mut self, from: u64, w: Accept, out: &mut Vec<Out>) {
+    fn on_accept(&mut self, from: u64, w: Accept, out: &mut Vec<Effect>) {
         let number = w.value.number;
         if !self.takes_part(from, number, out) {
             return;
         }
         if let Some(promised) = self.promised.filter(|p| *p > w.ballot) {
-            out.push(Out::Send { to: from, word: Word::Refused(Refused { number, promised }) });
+            out.push(Effect::Send { to: from, word: PeerMessage::Rejected(Rejected { number, promised }) });
             return;
         }
-        let took = Took { number, ballot: w.ballot };
+        let took = AcceptAck { number, ballot: w.ballot };
         self.promised = Some(w.ballot);
         self.accepted = Some(Accepted { ballot: w.ballot, value: w.value });
-        out.push(Out::Keep {
+        out.push(Effect::Keep {
             record: Record {
                 number,
                 promised: self.promised,
                 accepted: self.accepted.clone(),
                 ..Record::default()
             },
-            then: vec![(from, Word::Took(took))],
+            then: vec![(from, PeerMessage::AcceptAck(took))],
         });
     }
 
     // --- proposer ---
 
-    fn hear_promise(&mut self, now: u64, from: u64, w: Promise, out: &mut Vec<Out>) {
+    fn on_promise(&mut self, now: u64, from: u64, w: Promise, out: &mut Vec<Effect>) {
         let next = self.next();
         let Some(round) = self.round.as_mut().filter(|r| r.ballot == w.ballot && w.number == next) else {
             return;
@@ -435,11 +435,11 @@
         };
         let round = self.round.as_mut().expect("is on");
         (round.value, round.said) = (Some(value.clone()), now);
-        self.to_all(&Word::Accept(Accept { ballot, value }), out);
+        self.to_all(&PeerMessage::Accept(Accept { ballot, value }), out);
     }
 
     /// The value that the first job makes of the newest one; jobs that come to nothing are answered.
-    fn wanted(&mut self, out: &mut Vec<Out>) -> Option<Value> {
+    fn wanted(&mut self, out: &mut Vec<Effect>) -> Option<Value> {
         let decided = self.decided.as_ref()?;
         while let Some(waiting) = self.jobs.front() {
             let outcome = match &waiting.change {
@@ -470,13 +470,13 @@
                 Change::Voters { .. } => Outcome::Conflict(decided.revision),
                 Change::Completion => Outcome::Taken(decided.revision),
             };
-            out.push(Out::Reply { job: waiting.job, outcome });
+            out.push(Effect::Reply { job: waiting.job, outcome });
             self.jobs.pop_front();
         }
         None
     }
 
-    fn hear_took(&mut self, now: u64, from: u64, w: &Took, out: &mut Vec<Out>) {
+    fn on_accept_ack(&mut self, now: u64, from: u64, w: &AcceptAck, out: &mut Vec<Effect>) {
         let next = self.next();
         let Some(round) = self.round.as_mut().filter(|r| r.ballot == w.ballot && w.number == next) else {
             return;
@@ -490,7 +490,7 @@
         }
     }
 
-    fn hear_refused(&mut self, now: u64, w: &Refused) {
+    fn on_rejected(&mut self, now: u64, w: &Rejected) {
         if w.number != self.next() {
             return;
         }
@@ -504,19 +504,19 @@
     }
 
     /// Another machine has less than we: it gets what it lacks, and the word again.
-    fn hear_lacking(&mut self, from: u64, w: &Lacking, out: &mut Vec<Out>) {
+    fn on_catch_up_request(&mut self, from: u64, w: &CatchUpRequest, out: &mut Vec<Effect>) {
         let Some(decided) = &self.decided else { return };
         if w.number >= decided.number && decided.number > 0 {
             return;
         }
-        out.push(Out::Send { to: from, word: Word::Decided(decided.clone()) });
+        out.push(Effect::Send { to: from, word: PeerMessage::Decided(decided.clone()) });
         if let Some(word) = self.round_word() {
-            out.push(Out::Send { to: from, word });
+            out.push(Effect::Send { to: from, word });
         }
     }
 
     /// Learns a value that is decided.
-    fn adopt(&mut self, now: u64, value: Value, out: &mut Vec<Out>) {
+    fn adopt(&mut self, now: u64, value: Value, out: &mut Vec<Effect>) {
         if self.decided.as_ref().is_some_and(|d| value.number <= d.number) {
             return;
         }
@@ -524,8 +524,8 @@
         (self.promised, self.accepted, self.round) = (None, None, None);
         (self.pending, self.highest, self.rest, self.ask_from) = (false, 0, 0, 0);
         let record = Record { decided: Some(value.clone()), ..Record::default() };
-        out.push(Out::Keep { record, then: Vec::new() });
-        out.push(Out::Decided(value));
+        out.push(Effect::Keep { record, then: Vec::new() });
+        out.push(Effect::Decided(value));
         // What was asked before this is asked anew, and jobs see whether they are done.
         if let Some(question) = self.question.take() {
             self.readers.extend(question.jobs);
@@ -535,7 +535,7 @@
     }
 
     /// A job whose document is decided now needs no round.
-    fn answer_taken(&mut self, out: &mut Vec<Out>) {
+    fn answer_taken(&mut self, out: &mut Vec<Effect>) {
         let Some(decided) = &self.decided else { return };
         self.jobs.retain(|w| {
             let done = match &w.change {
@@ -550,16 +550,19 @@
                     Change::Document { revision, .. } => Outcome::Taken(*revision),
                     _ => Outcome::Taken(decided.revision),
                 };
-                out.push(Out::Reply { job: w.job, outcome });
+                out.push(Effect::Reply { job: w.job, outcome });
             }
             !done
         });
     }
 
-    fn hear_told(&mut self, now: u64, from: u64, w: &Told, out: &mut Vec<Out>) {
+    fn on_read_reply(&mut self, now: u64, from: u64, w: &ReadReply, out: &mut Vec<Effect>) {
         let Some(own) = self.decided.as_ref().map(|d| d.number) else { return };
         if w.decided > own {
-            out.push(Out::Send { to: from, word: Word::Lacking(Lacking { number: own }) });
+            out.push(Effect::Send {
+                to: from,
+                word: PeerMessage::CatchUpRequest(CatchUpRequest { number: own }),
+            });
             return;
         }
         let Some(question) = self.question.as_mut().filter(|q| q.number == w.question) else { return };
@@ -576,7 +579,7 @@
             return;
         }
         let newest = self.decided.clone().expect("checked");
-        let reply = |(job, _)| Out::Reply { job, outcome: Outcome::Newest(newest.clone()) };
+        let reply = |(job, _)| Effect::Reply { job, outcome: Outcome::Newest(newest.clone()) };
         out.extend(question.jobs.into_iter().map(reply));
         self.tick(now, out);
     }
--- a/crates/zugspitze/tests/register.rs
+++ b/crates/linenthread-consensus/tests/register.rs
@@ -1,8 +1,10 @@
 //! One step at a time what the drill plays at random: who takes part, what is promised, what a read must see.
 
-use valentia::{Accept, Ballot, DutyAsk, DutySay, Prepare, Record, Value, Voter, Word};
+use linenthread_consensus::{Change, DurableState, Effect, LeaderLease, Outcome, Register};
+use linenthread_messages::{
+    Accept, Ballot, LeaseRequest, LeaseVote, PeerMessage, Prepare, Record, Value, Voter,
+};
 use yare::parameterized;
-use zugspitze::{Change, Duty, Kept, Out, Outcome, Register};
 
 fn genesis() -> Value {
     let voters = (1..=3).map(|id| Voter { id, address: format!("10.0.0.{id}:80") }).collect();
@@ -10,7 +12,7 @@
 }
 
 fn register(id: u64) -> Register {
-    Register::new(id, Kept::default(), Some(genesis()), id * 77)
+    Register::new(id, DurableState::default(), Some(genesis()), id * 77)
 }
 
 /// Three registers whose words arrive at once, but for those that are cut off.
@@ -31,26 +33,26 @@
         }
     }
 
-    fn settle(&mut self, from: u64, outs: Vec<Out>) {
-        let mut waiting: Vec<(u64, Out)> = outs.into_iter().map(|o| (from, o)).collect();
+    fn settle(&mut self, from: u64, outs: Vec<Effect>) {
+        let mut waiting: Vec<(u64, Effect)> = outs.into_iter().map(|o| (from, o)).collect();
         while !waiting.is_empty() {
             let (from, out) = waiting.remove(0);
-            let mut send = |to: u64, word: Word, waiting: &mut Vec<(u64, Out)>| {
+            let mut send = |to: u64, word: PeerMessage, waiting: &mut Vec<(u64, Effect)>| {
                 if to != from && (self.off.contains(&to) || self.off.contains(&from)) {
                     return;
                 }
                 let mut outs = Vec::new();
-                self.all[to as usize - 1].hear(0, from, word, &mut outs);
+                self.all[to as usize - 1].on_message(0, from, word, &mut outs);
                 waiting.extend(outs.into_iter().map(|o| (to, o)));
             };
             match out {
-                Out::Send { to, word } => send(to, word, &mut waiting),
-                Out::Keep { record, then } => {
+                Effect::Send { to, word } => send(to, word, &mut waiting),
+                Effect::Keep { record, then } => {
                     self.disks[from as usize - 1].push(record);
                     then.into_iter().for_each(|(to, word)| send(to, word, &mut waiting));
                 }
-                Out::Reply { job, outcome } => self.replies.push((job, outcome)),
-                Out::Decided(_) => {}
+                Effect::Reply { job, outcome } => self.replies.push((job, outcome)),
+                Effect::Decided(_) => {}
             }
         }
     }
@@ -107,7 +109,12 @@
     let ballot = Ballot { round: 1, proposer: 9 };
     for to in [1, 2] {
         let mut outs = Vec::new();
-        three.all[to - 1].hear(0, 9, Word::Accept(Accept { ballot, value: value.clone() }), &mut outs);
+        three.all[to - 1].on_message(
+            0,
+            9,
+            PeerMessage::Accept(Accept { ballot, value: value.clone() }),
+            &mut outs,
+        );
     }
     three.off = vec![1];
     three.read(3, 7);
@@ -118,7 +125,7 @@
 #[test]
 fn a_read_does_not_ask_on_and_on_while_a_disk_is_slow() {
     let voters = vec![Voter { id: 1, address: "10.0.0.1:80".into() }];
-    let mut one = Register::new(1, Kept::default(), Some(Value { voters, ..Value::default() }), 5);
+    let mut one = Register::new(1, DurableState::default(), Some(Value { voters, ..Value::default() }), 5);
     let change = Change::Document { base: 0, revision: 3, document: "3".into() };
     let (mut outs, mut asked, mut unsynced) = (Vec::new(), 0, Vec::new());
     one.propose(0, 1, change, 900, &mut outs);
@@ -127,15 +134,15 @@
     for _ in 0..100 {
         for out in std::mem::take(&mut outs) {
             match out {
-                Out::Send { word, .. } => {
-                    asked += usize::from(matches!(word, Word::Ask(_)));
-                    one.hear(0, 1, word, &mut outs);
+                Effect::Send { word, .. } => {
+                    asked += usize::from(matches!(word, PeerMessage::ReadRequest(_)));
+                    one.on_message(0, 1, word, &mut outs);
                 }
-                Out::Keep { then, .. } => {
+                Effect::Keep { then, .. } => {
                     for (_, word) in then {
                         match word {
-                            Word::Took(_) => unsynced.push(word),
-                            word => one.hear(0, 1, word, &mut outs),
+                            PeerMessage::AcceptAck(_) => unsynced.push(word),
+                            word => one.on_message(0, 1, word, &mut outs),
                         }
                     }
                 }
@@ -144,21 +151,23 @@
         }
     }
     assert!(outs.is_empty() && asked <= 2, "asked {asked} times");
-    one.hear(5, 1, unsynced.remove(0), &mut outs);
-    assert!(outs.iter().any(|o| matches!(o, Out::Reply { job: 1, outcome: Outcome::Taken(3) })));
+    one.on_message(5, 1, unsynced.remove(0), &mut outs);
+    assert!(outs.iter().any(|o| matches!(o, Effect::Reply { job: 1, outcome: Outcome::Taken(3) })));
 }
 
 #[test]
 fn a_greater_promise_refuses_an_older_ballot() {
     let (mut one, mut outs) = (register(1), Vec::new());
     let newer = Ballot { round: 5, proposer: 2 };
-    one.hear(0, 2, Word::Prepare(Prepare { number: 1, ballot: newer }), &mut outs);
-    assert!(matches!(&outs[..], [Out::Keep { then, .. }] if matches!(then[0].1, Word::Promise(_))));
+    one.on_message(0, 2, PeerMessage::Prepare(Prepare { number: 1, ballot: newer }), &mut outs);
+    assert!(matches!(&outs[..], [Effect::Keep { then, .. }] if matches!(then[0].1, PeerMessage::Promise(_))));
     outs.clear();
     let value = Value { number: 1, ..genesis() };
     let accept = Accept { ballot: Ballot { round: 4, proposer: 3 }, value };
-    one.hear(0, 3, Word::Accept(accept), &mut outs);
-    assert!(matches!(&outs[..], [Out::Send { word: Word::Refused(r), .. }] if r.promised == newer));
+    one.on_message(0, 3, PeerMessage::Accept(accept), &mut outs);
+    assert!(
+        matches!(&outs[..], [Effect::Send { word: PeerMessage::Rejected(r), .. }] if r.promised == newer)
+    );
 }
 
 #[parameterized(
@@ -170,8 +179,8 @@
 fn only_a_counted_disk_that_has_the_value_before_takes_part(id: u64, number: u64, takes_part: bool) {
     let (mut one, mut outs) = (register(id), Vec::new());
     let ballot = Ballot { round: 1, proposer: 2 };
-    one.hear(0, 2, Word::Prepare(Prepare { number, ballot }), &mut outs);
-    assert_eq!(outs.iter().any(|o| matches!(o, Out::Keep { .. })), takes_part);
+    one.on_message(0, 2, PeerMessage::Prepare(Prepare { number, ballot }), &mut outs);
+    assert_eq!(outs.iter().any(|o| matches!(o, Effect::Keep { .. })), takes_part);
 }
 
 #[test]
@@ -180,22 +189,25 @@
     three.replace(1, 1, 0, 3);
     let mut outs = Vec::new();
     let ballot = Ballot { round: 9, proposer: 2 };
-    three.all[0].hear(0, 2, Word::Prepare(Prepare { number: 2, ballot }), &mut outs);
+    three.all[0].on_message(0, 2, PeerMessage::Prepare(Prepare { number: 2, ballot }), &mut outs);
     three.settle(1, outs.split_off(0));
     // Every beginning of what was synced is a state that may be found; whole, it refuses what it promised
     // away.
     for cut in 0..=three.disks[0].len() {
-        let mut kept = Kept::default();
+        let mut kept = DurableState::default();
         three.disks[0][..cut].iter().for_each(|r| kept.add(r.clone()));
-        let mut copy = Kept::default();
+        let mut copy = DurableState::default();
         kept.records().into_iter().for_each(|r| copy.add(r));
         for kept in [kept, copy] {
             let mut again = Register::new(1, kept, Some(genesis()), 5);
             let older = Ballot { round: 8, proposer: 3 };
             let mut outs = Vec::new();
-            again.hear(0, 3, Word::Prepare(Prepare { number: 2, ballot: older }), &mut outs);
+            again.on_message(0, 3, PeerMessage::Prepare(Prepare { number: 2, ballot: older }), &mut outs);
             let whole = cut == three.disks[0].len();
-            assert_eq!(outs.iter().any(|o| matches!(o, Out::Send { word: Word::Refused(_), .. })), whole);
+            assert_eq!(
+                outs.iter().any(|o| matches!(o, Effect::Send { word: PeerMessage::Rejected(_), .. })),
+                whole
+            );
         }
     }
 }
@@ -212,60 +224,72 @@
     a_new_life_under_a_new_one = { 5_100, 1, 6, 2, true },
 )]
 fn a_duty_is_supported_for_one_at_a_time(now: u64, from: u64, life: u64, epoch: u64, yes: bool) {
-    let mut duty = Duty::new(3, 9, 0, false, 0);
+    let mut lease = LeaderLease::new(3, 9, 0, false, 0);
     if now > 5_000 {
-        duty.hear_ask(5_000, 1, &DutyAsk { epoch: 1, asked: 1, lease_ms: 2_000, life: 7, on: 0 }, Some(0));
+        lease.on_lease_request(
+            5_000,
+            1,
+            &LeaseRequest { epoch: 1, asked: 1, lease_ms: 2_000, life: 7, on: 0 },
+            Some(0),
+        );
     }
     assert_eq!(
-        duty.hear_ask(now, from, &DutyAsk { epoch, asked: 2, lease_ms: 2_000, life, on: 0 }, Some(0)).yes,
+        lease
+            .on_lease_request(
+                now,
+                from,
+                &LeaseRequest { epoch, asked: 2, lease_ms: 2_000, life, on: 0 },
+                Some(0)
+            )
+            .yes,
         yes
     );
 }
 
 #[test]
 fn what_has_lapsed_is_not_held_again_by_a_late_word() {
-    let mut duty = Duty::new(1, 9, 0, true, 0);
-    let ask = duty.tick(0, true, 0).expect("asks");
-    let yes = DutySay { epoch: ask.epoch, asked: ask.asked, yes: true };
+    let mut lease = LeaderLease::new(1, 9, 0, true, 0);
+    let ask = lease.tick(0, true, 0).expect("asks");
+    let yes = LeaseVote { epoch: ask.epoch, asked: ask.asked, yes: true };
     let most = |ids: Vec<u64>| ids.len() >= 2;
-    assert!(!duty.hear_say(1, 1, &yes, 0, most));
-    assert!(duty.hear_say(2, 2, &yes, 0, most));
-    assert_eq!(duty.holds(1_000), Some(1));
-    assert_eq!(duty.holds(3_000), None);
-    assert!(!duty.hear_say(3_000, 3, &yes, 0, most));
-    let next = duty.tick(3_000, true, 0).expect("asks anew");
+    assert!(!lease.on_lease_vote(1, 1, &yes, 0, most));
+    assert!(lease.on_lease_vote(2, 2, &yes, 0, most));
+    assert_eq!(lease.holds(1_000), Some(1));
+    assert_eq!(lease.holds(3_000), None);
+    assert!(!lease.on_lease_vote(3_000, 3, &yes, 0, most));
+    let next = lease.tick(3_000, true, 0).expect("asks anew");
     assert!(next.epoch > ask.epoch);
 }
 
 #[test]
 fn who_counts_is_changed_only_by_the_support_of_those_who_count() {
-    let mut duty = Duty::new(1, 9, 0, true, 0);
+    let mut lease = LeaderLease::new(1, 9, 0, true, 0);
     let most = |ids: Vec<u64>| ids.len() >= 2;
-    let say = |ask: &DutyAsk| DutySay { epoch: ask.epoch, asked: ask.asked, yes: true };
-    let on_7 = duty.tick(0, true, 7).expect("asks");
-    duty.hear_say(1, 1, &say(&on_7), 7, most);
-    assert!(duty.hear_say(2, 2, &say(&on_7), 7, most) && duty.holds_on(3, 7));
+    let say = |ask: &LeaseRequest| LeaseVote { epoch: ask.epoch, asked: ask.asked, yes: true };
+    let on_7 = lease.tick(0, true, 7).expect("asks");
+    lease.on_lease_vote(1, 1, &say(&on_7), 7, most);
+    assert!(lease.on_lease_vote(2, 2, &say(&on_7), 7, most) && lease.holds_on(3, 7));
     // The next value may name others: they are asked at once, and words about the last one count for nothing.
-    assert!(duty.holds(3).is_some() && !duty.holds_on(3, 8));
-    let on_8 = duty.tick(4, true, 8).expect("asks anew");
-    duty.hear_say(5, 1, &say(&on_7), 8, most);
-    assert!(!duty.hear_say(5, 2, &say(&on_7), 8, most));
-    duty.hear_say(6, 1, &say(&on_8), 8, most);
-    assert!(duty.hear_say(6, 2, &say(&on_8), 8, most) && duty.holds_on(7, 8));
-    assert_eq!((on_8.epoch, duty.holds(7)), (on_7.epoch, Some(on_7.epoch)));
+    assert!(lease.holds(3).is_some() && !lease.holds_on(3, 8));
+    let on_8 = lease.tick(4, true, 8).expect("asks anew");
+    lease.on_lease_vote(5, 1, &say(&on_7), 8, most);
+    assert!(!lease.on_lease_vote(5, 2, &say(&on_7), 8, most));
+    lease.on_lease_vote(6, 1, &say(&on_8), 8, most);
+    assert!(lease.on_lease_vote(6, 2, &say(&on_8), 8, most) && lease.holds_on(7, 8));
+    assert_eq!((on_8.epoch, lease.holds(7)), (on_7.epoch, Some(on_7.epoch)));
 }
 
 #[test]
 fn support_under_one_epoch_does_not_count_under_another() {
-    let mut duty = Duty::new(1, 9, 0, true, 0);
+    let mut lease = LeaderLease::new(1, 9, 0, true, 0);
     let most = |ids: Vec<u64>| ids.len() >= 2;
-    let ask = duty.tick(0, true, 0).expect("asks");
-    let yes = DutySay { epoch: ask.epoch, asked: ask.asked, yes: true };
-    duty.hear_say(1, 1, &yes, 0, most);
-    duty.hear_say(2, 2, &DutySay { epoch: 6, yes: false, ..yes.clone() }, 0, most);
-    assert!(!duty.hear_say(3, 3, &yes, 0, most));
-    let next = duty.tick(500, true, 0).expect("asks above it");
-    assert_eq!((next.epoch, duty.holds(500)), (7, None));
+    let ask = lease.tick(0, true, 0).expect("asks");
+    let yes = LeaseVote { epoch: ask.epoch, asked: ask.asked, yes: true };
+    lease.on_lease_vote(1, 1, &yes, 0, most);
+    lease.on_lease_vote(2, 2, &LeaseVote { epoch: 6, yes: false, ..yes.clone() }, 0, most);
+    assert!(!lease.on_lease_vote(3, 3, &yes, 0, most));
+    let next = lease.tick(500, true, 0).expect("asks above it");
+    assert_eq!((next.epoch, lease.holds(500)), (7, None));
 }
 
 #[parameterized(
@@ -276,23 +300,23 @@
     below_the_values_epoch = { Some(0), false, 0, false },
 )]
 fn support_waits_for_what_is_decided(number: Option<u64>, anew: bool, above: u64, yes: bool) {
-    let mut duty = Duty::new(3, 9, 0, false, 0);
-    duty.decided(5_000, 4, anew);
-    let ask = DutyAsk { epoch: 4 + above, asked: 1, lease_ms: 2_000, life: 7, on: 0 };
-    assert_eq!(duty.hear_ask(6_900, 1, &ask, number).yes, yes);
+    let mut lease = LeaderLease::new(3, 9, 0, false, 0);
+    lease.decided(5_000, 4, anew);
+    let ask = LeaseRequest { epoch: 4 + above, asked: 1, lease_ms: 2_000, life: 7, on: 0 };
+    assert_eq!(lease.on_lease_request(6_900, 1, &ask, number).yes, yes);
     // Later it waits for nothing but a value that both have, and an epoch above.
-    assert_eq!(duty.hear_ask(7_100, 1, &ask, Some(0)).yes, above > 0);
+    assert_eq!(lease.on_lease_request(7_100, 1, &ask, Some(0)).yes, above > 0);
 }
 
 #[test]
 fn words_that_come_after_the_lease_give_no_duty() {
-    let mut duty = Duty::new(1, 9, 0, true, 0);
+    let mut lease = LeaderLease::new(1, 9, 0, true, 0);
     let most = |ids: Vec<u64>| ids.len() >= 2;
-    let ask = duty.tick(0, true, 0).expect("asks");
-    let yes = DutySay { epoch: ask.epoch, asked: ask.asked, yes: true };
-    duty.hear_say(1, 1, &yes, 0, most);
+    let ask = lease.tick(0, true, 0).expect("asks");
+    let yes = LeaseVote { epoch: ask.epoch, asked: ask.asked, yes: true };
+    lease.on_lease_vote(1, 1, &yes, 0, most);
     // It was frozen meanwhile.
-    duty.hear_say(5_000, 2, &yes, 0, most);
-    assert_eq!(duty.holds(5_000), None);
-    assert!(!duty.holds_on(5_000, 0));
+    lease.on_lease_vote(5_000, 2, &yes, 0, most);
+    assert_eq!(lease.holds(5_000), None);
+    assert!(!lease.holds_on(5_000, 0));
 }
--- a/crates/lerwick/src/control.rs
+++ b/crates/linenthread-control/src/control.rs
@@ -1,14 +1,14 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use valentia::{
-    DutyAsk, Gossip, Grant, Grants, Heard as Receipt, Hello, News, Record, Replica, Session, Tick, VERSION,
-    Value, Voter, Word,
+use linenthread_consensus::{Change, DurableState, Job, LeaderLease, Outcome, Register};
+use linenthread_messages::{
+    Allotment, Allotments, ControlUpdate, FrontUpdate, Heard as Receipt, Heartbeat, Hello, LeaseRequest,
+    PeerMessage, Record, Replica, Session, VERSION, Value, Voter,
 };
-use zugspitze::{Change, Duty, Job, Kept, Outcome, Register};
 
 use crate::budget::LEASE;
 use crate::replicas::{Beat, Heard, Phase};
-use crate::{Budget, Cells, Changes, Link, Token};
+use crate::{Budget, ChangeLog, Link, ReplicaRegistry, Token};
 
 /// A word at least so often, both ways, and the end of a session that hears nothing for so long.
 pub const TICK: u64 = 500;
@@ -62,15 +62,15 @@
 }
 
 #[derive(Debug)]
-pub enum Out {
+pub enum Effect {
     Send {
         link: Link,
-        word: Word,
+        word: PeerMessage,
     },
     /// To be synced; [`Control::synced`] is called with what waits on it.
     Keep {
         record: Record,
-        then: Vec<(u64, Word)>,
+        then: Vec<(u64, PeerMessage)>,
     },
     Answer {
         token: Token,
@@ -130,10 +130,10 @@
 pub struct Control {
     local: Local,
     register: Register,
-    duty: Duty,
+    lease: LeaderLease,
     budget: Budget,
-    cells: Cells,
-    changes: Changes,
+    registry: ReplicaRegistry,
+    changes: ChangeLog,
     peers: BTreeMap<Link, Peer>,
     /// Addresses of all hubs that are known, and when they are dialled.
     hubs: BTreeMap<String, Try>,
@@ -162,22 +162,22 @@
     /// The epoch under which this life last held the duty.
     held: Option<u64>,
     given: BTreeMap<(String, u64), u64>,
-    own_words: VecDeque<Word>,
+    own_words: VecDeque<PeerMessage>,
     /// The place in the log up to which replicas are on disk, and when they were last written.
     written: (u64, u64),
     settled: bool,
 }
 
 impl Control {
-    pub fn new(local: Local, id: u64, mut kept: Kept, genesis: Option<Value>, now: u64) -> Control {
+    pub fn new(local: Local, id: u64, mut kept: DurableState, genesis: Option<Value>, now: u64) -> Control {
         let replicas = std::mem::take(&mut kept.replicas);
         let budget = Budget::new(local.retry_allowance, local.retry_window);
         let mut control = Control {
-            duty: Duty::new(id, local.life, now, local.first_of_all, kept.epoch),
+            lease: LeaderLease::new(id, local.life, now, local.first_of_all, kept.epoch),
             register: Register::new(id, kept, genesis, local.life),
             budget,
-            cells: Cells::default(),
-            changes: Changes::new(PLACES),
+            registry: ReplicaRegistry::default(),
+            changes: ChangeLog::new(PLACES),
             peers: BTreeMap::new(),
             hubs: BTreeMap::new(),
             hubs_version: 1,
@@ -211,10 +211,10 @@
         }
         control.counted = control.register.voters().iter().any(|v| v.id == id);
         let floor = control.register.decided().map_or(0, |d| d.epoch);
-        control.duty.decided(now, floor, false);
+        control.lease.decided(now, floor, false);
         // Replicas of before may be there still: they have as long as any to say so.
         for replica in &replicas {
-            control.cells.hear(now, replica, &mut Vec::new());
+            control.registry.observe(now, replica, &mut Vec::new());
         }
         control
     }
@@ -223,13 +223,13 @@
         &self.register
     }
 
-    pub fn cells(&self) -> &Cells {
-        &self.cells
+    pub fn registry(&self) -> &ReplicaRegistry {
+        &self.registry
     }
 
     /// The epoch under which this hub holds the duty.
-    pub fn holds_duty(&self, now: u64) -> Option<u64> {
-        self.duty.holds(now)
+    pub fn holds_lease(&self, now: u64) -> Option<u64> {
+        self.lease.holds(now)
     }
 
     /// What this hub knows of machines, for operators.
@@ -244,7 +244,7 @@
             "name": self.local.name,
             "zone": self.local.zone,
             "whole": self.is_whole(),
-            "duty_epoch": self.duty.holds(now),
+            "duty_epoch": self.lease.holds(now),
             "value": self.value_number(),
             "revision": decided.map_or(0, |d| d.revision),
             "counted": self.register.voters().iter().map(|v| &v.address).collect::<Vec<_>>(),
@@ -265,13 +265,13 @@
             serde_json::json!({"ident": r.ident, "backend": r.backend, "address": r.address, "zone": r.zone,
                 "phase": phase, "heard_ms": r.age_ms})
         };
-        serde_json::Value::Array(self.cells.iter().map(|k| one(k.tell(now))).collect())
+        serde_json::Value::Array(self.registry.iter().map(|k| one(k.tell(now))).collect())
     }
 
     // --- links ---
 
     /// A connection with a peer stands, whoever opened it.
-    pub fn opened(&mut self, link: Link, out: &mut Vec<Out>) {
+    pub fn opened(&mut self, link: Link, out: &mut Vec<Effect>) {
         let hello = Hello {
             version: VERSION,
             name: self.local.name.clone(),
@@ -284,13 +284,13 @@
             place: self.changes.place(),
             value: self.value_number(),
         };
-        out.push(Out::Send { link, word: Word::Hello(hello) });
+        out.push(Effect::Send { link, word: PeerMessage::Hello(hello) });
     }
 
-    pub fn closed(&mut self, now: u64, link: Link, out: &mut Vec<Out>) {
+    pub fn closed(&mut self, now: u64, link: Link, out: &mut Vec<Effect>) {
         self.sessions.remove(&link);
         if let Some(peer) = self.peers.remove(&link) {
-            out.push(Out::Note(format!("event=session_ended peer={} hub={}", peer.hello.name, peer.hub)));
+            out.push(Effect::Note(format!("event=session_ended peer={} hub={}", peer.hello.name, peer.hub)));
             if peer.hub {
                 if let Some(seen) = self.seen.get_mut(&peer.hello.control) {
                     seen.at = now.min(peer.heard + TICK);
@@ -342,38 +342,38 @@
         self.live_hubs().filter(|(_, p)| p.hello.disk == disk).map(|(l, _)| *l).last()
     }
 
-    pub fn hear(&mut self, now: u64, link: Link, word: Word, out: &mut Vec<Out>) {
-        if let Word::Hello(hello) = word {
-            self.hear_hello(now, link, hello, out);
+    pub fn on_message(&mut self, now: u64, link: Link, word: PeerMessage, out: &mut Vec<Effect>) {
+        if let PeerMessage::Hello(hello) = word {
+            self.on_hello(now, link, hello, out);
             return;
         }
         let Some(peer) = self.peers.get_mut(&link) else {
-            out.push(Out::Drop(link));
+            out.push(Effect::Drop(link));
             return;
         };
         peer.heard = now;
         let (hub, disk) = (peer.hub, peer.hello.disk);
         match word {
-            Word::Tick(tick) => self.hear_tick(now, link, &tick, out),
-            Word::Gossip(gossip) if hub => self.hear_gossip(now, link, gossip, out),
-            Word::Heard(receipt) if hub => self.hear_receipt(disk, &receipt, out),
-            Word::Grants(grants) if hub => self.pass_grants(grants, out),
-            Word::DutyAsk(w) if hub => self.support(now, disk, &w, out),
-            Word::DutySay(w) if hub => self.hear_say(now, disk, &w, out),
+            PeerMessage::Heartbeat(tick) => self.on_heartbeat(now, link, &tick, out),
+            PeerMessage::ControlUpdate(gossip) if hub => self.on_control_update(now, link, gossip, out),
+            PeerMessage::Heard(receipt) if hub => self.on_receipt(disk, &receipt, out),
+            PeerMessage::Allotments(grants) if hub => self.pass_grants(grants, out),
+            PeerMessage::LeaseRequest(w) if hub => self.support(now, disk, &w, out),
+            PeerMessage::LeaseVote(w) if hub => self.on_lease_vote(now, disk, &w, out),
             word if hub => {
-                if let Word::Decided(value) = &word {
+                if let PeerMessage::Decided(value) = &word {
                     let peer = self.peers.get_mut(&link).expect("is there");
                     peer.value = peer.value.max(value.number);
                 }
-                self.agree(now, |register, outs| register.hear(now, disk, word, outs), out);
+                self.agree(now, |register, outs| register.on_message(now, disk, word, outs), out);
             }
             _ => {}
         }
     }
 
-    fn hear_hello(&mut self, now: u64, link: Link, hello: Hello, out: &mut Vec<Out>) {
+    fn on_hello(&mut self, now: u64, link: Link, hello: Hello, out: &mut Vec<Effect>) {
         if hello.version != VERSION || hello.life == self.local.life || self.peers.contains_key(&link) {
-            out.push(Out::Drop(link));
+            out.push(Effect::Drop(link));
             return;
         }
         let hub = !hello.control.is_empty();
@@ -383,9 +383,9 @@
         let old: Vec<Link> = self.peers.iter().filter(|(_, p)| old(p)).map(|(l, _)| *l).collect();
         for old in old {
             self.closed(now, old, out);
-            out.push(Out::Drop(old));
+            out.push(Effect::Drop(old));
         }
-        out.push(Out::Note(format!("event=session peer={} zone={} hub={hub}", hello.name, hello.zone)));
+        out.push(Effect::Note(format!("event=session peer={} zone={} hub={hub}", hello.name, hello.zone)));
         let place = Some(hello.place).filter(|_| hello.log == self.local.life);
         let peer = Peer {
             hub,
@@ -417,7 +417,7 @@
     }
 
     /// Reads what is newest for a front that has just come.
-    fn confirm(&mut self, now: u64, link: Link, out: &mut Vec<Out>) {
+    fn confirm(&mut self, now: u64, link: Link, out: &mut Vec<Effect>) {
         if let Some(peer) = self.peers.get_mut(&link).filter(|p| !p.hub && !p.confirmed && !p.confirming) {
             peer.confirming = true;
             self.jobs += 1;
@@ -427,16 +427,16 @@
         }
     }
 
-    fn send_value(&mut self, link: Link, out: &mut Vec<Out>) {
+    fn send_value(&mut self, link: Link, out: &mut Vec<Effect>) {
         let Some(value) = self.register.decided().cloned() else { return };
         if let Some(peer) = self.peers.get_mut(&link).filter(|p| p.value < value.number) {
             peer.value = value.number;
-            out.push(Out::Send { link, word: Word::Decided(value) });
+            out.push(Effect::Send { link, word: PeerMessage::Decided(value) });
         }
     }
 
-    fn hear_tick(&mut self, now: u64, link: Link, tick: &Tick, out: &mut Vec<Out>) {
-        let digest = self.cells.digest();
+    fn on_heartbeat(&mut self, now: u64, link: Link, tick: &Heartbeat, out: &mut Vec<Effect>) {
+        let digest = self.registry.digest();
         let Some(peer) = self.peers.get_mut(&link) else { return };
         if !peer.hub {
             (peer.asked, peer.revision) = (tick.asked, tick.revision);
@@ -458,9 +458,9 @@
     // --- replicas ---
 
     /// A replica's beat.
-    pub fn beat(&mut self, now: u64, token: Token, ident: &str, beat: Beat, out: &mut Vec<Out>) {
+    pub fn beat(&mut self, now: u64, token: Token, ident: &str, beat: Beat, out: &mut Vec<Effect>) {
         if !self.is_whole() {
-            out.push(Out::Answer {
+            out.push(Effect::Answer {
                 token,
                 answer: Answer::NotNow("no touch with more than half of the core"),
             });
@@ -480,67 +480,67 @@
             ..Replica::default()
         };
         let mut also = Vec::new();
-        let heard = self.cells.hear(now, &said, &mut also);
+        let heard = self.registry.observe(now, &said, &mut also);
         self.spread(ident, heard, &also);
-        let drains = self.cells.get(ident).is_some_and(|k| k.told.draining || k.told.ended);
+        let drains = self.registry.get(ident).is_some_and(|k| k.told.draining || k.told.ended);
         if draining && drains && !self.safe.contains(ident) {
             self.await_receipts(now, token, ident, out);
         } else {
             let answer = Answer::Heard(self.report_to(&said.zone));
-            out.push(Out::Answer { token, answer });
+            out.push(Effect::Answer { token, answer });
         }
         if heard == Heard::Changed {
             self.flush(now, out);
         }
     }
 
-    pub fn departure(&mut self, now: u64, token: Token, ident: &str, out: &mut Vec<Out>) {
+    pub fn departure(&mut self, now: u64, token: Token, ident: &str, out: &mut Vec<Effect>) {
         if !self.is_whole() {
-            out.push(Out::Answer {
+            out.push(Effect::Answer {
                 token,
                 answer: Answer::NotNow("no touch with more than half of the core"),
             });
             return;
         }
-        if self.cells.depart(now, ident) {
+        if self.registry.depart(now, ident) {
             self.safe.remove(ident);
             self.spread(ident, Heard::Changed, &[]);
             self.await_receipts(now, token, ident, out);
             self.flush(now, out);
         } else {
-            out.push(Out::Answer { token, answer: Answer::Heard(None) });
+            out.push(Effect::Answer { token, answer: Answer::Heard(None) });
         }
     }
 
     /// One that drains no more must be made known anew when it drains again.
     fn unsafe_again(&mut self, ident: &str) {
-        if self.cells.get(ident).is_some_and(|k| !k.told.draining && !k.told.ended) {
+        if self.registry.get(ident).is_some_and(|k| !k.told.draining && !k.told.ended) {
             self.safe.remove(ident);
         }
     }
 
     /// The call is acknowledged when more than half of the counted disks' machines have said that they know.
-    fn await_receipts(&mut self, now: u64, token: Token, ident: &str, out: &mut Vec<Out>) {
+    fn await_receipts(&mut self, now: u64, token: Token, ident: &str, out: &mut Vec<Effect>) {
         self.receipts += 1;
         let got = BTreeSet::from([self.register.id()]);
         let drain = Drain { token, ident: ident.to_owned(), receipt: self.receipts, until: now + CALL, got };
-        let replicas: Vec<Replica> = self.cells.get(ident).iter().map(|k| k.tell(now)).collect();
-        let gossip = Gossip { replicas, receipt: self.receipts, ..Gossip::default() };
+        let replicas: Vec<Replica> = self.registry.get(ident).iter().map(|k| k.tell(now)).collect();
+        let gossip = ControlUpdate { replicas, receipt: self.receipts, ..ControlUpdate::default() };
         for (link, _) in self.live_hubs() {
-            out.push(Out::Send { link: *link, word: Word::Gossip(gossip.clone()) });
+            out.push(Effect::Send { link: *link, word: PeerMessage::ControlUpdate(gossip.clone()) });
         }
         self.drains.push(drain);
         self.settle_drains(now, out);
     }
 
-    fn hear_receipt(&mut self, disk: u64, receipt: &Receipt, out: &mut Vec<Out>) {
+    fn on_receipt(&mut self, disk: u64, receipt: &Receipt, out: &mut Vec<Effect>) {
         for drain in self.drains.iter_mut().filter(|d| d.receipt == receipt.receipt) {
             drain.got.insert(disk);
         }
         self.settle_drains(0, out);
     }
 
-    fn settle_drains(&mut self, now: u64, out: &mut Vec<Out>) {
+    fn settle_drains(&mut self, now: u64, out: &mut Vec<Effect>) {
         let (register, safe) = (&self.register, &mut self.safe);
         self.drains.retain(|drain| {
             let answer = if register.is_most(drain.got.iter().copied()) {
@@ -551,7 +551,7 @@
             } else {
                 return true;
             };
-            out.push(Out::Answer { token: drain.token, answer });
+            out.push(Effect::Answer { token: drain.token, answer });
             false
         });
     }
@@ -582,15 +582,15 @@
 
     // --- between hubs ---
 
-    fn gossip_whole(&mut self, now: u64, link: Link, out: &mut Vec<Out>) {
-        let replicas = self.cells.iter().map(|k| k.tell(now)).collect();
+    fn gossip_whole(&mut self, now: u64, link: Link, out: &mut Vec<Effect>) {
+        let replicas = self.registry.iter().map(|k| k.tell(now)).collect();
         let sessions = self.own_sessions();
         let hubs = self.hub_addresses();
         let Some(peer) = self.peers.get_mut(&link) else { return };
         peer.dirty.clear();
         (peer.swept, peer.hubs) = (now, self.hubs_version);
-        let gossip = Gossip { replicas, sessions, has_sessions: true, hubs, receipt: 0, whole: true };
-        out.push(Out::Send { link, word: Word::Gossip(gossip) });
+        let gossip = ControlUpdate { replicas, sessions, has_sessions: true, hubs, receipt: 0, whole: true };
+        out.push(Effect::Send { link, word: PeerMessage::ControlUpdate(gossip) });
     }
 
     fn hub_addresses(&self) -> Vec<String> {
@@ -609,11 +609,11 @@
         self.peers.values().filter(|p| !p.hub).map(of).collect()
     }
 
-    fn hear_gossip(&mut self, now: u64, link: Link, gossip: Gossip, out: &mut Vec<Out>) {
+    fn on_control_update(&mut self, now: u64, link: Link, gossip: ControlUpdate, out: &mut Vec<Effect>) {
         let mut changed = false;
         for said in &gossip.replicas {
             let mut also = Vec::new();
-            let heard = self.cells.hear(now, said, &mut also);
+            let heard = self.registry.observe(now, said, &mut also);
             self.unsafe_again(&said.ident);
             // What a hub has said goes on to fronts, not to further hubs: each tells all.
             if heard == Heard::Changed {
@@ -631,7 +631,7 @@
             self.sessions.insert(link, gossip.sessions);
         }
         if gossip.receipt > 0 {
-            out.push(Out::Send { link, word: Word::Heard(Receipt { receipt: gossip.receipt }) });
+            out.push(Effect::Send { link, word: PeerMessage::Heard(Receipt { receipt: gossip.receipt }) });
         }
         if changed {
             self.flush(now, out);
@@ -655,15 +655,15 @@
     // --- fronts ---
 
     /// Tells a front all that it lacks.
-    fn tell(&mut self, now: u64, link: Link, out: &mut Vec<Out>) {
+    fn tell(&mut self, now: u64, link: Link, out: &mut Vec<Effect>) {
         let place = self.changes.place();
         let hubs = self.hub_addresses();
         let Some(peer) = self.peers.get_mut(&link).filter(|p| !p.hub) else { return };
         let since = peer.place.and_then(|p| self.changes.since(p));
         let whole = since.is_none();
         let replicas: Vec<Replica> = match since {
-            Some(idents) => idents.iter().filter_map(|i| self.cells.get(i)).map(|k| k.tell(now)).collect(),
-            None => self.cells.iter().map(|k| k.tell(now)).collect(),
+            Some(idents) => idents.iter().filter_map(|i| self.registry.get(i)).map(|k| k.tell(now)).collect(),
+            None => self.registry.iter().map(|k| k.tell(now)).collect(),
         };
         let value = self.register.decided().filter(|d| d.revision > peer.value).cloned();
         let confirmed = peer.confirmed && !peer.whole;
@@ -673,7 +673,7 @@
         }
         (peer.value, peer.place) = (value.as_ref().map_or(peer.value, |v| v.revision), Some(place));
         (peer.whole, peer.hubs) = (peer.confirmed, self.hubs_version);
-        let news = News {
+        let news = FrontUpdate {
             log: self.local.life,
             place,
             whole,
@@ -683,11 +683,11 @@
             confirmed: peer.confirmed,
             settled: self.settled,
         };
-        out.push(Out::Send { link, word: Word::News(news) });
+        out.push(Effect::Send { link, word: PeerMessage::FrontUpdate(news) });
     }
 
     /// What fronts and hubs must know at once.
-    fn flush(&mut self, now: u64, out: &mut Vec<Out>) {
+    fn flush(&mut self, now: u64, out: &mut Vec<Effect>) {
         let links: Vec<(Link, bool)> = self.peers.iter().map(|(l, p)| (*l, p.hub)).collect();
         for (link, hub) in links {
             if hub {
@@ -696,26 +696,30 @@
                     continue;
                 }
                 let dirty = std::mem::take(&mut peer.dirty);
-                let replicas = dirty.iter().filter_map(|i| self.cells.get(i)).map(|k| k.tell(now)).collect();
-                out.push(Out::Send { link, word: Word::Gossip(Gossip { replicas, ..Gossip::default() }) });
+                let replicas =
+                    dirty.iter().filter_map(|i| self.registry.get(i)).map(|k| k.tell(now)).collect();
+                out.push(Effect::Send {
+                    link,
+                    word: PeerMessage::ControlUpdate(ControlUpdate { replicas, ..ControlUpdate::default() }),
+                });
             } else {
                 self.tell(now, link, out);
             }
         }
     }
 
-    fn pass_grants(&mut self, grants: Grants, out: &mut Vec<Out>) {
+    fn pass_grants(&mut self, grants: Allotments, out: &mut Vec<Effect>) {
         for grant in grants.grants {
             let own = |p: &Peer| !p.hub && p.hello.name == grant.name && p.hello.life == grant.life;
             if let Some((link, _)) = self.peers.iter().find(|(_, p)| own(p)) {
-                let word = Word::Grants(Grants { grants: vec![grant.clone()] });
-                out.push(Out::Send { link: *link, word });
+                let word = PeerMessage::Allotments(Allotments { grants: vec![grant.clone()] });
+                out.push(Effect::Send { link: *link, word });
             }
         }
     }
 
     /// The holder's shares for all fronts that have asked since they were last given.
-    fn give(&mut self, now: u64, epoch: u64, out: &mut Vec<Out>) {
+    fn give(&mut self, now: u64, epoch: u64, out: &mut Vec<Effect>) {
         let fronts = self.fronts();
         let many = fronts.len();
         let mut grants = Vec::new();
@@ -726,7 +730,7 @@
             }
             let share = self.budget.give(now, &session.name, session.life, many);
             self.given.insert(key, session.asked);
-            grants.push(Grant {
+            grants.push(Allotment {
                 name: session.name.clone(),
                 life: session.life,
                 asked: session.asked,
@@ -741,9 +745,9 @@
         if grants.is_empty() {
             return;
         }
-        let grants = Grants { grants };
+        let grants = Allotments { grants };
         for (link, _) in self.live_hubs() {
-            out.push(Out::Send { link: *link, word: Word::Grants(grants.clone()) });
+            out.push(Effect::Send { link: *link, word: PeerMessage::Allotments(grants.clone()) });
         }
         self.pass_grants(grants, out);
     }
@@ -757,7 +761,7 @@
         base: u64,
         revision: u64,
         document: Vec<u8>,
-        out: &mut Vec<Out>,
+        out: &mut Vec<Effect>,
     ) {
         self.jobs += 1;
         let job = self.jobs;
@@ -767,7 +771,7 @@
         self.agree(now, |register, outs| register.propose(now, job, change, until, outs), out);
     }
 
-    pub fn read(&mut self, now: u64, token: Token, out: &mut Vec<Out>) {
+    pub fn read(&mut self, now: u64, token: Token, out: &mut Vec<Effect>) {
         self.jobs += 1;
         let job = self.jobs;
         self.wanted.insert(job, Wanted::Call(token));
@@ -777,18 +781,18 @@
     // --- agreement ---
 
     /// What waited on the disk.
-    pub fn synced(&mut self, now: u64, then: Vec<(u64, Word)>, out: &mut Vec<Out>) {
+    pub fn synced(&mut self, now: u64, then: Vec<(u64, PeerMessage)>, out: &mut Vec<Effect>) {
         for (to, word) in then {
             self.post(to, word, out);
         }
         self.agree(now, |_, _| {}, out);
     }
 
-    fn post(&mut self, to: u64, word: Word, out: &mut Vec<Out>) {
+    fn post(&mut self, to: u64, word: PeerMessage, out: &mut Vec<Effect>) {
         if to == self.register.id() {
             self.own_words.push_back(word);
         } else if let Some(link) = self.link_of(to) {
-            out.push(Out::Send { link, word });
+            out.push(Effect::Send { link, word });
         }
     }
 
@@ -796,31 +800,35 @@
     fn agree(
         &mut self,
         now: u64,
-        first: impl FnOnce(&mut Register, &mut Vec<zugspitze::Out>),
-        out: &mut Vec<Out>,
+        first: impl FnOnce(&mut Register, &mut Vec<linenthread_consensus::Effect>),
+        out: &mut Vec<Effect>,
     ) {
         let mut outs = Vec::new();
         first(&mut self.register, &mut outs);
         loop {
             for o in std::mem::take(&mut outs) {
                 match o {
-                    zugspitze::Out::Send { to, word } => self.post(to, word, out),
-                    zugspitze::Out::Keep { record, then } => out.push(Out::Keep { record, then }),
-                    zugspitze::Out::Decided(value) => self.decided(now, &value, out),
-                    zugspitze::Out::Reply { job, outcome } => self.reply(now, job, outcome, out),
+                    linenthread_consensus::Effect::Send { to, word } => self.post(to, word, out),
+                    linenthread_consensus::Effect::Keep { record, then } => {
+                        out.push(Effect::Keep { record, then })
+                    }
+                    linenthread_consensus::Effect::Decided(value) => self.decided(now, &value, out),
+                    linenthread_consensus::Effect::Reply { job, outcome } => {
+                        self.reply(now, job, outcome, out)
+                    }
                 }
             }
             let Some(word) = self.own_words.pop_front() else { break };
             let id = self.register.id();
             match word {
-                Word::DutySay(say) => self.hear_say(now, id, &say, out),
-                word => self.register.hear(now, id, word, &mut outs),
+                PeerMessage::LeaseVote(say) => self.on_lease_vote(now, id, &say, out),
+                word => self.register.on_message(now, id, word, &mut outs),
             }
         }
     }
 
-    fn decided(&mut self, now: u64, value: &Value, out: &mut Vec<Out>) {
-        out.push(Out::Note(format!(
+    fn decided(&mut self, now: u64, value: &Value, out: &mut Vec<Effect>) {
+        out.push(Effect::Note(format!(
             "event=decided number={} revision={} counted={}",
             value.number,
             value.revision,
@@ -832,7 +840,7 @@
         // The duty is asked for anew, of those who count now.
         self.ticked = 0;
         let counts = value.voters.iter().any(|v| v.id == self.register.id());
-        self.duty.decided(now, value.epoch, counts && !self.counted);
+        self.lease.decided(now, value.epoch, counts && !self.counted);
         self.counted = counts;
         let links: Vec<(Link, bool)> = self.peers.iter().map(|(l, p)| (*l, p.hub)).collect();
         for (link, hub) in links {
@@ -840,7 +848,7 @@
         }
     }
 
-    fn reply(&mut self, now: u64, job: Job, outcome: Outcome, out: &mut Vec<Out>) {
+    fn reply(&mut self, now: u64, job: Job, outcome: Outcome, out: &mut Vec<Effect>) {
         match self.wanted.remove(&job) {
             Some(Wanted::Call(token)) => {
                 let answer = match outcome {
@@ -849,7 +857,7 @@
                     Outcome::Newest(value) => Answer::Document(value),
                     Outcome::Unclear => Answer::NotNow("no word of more than half of the counted disks"),
                 };
-                out.push(Out::Answer { token, answer });
+                out.push(Effect::Answer { token, answer });
             }
             Some(Wanted::Confirmed(link)) => {
                 if let Some(peer) = self.peers.get_mut(&link) {
@@ -864,33 +872,39 @@
     }
 
     /// Supports who asks for the duty, or not; a new epoch is on disk before it is said.
-    fn support(&mut self, now: u64, from: u64, ask: &DutyAsk, out: &mut Vec<Out>) {
-        let before = self.duty.epoch();
+    fn support(&mut self, now: u64, from: u64, ask: &LeaseRequest, out: &mut Vec<Effect>) {
+        let before = self.lease.epoch();
         let number = Some(self.value_number()).filter(|_| !self.register.in_doubt());
-        let say = Word::DutySay(self.duty.hear_ask(now, from, ask, number));
-        let epoch = self.duty.epoch();
+        let say = PeerMessage::LeaseVote(self.lease.on_lease_request(now, from, ask, number));
+        let epoch = self.lease.epoch();
         if epoch > before {
-            out.push(Out::Keep { record: Record { epoch, ..Record::default() }, then: vec![(from, say)] });
+            out.push(Effect::Keep { record: Record { epoch, ..Record::default() }, then: vec![(from, say)] });
         } else {
             self.post(from, say, out);
             self.agree(now, |_, _| {}, out);
         }
     }
 
-    fn hear_say(&mut self, now: u64, disk: u64, w: &valentia::DutySay, out: &mut Vec<Out>) {
-        let (register, number, before) = (&self.register, self.value_number(), self.duty.holds(now));
-        if self.duty.hear_say(now, disk, w, number, |ids| register.is_most(ids)) {
+    fn on_lease_vote(
+        &mut self,
+        now: u64,
+        disk: u64,
+        w: &linenthread_messages::LeaseVote,
+        out: &mut Vec<Effect>,
+    ) {
+        let (register, number, before) = (&self.register, self.value_number(), self.lease.holds(now));
+        if self.lease.on_lease_vote(now, disk, w, number, |ids| register.is_most(ids)) {
             // What it has to do does not wait for the next tick.
             self.ticked = 0;
             // Held already, or the words came so late that it has ended.
-            let Some(epoch) = self.duty.holds(now).filter(|_| before.is_none()) else { return };
+            let Some(epoch) = self.lease.holds(now).filter(|_| before.is_none()) else { return };
             // Under the very next epoch nobody can have held it in between: what this hub gave is all there is.
             if self.held != Some(epoch - 1) {
                 self.budget.begin(now, self.local.first_of_all && epoch == 1);
             }
             self.held = Some(epoch);
             self.given.clear();
-            out.push(Out::Note(format!("event=duty_taken epoch={epoch}")));
+            out.push(Effect::Note(format!("event=duty_taken epoch={epoch}")));
         }
     }
 
@@ -903,8 +917,8 @@
 
     /// The holder of the duty keeps the set of counted disks to the machines that are there: one change at a
     /// time.
-    fn keep_voters(&mut self, now: u64, epoch: u64, out: &mut Vec<Out>) {
-        if self.voting || !self.is_whole() || !self.duty.holds_on(now, self.value_number()) {
+    fn keep_voters(&mut self, now: u64, epoch: u64, out: &mut Vec<Effect>) {
+        if self.voting || !self.is_whole() || !self.lease.holds_on(now, self.value_number()) {
             return;
         }
         let Some(value) = self.register.decided() else { return };
@@ -934,7 +948,7 @@
         let (job, on) = (self.jobs, value.number);
         self.wanted.insert(job, Wanted::Voters);
         let names: Vec<&str> = next.iter().map(|v| v.address.as_str()).collect();
-        out.push(Out::Note(format!("event=counted_change on={on} counted={}", names.join(","))));
+        out.push(Effect::Note(format!("event=counted_change on={on} counted={}", names.join(","))));
         let change = Change::Voters { on, voters: next, epoch };
         self.agree(now, |register, outs| register.propose(now, job, change, now + 3 * CALL, outs), out);
     }
@@ -951,7 +965,7 @@
     }
 
     /// All that is due by time.
-    pub fn tick(&mut self, now: u64, out: &mut Vec<Out>) {
+    pub fn tick(&mut self, now: u64, out: &mut Vec<Effect>) {
         self.last = now;
         self.agree(now, |register, outs| register.tick(now, outs), out);
         self.settle_drains(now, out);
@@ -966,7 +980,7 @@
             self.peers.iter().filter(|(_, p)| now > p.heard + SILENT).map(|(l, _)| *l).collect();
         for link in silent {
             self.closed(now, link, out);
-            out.push(Out::Drop(link));
+            out.push(Effect::Drop(link));
         }
         match (self.is_whole(), self.whole_since) {
             (true, None) => self.whole_since = Some(now),
@@ -982,9 +996,9 @@
         }
         self.settled = settled;
         if settled {
-            let gone = self.cells.expire(now, silence);
+            let gone = self.registry.expire(now, silence);
             for ident in &gone {
-                out.push(Out::Note(format!("event=replica_silent ident={ident}")));
+                out.push(Effect::Note(format!("event=replica_silent ident={ident}")));
                 self.changes.add(ident);
             }
         }
@@ -995,26 +1009,26 @@
             return;
         }
         self.ticked = now;
-        let tick = Word::Tick(Tick {
+        let tick = PeerMessage::Heartbeat(Heartbeat {
             asked: self.value_number(),
             whole: self.is_whole(),
-            digest: self.cells.digest(),
+            digest: self.registry.digest(),
             revision: 0,
         });
         let sessions = self.own_sessions();
         let hubs = self.hub_addresses();
         for (link, peer) in &mut self.peers {
-            out.push(Out::Send { link: *link, word: tick.clone() });
+            out.push(Effect::Send { link: *link, word: tick.clone() });
             if peer.hub {
                 let hubs = if peer.hubs == self.hubs_version { Vec::new() } else { hubs.clone() };
                 peer.hubs = self.hubs_version;
                 let sessions = sessions.clone();
-                let gossip = Gossip { sessions, has_sessions: true, hubs, ..Gossip::default() };
-                out.push(Out::Send { link: *link, word: Word::Gossip(gossip) });
+                let gossip = ControlUpdate { sessions, has_sessions: true, hubs, ..ControlUpdate::default() };
+                out.push(Effect::Send { link: *link, word: PeerMessage::ControlUpdate(gossip) });
             }
         }
-        let (safe, cells) = (&mut self.safe, &self.cells);
-        safe.retain(|ident| cells.get(ident).is_some());
+        let (safe, registry) = (&mut self.safe, &self.registry);
+        safe.retain(|ident| registry.get(ident).is_some());
         let fronts: Vec<Link> = self.peers.iter().filter(|(_, p)| !p.hub).map(|(l, _)| *l).collect();
         fronts.into_iter().for_each(|link| self.confirm(now, link, out));
         // What stays in doubt is decided one way or the other: nobody is supported meanwhile.
@@ -1023,32 +1037,32 @@
             self.agree(now, |register, outs| (register.complete(), register.tick(now, outs)).1, out);
         }
         let first = self.is_first();
-        if let Some(ask) = self.duty.tick(now, first, self.value_number()) {
+        if let Some(ask) = self.lease.tick(now, first, self.value_number()) {
             for (link, _) in self.live_hubs() {
-                out.push(Out::Send { link: *link, word: Word::DutyAsk(ask.clone()) });
+                out.push(Effect::Send { link: *link, word: PeerMessage::LeaseRequest(ask.clone()) });
             }
             self.support(now, self.register.id(), &ask, out);
         }
-        if let Some(epoch) = self.duty.holds(now) {
+        if let Some(epoch) = self.lease.holds(now) {
             self.give(now, epoch, out);
             self.keep_voters(now, epoch, out);
         }
     }
 
     /// Replicas are on disk so that a start of all machines at once need not wait for their beats.
-    fn write_replicas(&mut self, now: u64, out: &mut Vec<Out>) {
+    fn write_replicas(&mut self, now: u64, out: &mut Vec<Effect>) {
         let place = self.changes.place();
         if place == self.written.0 || now < self.written.1 + WRITTEN {
             return;
         }
         self.written = (place, now);
-        let here = self.cells.iter().filter(|k| !k.told.gone);
+        let here = self.registry.iter().filter(|k| !k.told.gone);
         let replicas: Vec<Replica> =
             here.map(|k| Replica { age_ms: 0, warmup_ms: 0, ..k.tell(now) }).collect();
-        out.push(Out::Keep { record: Record { replicas, ..Record::default() }, then: Vec::new() });
+        out.push(Effect::Keep { record: Record { replicas, ..Record::default() }, then: Vec::new() });
     }
 
-    fn dial(&mut self, now: u64, out: &mut Vec<Out>) {
+    fn dial(&mut self, now: u64, out: &mut Vec<Effect>) {
         let linked: BTreeSet<String> = self.live_hubs().map(|(_, p)| p.hello.control.clone()).collect();
         let counted: Vec<String> = self.register.voters().iter().map(|v| v.address.clone()).collect();
         let bootstrap = &self.local.bootstrap;
@@ -1062,7 +1076,7 @@
             forgotten |= !keep;
             if keep && now >= hub.next {
                 hub.next = now + hub.wait.max(600);
-                out.push(Out::Dial(address.clone()));
+                out.push(Effect::Dial(address.clone()));
             }
             keep
         });
--- a/crates/lerwick/src/lib.rs
+++ b/crates/linenthread-control/src/lib.rs
@@ -1,6 +1,6 @@
 //! Control of the system as state machines: the cells' replicas, the sessions, the log of changes that fronts
 //! follow, and the shares of the budget of further tries. [`Control`] drives them all and the agreement of
-//! `zugspitze`; it does no I/O and reads no clock. Times are milliseconds of a steady clock.
+//! `linenthread-consensus`; it does no I/O and reads no clock. Times are milliseconds of a steady clock.
 
 mod budget;
 mod control;
@@ -8,9 +8,9 @@
 mod replicas;
 
 pub use budget::Budget;
-pub use control::{Answer, Control, Local, Out};
-pub use log::Changes;
-pub use replicas::{Beat, Cells, Heard, Known};
+pub use control::{Answer, Control, Effect, Local};
+pub use log::ChangeLog;
+pub use replicas::{Beat, Heard, Known, ReplicaRegistry};
 
 /// A connection with a peer, named by whoever owns the sockets.
 pub type Link = u64;
--- a/crates/lerwick/src/log.rs
+++ b/crates/linenthread-control/src/log.rs
@@ -1,15 +1,15 @@
 use std::collections::{BTreeSet, VecDeque};
 
 /// The log of changes: which replicas changed, place by place. It forgets the oldest.
-pub struct Changes {
+pub struct ChangeLog {
     place: u64,
     entries: VecDeque<(u64, String)>,
     most: usize,
 }
 
-impl Changes {
-    pub fn new(most: usize) -> Changes {
-        Changes { place: 0, entries: VecDeque::new(), most }
+impl ChangeLog {
+    pub fn new(most: usize) -> ChangeLog {
+        ChangeLog { place: 0, entries: VecDeque::new(), most }
     }
 
     pub fn place(&self) -> u64 {
--- a/crates/lerwick/src/replicas.rs
+++ b/crates/linenthread-control/src/replicas.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
+use linenthread_messages::Replica;
 use serde::Deserialize;
-use valentia::Replica;
 
 /// What a replica says of itself with each beat.
 #[derive(Clone, Debug, Deserialize)]
@@ -61,11 +61,11 @@
 
 /// The replicas of all cells, by ident.
 #[derive(Default)]
-pub struct Cells {
+pub struct ReplicaRegistry {
     known: BTreeMap<String, Known>,
 }
 
-impl Cells {
+impl ReplicaRegistry {
     pub fn get(&self, ident: &str) -> Option<&Known> {
         self.known.get(ident)
     }
@@ -83,7 +83,7 @@
     }
 
     /// Takes what a replica, or another hub, says of it; the idents that changed beside it go to `also`.
-    pub fn hear(&mut self, now: u64, said: &Replica, also: &mut Vec<String>) -> Heard {
+    pub fn observe(&mut self, now: u64, said: &Replica, also: &mut Vec<String>) -> Heard {
         let heard = now.saturating_sub(u64::from(said.age_ms));
         let warm_at = now + u64::from(said.warmup_ms);
         if let Some(known) = self.known.get_mut(&said.ident) {
@@ -165,7 +165,9 @@
     pub fn digest(&self) -> u64 {
         let one = |k: &Known| {
             let r = &k.told;
-            zugspitze::digest(format!("{} {} {} {}", r.ident, r.backend, r.address, r.draining).as_bytes())
+            linenthread_consensus::digest(
+                format!("{} {} {} {}", r.ident, r.backend, r.address, r.draining).as_bytes(),
+            )
         };
         self.known.values().filter(|k| !k.told.ended).map(one).fold(0, u64::wrapping_add)
     }
--- a/crates/lerwick/tests/control.rs
+++ b/crates/linenthread-control/tests/control.rs
@@ -1,9 +1,9 @@
 //! Replicas' lives, the log of changes and shares, each as a table of cases; and what is acknowledged when.
 
-use lerwick::{Answer, Beat, Budget, Cells, Changes, Control, Heard, Local, Out};
-use valentia::{Heard as Receipt, Hello, Replica, Tick, VERSION, Value, Voter, Word};
+use linenthread_consensus::{DurableState, genesis_id};
+use linenthread_control::{Answer, Beat, Budget, ChangeLog, Control, Effect, Heard, Local, ReplicaRegistry};
+use linenthread_messages::{Heard as Receipt, Heartbeat, Hello, PeerMessage, Replica, VERSION, Value, Voter};
 use yare::parameterized;
-use zugspitze::{Kept, genesis_id};
 
 fn said(ident: &str, call_count: u64, address: &str) -> Replica {
     Replica { ident: ident.into(), address: address.into(), call_count, ..Replica::default() }
@@ -20,34 +20,34 @@
     another_elsewhere = { said("b", 1, "y"), Heard::Changed, false },
 )]
 fn beats_merge_in_any_order(news: Replica, heard: Heard, a_has_ended: bool) {
-    let mut cells = Cells::default();
-    cells.hear(1_000, &said("a", 2, "x"), &mut Vec::new());
-    assert_eq!(cells.hear(1_500, &news, &mut Vec::new()), heard);
-    assert_eq!(cells.get("a").unwrap().told.ended, a_has_ended);
+    let mut registry = ReplicaRegistry::default();
+    registry.observe(1_000, &said("a", 2, "x"), &mut Vec::new());
+    assert_eq!(registry.observe(1_500, &news, &mut Vec::new()), heard);
+    assert_eq!(registry.get("a").unwrap().told.ended, a_has_ended);
 }
 
 #[test]
 fn an_ended_life_does_not_come_back() {
-    let mut cells = Cells::default();
-    cells.hear(0, &said("a", 2, "x"), &mut Vec::new());
-    assert!(cells.depart(10, "a") && !cells.depart(11, "a"));
-    assert_eq!(cells.hear(20, &said("a", 3, "x"), &mut Vec::new()), Heard::Late);
-    assert!(cells.get("a").unwrap().told.gone);
-    cells.expire(70_000, 4_000);
-    assert!(cells.is_empty());
+    let mut registry = ReplicaRegistry::default();
+    registry.observe(0, &said("a", 2, "x"), &mut Vec::new());
+    assert!(registry.depart(10, "a") && !registry.depart(11, "a"));
+    assert_eq!(registry.observe(20, &said("a", 3, "x"), &mut Vec::new()), Heard::Late);
+    assert!(registry.get("a").unwrap().told.gone);
+    registry.expire(70_000, 4_000);
+    assert!(registry.is_empty());
 }
 
 #[parameterized(one = { 1, 1 }, half = { 2, 2 }, most = { 3, 0 })]
 fn silence_ends_a_few_and_never_most(silent: usize, gone: usize) {
-    let mut cells = Cells::default();
+    let mut registry = ReplicaRegistry::default();
     for i in 0..4 {
         let at = if i < silent { 0 } else { 5_000 };
-        cells.hear(at, &said(&format!("r{i}"), 1, &format!("x{i}")), &mut Vec::new());
+        registry.observe(at, &said(&format!("r{i}"), 1, &format!("x{i}")), &mut Vec::new());
     }
-    assert_eq!(cells.expire(6_000, 4_000).len(), gone);
+    assert_eq!(registry.expire(6_000, 4_000).len(), gone);
     if gone > 0 {
-        assert_eq!(cells.hear(6_100, &said("r0", 2, "x0"), &mut Vec::new()), Heard::Changed);
-        assert!(!cells.get("r0").unwrap().told.gone);
+        assert_eq!(registry.observe(6_100, &said("r0", 2, "x0"), &mut Vec::new()), Heard::Changed);
+        assert!(!registry.get("r0").unwrap().told.gone);
     }
 }
 
@@ -60,7 +60,7 @@
     ahead = { 6, None },
 )]
 fn the_log_tells_what_came_after_a_place(place: u64, changes: Option<usize>) {
-    let mut log = Changes::new(3);
+    let mut log = ChangeLog::new(3);
     ["a", "b", "c", "d", "e"].iter().for_each(|i| log.add(i));
     assert_eq!(log.since(place).map(|c| c.len()), changes);
 }
@@ -119,16 +119,16 @@
         retry_window: 10_000,
     };
     let genesis = Value { voters, ..Value::default() };
-    Control::new(local, genesis_id(&address(1)), Kept::default(), Some(genesis), 0)
+    Control::new(local, genesis_id(&address(1)), DurableState::default(), Some(genesis), 0)
 }
 
-fn meet(control: &mut Control, now: u64, link: u64, n: usize, version: u32) -> Vec<Out> {
+fn meet(control: &mut Control, now: u64, link: u64, n: usize, version: u32) -> Vec<Effect> {
     let (name, disk) = (format!("hub-{n}"), genesis_id(&address(n)));
     let mut out = Vec::new();
     let life = n as u64 * 100;
     let hello = Hello { version, name, life, control: address(n), disk, ..Hello::default() };
     control.opened(link, &mut out);
-    control.hear(now, link, Word::Hello(hello), &mut out);
+    control.on_message(now, link, PeerMessage::Hello(hello), &mut out);
     out
 }
 
@@ -139,8 +139,10 @@
     serde_json::from_str(&text).unwrap()
 }
 
-fn answers(out: &[Out]) -> Vec<&Answer> {
-    out.iter().filter_map(|o| if let Out::Answer { answer, .. } = o { Some(answer) } else { None }).collect()
+fn answers(out: &[Effect]) -> Vec<&Answer> {
+    out.iter()
+        .filter_map(|o| if let Effect::Answer { answer, .. } = o { Some(answer) } else { None })
+        .collect()
 }
 
 #[test]
@@ -160,10 +162,11 @@
     meet(&mut control, 0, 1, 2, VERSION);
     control.beat(0, 1, "i", beat("draining", 1), &mut out);
     assert!(answers(&out).is_empty());
-    let asks = |o: &Out| matches!(o, Out::Send { word: Word::Gossip(g), .. } if g.receipt == 1);
+    let asks =
+        |o: &Effect| matches!(o, Effect::Send { word: PeerMessage::ControlUpdate(g), .. } if g.receipt == 1);
     assert!(out.iter().any(asks));
     out.clear();
-    control.hear(10, 1, Word::Heard(Receipt { receipt: 1 }), &mut out);
+    control.on_message(10, 1, PeerMessage::Heard(Receipt { receipt: 1 }), &mut out);
     assert_eq!(answers(&out), [&Answer::Heard(None)]);
 }
 
@@ -173,7 +176,7 @@
     meet(&mut control, 0, 1, 2, VERSION);
     control.beat(0, 1, "i", beat("draining", 1), &mut out);
     control.closed(5, 1, &mut out);
-    control.hear(10, 1, Word::Heard(Receipt { receipt: 1 }), &mut out);
+    control.on_message(10, 1, PeerMessage::Heard(Receipt { receipt: 1 }), &mut out);
     assert!(answers(&out).is_empty());
     control.tick(1_000, &mut out);
     assert!(matches!(answers(&out)[..], [Answer::NotNow(_)]));
@@ -186,11 +189,11 @@
         meet(&mut control, 0, n as u64, n, VERSION);
     }
     control.beat(0, 1, "i", beat("draining", 1), &mut out);
-    control.hear(10, 2, Word::Heard(Receipt { receipt: 1 }), &mut out);
+    control.on_message(10, 2, PeerMessage::Heard(Receipt { receipt: 1 }), &mut out);
     control.closed(20, 2, &mut out);
-    control.hear(30, 3, Word::Heard(Receipt { receipt: 1 }), &mut out);
+    control.on_message(30, 3, PeerMessage::Heard(Receipt { receipt: 1 }), &mut out);
     assert!(answers(&out).is_empty());
-    control.hear(40, 4, Word::Heard(Receipt { receipt: 1 }), &mut out);
+    control.on_message(40, 4, PeerMessage::Heard(Receipt { receipt: 1 }), &mut out);
     assert_eq!(answers(&out), [&Answer::Heard(None)]);
 }
 
@@ -198,11 +201,11 @@
 fn another_version_and_its_own_life_are_let_go() {
     let mut control = hub();
     let out = meet(&mut control, 0, 1, 2, VERSION + 1);
-    assert!(out.iter().any(|o| matches!(o, Out::Drop(1))));
+    assert!(out.iter().any(|o| matches!(o, Effect::Drop(1))));
     let mut out = Vec::new();
     let own = Hello { version: VERSION, life: 1, control: address(1), ..Hello::default() };
-    control.hear(0, 2, Word::Hello(own), &mut out);
-    assert!(out.iter().any(|o| matches!(o, Out::Drop(2))));
+    control.on_message(0, 2, PeerMessage::Hello(own), &mut out);
+    assert!(out.iter().any(|o| matches!(o, Effect::Drop(2))));
 }
 
 #[test]
@@ -211,10 +214,17 @@
     meet(&mut control, 0, 1, 2, VERSION);
     meet(&mut control, 0, 2, 3, VERSION);
     for now in (200..2_200).step_by(200) {
-        control.hear(now, 2, Word::Tick(Tick { whole: true, ..Tick::default() }), &mut out);
+        control.on_message(
+            now,
+            2,
+            PeerMessage::Heartbeat(Heartbeat { whole: true, ..Heartbeat::default() }),
+            &mut out,
+        );
         control.tick(now, &mut out);
     }
-    assert!(out.iter().any(|o| matches!(o, Out::Drop(1))) && !out.iter().any(|o| matches!(o, Out::Drop(2))));
-    assert!(out.iter().any(|o| matches!(o, Out::Dial(a) if *a == address(2))));
+    assert!(
+        out.iter().any(|o| matches!(o, Effect::Drop(1))) && !out.iter().any(|o| matches!(o, Effect::Drop(2)))
+    );
+    assert!(out.iter().any(|o| matches!(o, Effect::Dial(a) if *a == address(2))));
     assert!(control.is_whole());
 }
--- a/crates/brocken/src/lib.rs
+++ b/crates/linenthread-ctl/src/lib.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use eskdalemuir::{Body, Head, answer_framing};
+use linenthread_http::{Body, Head, answer_framing};
 use snafu::Snafu;
 
 const HEAD: usize = 16_384;
--- a/crates/brocken/src/main.rs
+++ b/crates/linenthread-ctl/src/main.rs
@@ -1,4 +1,4 @@
-//! `brocken`, the operators' client. Exit codes: 0 done; 1 refused or different; 2 the call is wrong; 3
+//! `linenthread-ctl`, the operators' client. Exit codes: 0 done; 1 refused or different; 2 the call is wrong; 3
 //! nobody answered.
 
 use std::fmt::Write;
@@ -7,8 +7,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use brocken::{Client, Reply};
-use kew::Configuration;
+use linenthread_config::Configuration;
+use linenthread_ctl::{Client, Reply};
 use serde_json::Value;
 
 mod flags {
@@ -16,7 +16,7 @@
 
     xflags::xflags! {
         /// The operators' client of the search front.
-        cmd brocken {
+        cmd linenthread-ctl {
             /// Control addresses, comma-separated: HOST:PORT,...; else the variable LINENTHREAD_CONTROL.
             optional --control addresses: String
             /// Answers as JSON.
@@ -205,7 +205,7 @@
     Ok(lines)
 }
 
-fn run(flags: flags::Brocken) -> Result<(String, u8), End> {
+fn run(flags: flags::LinenthreadCtl) -> Result<(String, u8), End> {
     let control = flags.control.or_else(|| std::env::var("LINENTHREAD_CONTROL").ok());
     let control = control.ok_or(bad("neither --control nor LINENTHREAD_CONTROL names an address"))?;
     let address = |t: &str| t.parse::<SocketAddr>().map_err(|_| bad(format!("{t} is no address")));
@@ -213,19 +213,21 @@
     let client = Client { addresses, within: Duration::from_secs(3) };
     let tool = Tool { client, json: flags.json };
     match flags.subcommand {
-        flags::BrockenCmd::Status(_) => tool.status().map(|t| (t, 0)),
-        flags::BrockenCmd::Members(_) => tool.members().map(|t| (t, 0)),
-        flags::BrockenCmd::Replicas(r) => tool.replicas(r.backend).map(|t| (t, 0)),
-        flags::BrockenCmd::Read(_) => tool.read().map(|t| (t, 0)),
-        flags::BrockenCmd::Diff(d) => {
+        flags::LinenthreadCtlCmd::Status(_) => tool.status().map(|t| (t, 0)),
+        flags::LinenthreadCtlCmd::Members(_) => tool.members().map(|t| (t, 0)),
+        flags::LinenthreadCtlCmd::Replicas(r) => tool.replicas(r.backend).map(|t| (t, 0)),
+        flags::LinenthreadCtlCmd::Read(_) => tool.read().map(|t| (t, 0)),
+        flags::LinenthreadCtlCmd::Diff(d) => {
             tool.diff(&d.configuration).map(|(text, differs)| (text, u8::from(differs)))
         }
-        flags::BrockenCmd::Replace(r) => tool.replace(&r.configuration, r.base, r.dry_run).map(|t| (t, 0)),
+        flags::LinenthreadCtlCmd::Replace(r) => {
+            tool.replace(&r.configuration, r.base, r.dry_run).map(|t| (t, 0))
+        }
     }
 }
 
 fn main() -> ExitCode {
-    let flags = match flags::Brocken::from_env() {
+    let flags = match flags::LinenthreadCtl::from_env() {
         Ok(flags) => flags,
         Err(e) => e.exit(),
     };
@@ -237,7 +239,7 @@
             ExitCode::from(code)
         }
         Err(End(code, cause)) => {
-            eprintln!("brocken: {cause}");
+            eprintln!("linenthread-ctl: {cause}");
             ExitCode::from(code)
         }
     }
--- a/crates/neumayer/src/lib.rs
+++ b/crates/linenthread-demo/src/lib.rs
@@ -13,7 +13,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
-use brocken::{Fault, Reply, call};
+use linenthread_ctl::{Fault, Reply, call};
 use serde_json::json;
 
 const CONTROL: u16 = 18_729;
@@ -244,7 +244,7 @@
         let backends: Vec<_> = services.iter().map(|s| json!({"label": s, "max_conns": 60})).collect();
         let document = json!({"revision": revision, "route_table": routes, "backends": backends,
             "constraints": {"header_bytes": 4_096, "payload_bytes": 2_000, "header_ms": 1_000, "quiet_ms": 5_000}});
-        let client = brocken::Client { addresses: self.control(), within: Duration::from_secs(2) };
+        let client = linenthread_ctl::Client { addresses: self.control(), within: Duration::from_secs(2) };
         let headers = [("X-Base-Revision", base.to_string())];
         client.call("POST", "/Configuration.Replace", &headers, document.to_string().as_bytes(), 20)
     }
--- a/crates/neumayer/src/main.rs
+++ b/crates/linenthread-demo/src/main.rs
@@ -1,10 +1,10 @@
-//! `neumayer`: the system at work on this machine. Three hubs, two fronts and six stand-in replicas of three
+//! `linenthread-demo`: the system at work on this machine. Three hubs, two fronts and six stand-in replicas of three
 //! services on loopback; a merged answer; a hub that loses its disk, a replica and a front that are killed.
 
 use std::process::ExitCode;
 use std::time::Duration;
 
-use neumayer::Rig;
+use linenthread_demo::Rig;
 
 const SOON: Duration = Duration::from_secs(20);
 const SERVICES: [&str; 3] = ["s1", "s2", "s3"];
@@ -14,8 +14,8 @@
 
     xflags::xflags! {
         /// The system at work on loopback, step by step; it ends by itself.
-        cmd neumayer {
-            /// The daemon to run; by default sonnblick beside this program.
+        cmd linenthread-demo {
+            /// The daemon to run; by default linenthread-node beside this program.
             optional --program path: PathBuf
         }
     }
@@ -81,24 +81,24 @@
     reached(rig.wait_for("front-2", &["event=configuration", "revision=6"], SOON), "its news")?;
     ask(&rig, "front-2", "third")?;
     let control: Vec<String> = rig.control().iter().map(ToString::to_string).collect();
-    println!("done; such a system is looked at by: brocken --control {} status", control.join(","));
+    println!("done; such a system is looked at by: linenthread-ctl --control {} status", control.join(","));
     Ok(())
 }
 
 fn main() -> ExitCode {
-    let flags = match flags::Neumayer::from_env() {
+    let flags = match flags::LinenthreadDemo::from_env() {
         Ok(flags) => flags,
         Err(e) => e.exit(),
     };
-    let beside = || Some(std::env::current_exe().ok()?.with_file_name("sonnblick"));
+    let beside = || Some(std::env::current_exe().ok()?.with_file_name("linenthread-node"));
     let Some(program) = flags.program.or_else(beside) else {
-        eprintln!("neumayer: no program is named");
+        eprintln!("linenthread-demo: no program is named");
         return ExitCode::from(2);
     };
     match show(&program) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("neumayer: {e} ({})", program.display());
+            eprintln!("linenthread-demo: {e} ({})", program.display());
             ExitCode::from(1)
         }
     }
--- a/crates/neumayer/src/replica.rs
+++ b/crates/linenthread-demo/src/replica.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use eskdalemuir::{Body, Head, request_framing};
+use linenthread_http::{Body, Head, request_framing};
 use serde_json::json;
 
 /// What one replica ran: the attempt, the path, who was meant.
@@ -64,7 +64,7 @@
         let (path, service, zone) =
             (format!("/Replicas.Heartbeat/{ident}"), service.to_owned(), zone.to_owned());
         std::thread::spawn(move || {
-            let client = brocken::Client { addresses: control, within: Duration::from_secs(1) };
+            let client = linenthread_ctl::Client { addresses: control, within: Duration::from_secs(1) };
             for call_count in 1.. {
                 let beat = json!({"backend": service, "address": address.to_string(), "zone": zone,
                     "revision": "v1", "capacity": 3, "phase": "available", "warmup_ms": 0,
--- a/crates/linenthread-drill/src/system.rs
+++ b/crates/linenthread-drill/src/system.rs
@@ -11,10 +11,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lerwick::{Answer, Beat, Control, Local, Out};
+use linenthread_consensus::{DurableState, digest, genesis_id};
+use linenthread_control::{Answer, Beat, Control, Effect, Local};
+use linenthread_messages::{Heartbeat, Hello, PeerMessage, Record, VERSION, Value, Voter};
 use oorandom::Rand64;
-use valentia::{Hello, Record, Tick, VERSION, Value, Voter, Word};
-use zugspitze::{Kept, digest, genesis_id};
 
 const WHOLE: f64 = 50.0;
 const WINDOW: u64 = 4_000;
@@ -37,11 +37,11 @@
         life: u64,
         link: u64,
     },
-    Word {
+    PeerMessage {
         to: usize,
         life: u64,
         link: u64,
-        word: Word,
+        word: PeerMessage,
     },
     Closed {
         to: usize,
@@ -57,7 +57,7 @@
         to: usize,
         life: u64,
         upto: usize,
-        then: Vec<(u64, Word)>,
+        then: Vec<(u64, PeerMessage)>,
     },
     Start {
         node: usize,
@@ -302,7 +302,7 @@
             return;
         }
         let (life, clock) = (self.chance.rand_u64() | 1, self.clock(n));
-        let mut kept = Kept::default();
+        let mut kept = DurableState::default();
         self.nodes[n].disk.iter().for_each(|r| kept.add(r.clone()));
         let node = &self.nodes[n];
         let own = node.address.clone();
@@ -368,7 +368,7 @@
         }
     }
 
-    fn send(&mut self, from: usize, link: u64, word: Word) {
+    fn send(&mut self, from: usize, link: u64, word: PeerMessage) {
         let delay = self.delay();
         let now = self.now;
         let cut = |w: &World, to: usize| w.is_cut(from, to);
@@ -383,7 +383,7 @@
         }
         let at = wire.last[side].max(now + delay);
         wire.last[side] = at;
-        self.push(at, Event::Word { to: to.0, life: to.1, link, word });
+        self.push(at, Event::PeerMessage { to: to.0, life: to.1, link, word });
     }
 
     fn open(&mut self, from: usize, life: u64, to: usize, to_life: u64) -> u64 {
@@ -395,7 +395,7 @@
     }
 
     /// Runs something at a hub and carries out what it says.
-    fn at(&mut self, n: usize, run: impl FnOnce(&mut Control, u64, &mut Vec<Out>)) {
+    fn at(&mut self, n: usize, run: impl FnOnce(&mut Control, u64, &mut Vec<Effect>)) {
         let (now, clock) = (self.now, self.clock(n));
         let mut out = Vec::new();
         let Some(control) = self.nodes[n].control.as_mut() else { return };
@@ -419,16 +419,16 @@
         self.judge_holders();
         for o in out {
             match o {
-                Out::Send { link, word } => self.send(n, link, word),
-                Out::Keep { record, then } => {
+                Effect::Send { link, word } => self.send(n, link, word),
+                Effect::Keep { record, then } => {
                     let node = &mut self.nodes[n];
                     node.unsynced.push(record);
                     let upto = node.synced + node.unsynced.len();
                     let (ms, jitter) = (node.sync_ms, self.up_to(4));
                     self.push(now + ms + jitter, Event::Synced { to: n, life, upto, then });
                 }
-                Out::Answer { token, answer } => self.answered(n, token, answer),
-                Out::Dial(address) => {
+                Effect::Answer { token, answer } => self.answered(n, token, answer),
+                Effect::Dial(address) => {
                     let to = self.nodes.iter().position(|o| o.address == address && !o.removed);
                     let up = to.filter(|&t| {
                         self.nodes[t].control.is_some() && !self.is_cut(n, t) && !self.is_cut(t, n)
@@ -446,15 +446,15 @@
                         }
                     }
                 }
-                Out::Drop(link) => self.end_link(link, n),
-                Out::Note(_) => {}
+                Effect::Drop(link) => self.end_link(link, n),
+                Effect::Note(_) => {}
             }
         }
     }
 
     /// At no moment two machines hold the duty, and an epoch belongs to one life.
     fn judge_holders(&mut self) {
-        let held = |n: usize| self.nodes[n].control.as_ref()?.holds_duty(self.clock(n));
+        let held = |n: usize| self.nodes[n].control.as_ref()?.holds_lease(self.clock(n));
         let holders: Vec<(usize, u64)> =
             (0..self.nodes.len()).filter_map(|n| held(n).map(|e| (n, e))).collect();
         if holders.len() > 1 {
@@ -521,7 +521,7 @@
                 let voters_of = self.nodes[n].control.as_ref().map(|c| c.register().voters().to_vec());
                 let knows = |v: &Voter| {
                     self.nodes.iter().filter_map(|o| o.control.as_ref()).any(|c| {
-                        let told = c.cells().get(&ident).map(|k| &k.told);
+                        let told = c.registry().get(&ident).map(|k| &k.told);
                         c.register().id() == v.id && told.is_some_and(|t| t.draining || t.ended)
                     })
                 };
@@ -559,8 +559,8 @@
                 let front = &mut self.fronts[f];
                 front.asked += 1;
                 front.said.insert(front.asked, now);
-                let tick = Tick { asked: front.asked, revision: front.revision, ..Tick::default() };
-                self.send(me, link, Word::Tick(tick));
+                let tick = Heartbeat { asked: front.asked, revision: front.revision, ..Heartbeat::default() };
+                self.send(me, link, PeerMessage::Heartbeat(tick));
             }
             None => {
                 let n = self.up_to(self.nodes.len() as u64) as usize;
@@ -585,19 +585,19 @@
                 let at = now + self.delay();
                 self.push(at, Event::Opened { to: n, life: to_life, link });
                 self.wires.get_mut(&link).expect("just made").last = [at, at];
-                self.send(me, link, Word::Hello(hello));
+                self.send(me, link, PeerMessage::Hello(hello));
             }
         }
     }
 
-    fn front_hears(&mut self, f: usize, word: Word) {
+    fn front_hears(&mut self, f: usize, word: PeerMessage) {
         let now = self.now;
         let mut breach = None;
         let front = &mut self.fronts[f];
         front.heard = now;
         match word {
-            Word::Tick(tick) => front.outside = if tick.whole { 0 } else { front.outside + 1 },
-            Word::News(news) => {
+            PeerMessage::Heartbeat(tick) => front.outside = if tick.whole { 0 } else { front.outside + 1 },
+            PeerMessage::FrontUpdate(news) => {
                 (front.log, front.place) = (news.log, news.place);
                 if let Some(value) = news.value {
                     if value.revision < front.revision {
@@ -607,7 +607,7 @@
                 }
                 front.confirmed |= news.confirmed;
             }
-            Word::Grants(grants) => {
+            PeerMessage::Allotments(grants) => {
                 for grant in grants.grants {
                     let said = front.said.get(&grant.asked).copied();
                     if let (Some(said), true) = (said, grant.life == front.life && grant.epoch >= front.epoch)
@@ -871,7 +871,7 @@
         };
         let to = match &event {
             Event::Opened { to, life, .. }
-            | Event::Word { to, life, .. }
+            | Event::PeerMessage { to, life, .. }
             | Event::Closed { to, life, .. }
             | Event::Unreached { to, life, .. } => Some((*to, *life)),
             _ => None,
@@ -893,13 +893,13 @@
                     self.at(to, |c, _, out| c.opened(link, out));
                 }
             }
-            Event::Word { to, link, word, .. } => {
+            Event::PeerMessage { to, link, word, .. } => {
                 if to >= 1_000 {
                     if self.fronts[to - 1_000].link == Some(link) {
                         self.front_hears(to - 1_000, word);
                     }
                 } else if self.wires.contains_key(&link) {
-                    self.at(to, |c, now, out| c.hear(now, link, word, out));
+                    self.at(to, |c, now, out| c.on_message(now, link, word, out));
                 }
             }
             Event::Closed { to, link, .. } => {
@@ -974,7 +974,7 @@
         }
         let newest = self.values.last_key_value().map(|(_, v)| v.clone()).unwrap_or_default();
         for (revision, change) in self.acked.clone() {
-            let taken = valentia::Taken { revision, digest: digest(&change.document) };
+            let taken = linenthread_messages::Taken { revision, digest: digest(&change.document) };
             let there = self.values.values().any(|v| v.revision == revision && v.document == change.document);
             if !there || !newest.taken.contains(&taken) && newest.taken.len() < 64 {
                 self.breach(format!("acked-lasts: {revision} is not in the chain"));
--- a/crates/eskdalemuir/tests/bytes.rs
+++ b/crates/linenthread-http/tests/bytes.rs
@@ -1,7 +1,7 @@
 //! Heads and bodies byte by byte, and the greatest records against a plain sort.
 
 use bytes::BytesMut;
-use eskdalemuir::{Body, Framing, Head, Refusal, answer_framing, greatest, request_framing};
+use linenthread_http::{Body, Framing, Head, Refusal, answer_framing, greatest, request_framing};
 use yare::parameterized;
 
 fn head(text: &str) -> Result<Head, Refusal> {
--- a/crates/valentia/src/frame.rs
+++ b/crates/linenthread-messages/src/frame.rs
@@ -2,7 +2,7 @@
 use prost::Message;
 use snafu::Snafu;
 
-use crate::{Envelope, Word};
+use crate::{Envelope, PeerMessage};
 
 /// No frame is longer: a snapshot of thousands of replicas and a configuration of thousands of routes fit.
 pub const LONGEST: usize = 16 << 20;
@@ -18,7 +18,7 @@
 }
 
 /// Writes a word as a frame.
-pub fn encode(word: Word, to: &mut BytesMut) {
+pub fn encode(word: PeerMessage, to: &mut BytesMut) {
     let envelope = Envelope { word: Some(word) };
     let length = envelope.encoded_len();
     to.reserve(length + 4);
@@ -30,7 +30,7 @@
 ///
 /// # Errors
 /// A frame over the bound, or one that holds no word: the connection is of no more use.
-pub fn decode(buffer: &mut BytesMut) -> Result<Option<Word>, FrameFault> {
+pub fn decode(buffer: &mut BytesMut) -> Result<Option<PeerMessage>, FrameFault> {
     if buffer.len() < 4 {
         return Ok(None);
     }
--- a/crates/valentia/src/words.rs
+++ b/crates/linenthread-messages/src/words.rs
@@ -111,7 +111,7 @@
 
 /// Accepted, synced.
 #[derive(Clone, PartialEq, Message)]
-pub struct Took {
+pub struct AcceptAck {
     #[prost(uint64, tag = "1")]
     pub number: u64,
     #[prost(message, required, tag = "2")]
@@ -120,7 +120,7 @@
 
 /// A greater ballot was promised for this number.
 #[derive(Clone, PartialEq, Message)]
-pub struct Refused {
+pub struct Rejected {
     #[prost(uint64, tag = "1")]
     pub number: u64,
     #[prost(message, required, tag = "2")]
@@ -129,20 +129,20 @@
 
 /// The speaker has decided values up to this one only.
 #[derive(Clone, PartialEq, Message)]
-pub struct Lacking {
+pub struct CatchUpRequest {
     #[prost(uint64, tag = "1")]
     pub number: u64,
 }
 
 /// What have you decided and accepted? Only answers to this very question count.
 #[derive(Clone, PartialEq, Message)]
-pub struct Ask {
+pub struct ReadRequest {
     #[prost(uint64, tag = "1")]
     pub question: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct Told {
+pub struct ReadReply {
     #[prost(uint64, tag = "1")]
     pub question: u64,
     #[prost(uint64, tag = "2")]
@@ -154,7 +154,7 @@
 
 /// Support me for the duty for so long from when you hear this, under this epoch.
 #[derive(Clone, PartialEq, Message)]
-pub struct DutyAsk {
+pub struct LeaseRequest {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     #[prost(uint64, tag = "2")]
@@ -170,7 +170,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct DutySay {
+pub struct LeaseVote {
     /// The greatest epoch the speaker has supported.
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -261,7 +261,7 @@
 
 /// A sign of life, both ways, and what a side wants told often.
 #[derive(Clone, PartialEq, Message)]
-pub struct Tick {
+pub struct Heartbeat {
     /// From a front: its word that asks for a share. Between hubs: the newest value's number.
     #[prost(uint64, tag = "1")]
     pub asked: u64,
@@ -278,7 +278,7 @@
 
 /// From hub to front: changes in a row, or all there is.
 #[derive(Clone, PartialEq, Message)]
-pub struct News {
+pub struct FrontUpdate {
     #[prost(fixed64, tag = "1")]
     pub log: u64,
     /// The place in the log after these.
@@ -304,7 +304,7 @@
 
 /// From hub to hub.
 #[derive(Clone, PartialEq, Message)]
-pub struct Gossip {
+pub struct ControlUpdate {
     #[prost(message, repeated, tag = "1")]
     pub replicas: Vec<Replica>,
     /// All sessions of fronts that the speaker holds.
@@ -330,7 +330,7 @@
 
 /// A share of the further tries, for so long from the word that asked for it.
 #[derive(Clone, PartialEq, Message)]
-pub struct Grant {
+pub struct Allotment {
     #[prost(string, tag = "1")]
     pub name: String,
     #[prost(fixed64, tag = "2")]
@@ -352,27 +352,27 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct Grants {
+pub struct Allotments {
     #[prost(message, repeated, tag = "1")]
-    pub grants: Vec<Grant>,
+    pub grants: Vec<Allotment>,
 }
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "Word", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17")]
-    pub word: Option<Word>,
+    #[prost(oneof = "PeerMessage", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17")]
+    pub word: Option<PeerMessage>,
 }
 
 #[derive(Clone, PartialEq, Oneof)]
-pub enum Word {
+pub enum PeerMessage {
     #[prost(message, tag = "1")]
     Hello(Hello),
     #[prost(message, tag = "2")]
-    Tick(Tick),
+    Heartbeat(Heartbeat),
     #[prost(message, tag = "3")]
-    News(News),
+    FrontUpdate(FrontUpdate),
     #[prost(message, tag = "4")]
-    Gossip(Gossip),
+    ControlUpdate(ControlUpdate),
     #[prost(message, tag = "5")]
     Heard(Heard),
     #[prost(message, tag = "6")]
@@ -382,21 +382,21 @@
     #[prost(message, tag = "8")]
     Accept(Accept),
     #[prost(message, tag = "9")]
-    Took(Took),
+    AcceptAck(AcceptAck),
     #[prost(message, tag = "10")]
-    Refused(Refused),
+    Rejected(Rejected),
     #[prost(message, tag = "11")]
-    Lacking(Lacking),
+    CatchUpRequest(CatchUpRequest),
     #[prost(message, tag = "12")]
     Decided(Value),
     #[prost(message, tag = "13")]
-    Ask(Ask),
+    ReadRequest(ReadRequest),
     #[prost(message, tag = "14")]
-    Told(Told),
+    ReadReply(ReadReply),
     #[prost(message, tag = "15")]
-    DutyAsk(DutyAsk),
+    LeaseRequest(LeaseRequest),
     #[prost(message, tag = "16")]
-    DutySay(DutySay),
+    LeaseVote(LeaseVote),
     #[prost(message, tag = "17")]
-    Grants(Grants),
+    Allotments(Allotments),
 }
--- a/crates/valentia/tests/frames.rs
+++ b/crates/linenthread-messages/tests/frames.rs
@@ -1,13 +1,13 @@
 //! Frames cut anywhere, and bytes that are none.
 
 use bytes::BytesMut;
-use valentia::{Ballot, FrameFault, LONGEST, Prepare, Tick, Word, decode, encode};
+use linenthread_messages::{Ballot, FrameFault, Heartbeat, LONGEST, PeerMessage, Prepare, decode, encode};
 
 #[test]
 fn words_come_through_cut_anywhere() {
     let words = [
-        Word::Prepare(Prepare { number: 7, ballot: Ballot { round: 2, proposer: 9 } }),
-        Word::Tick(Tick { asked: 3, whole: true, ..Tick::default() }),
+        PeerMessage::Prepare(Prepare { number: 7, ballot: Ballot { round: 2, proposer: 9 } }),
+        PeerMessage::Heartbeat(Heartbeat { asked: 3, whole: true, ..Heartbeat::default() }),
     ];
     let mut bytes = BytesMut::new();
     words.iter().for_each(|w| encode(w.clone(), &mut bytes));
--- a/crates/sonnblick/src/control.rs
+++ b/crates/linenthread-node/src/control.rs
@@ -6,15 +6,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eskdalemuir::{Head, request_framing};
-use kew::{Configuration, Settings};
-use lerwick::{Answer, Beat, Control, Link, Local, Out, Token};
+use linenthread_config::{Configuration, Settings};
+use linenthread_control::{Answer, Beat, Control, Effect, Link, Local, Token};
+use linenthread_http::{Head, request_framing};
+use linenthread_messages::{PeerMessage, Value, Voter};
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
-use valentia::{Value, Voter, Word};
 
 use crate::disk::Disk;
 use crate::errors::{Error, step};
@@ -30,8 +30,8 @@
 const DIAL: Duration = Duration::from_millis(700);
 
 enum Command {
-    Opened(Link, mpsc::Sender<Word>),
-    Word(Link, Word),
+    Opened(Link, mpsc::Sender<PeerMessage>),
+    PeerMessage(Link, PeerMessage),
     Closed(Link),
     Unreached(String),
     Beat(String, Beat, oneshot::Sender<Answer>),
@@ -40,15 +40,15 @@
     Read(oneshot::Sender<Answer>),
     Members(oneshot::Sender<serde_json::Value>),
     Replicas(oneshot::Sender<serde_json::Value>),
-    Synced(Vec<(u64, Word)>),
+    Synced(Vec<(u64, PeerMessage)>),
     Stop(oneshot::Sender<()>),
 }
 
-pub struct Hall {
+pub struct ControlServer {
     commands: mpsc::Sender<Command>,
 }
 
-impl Hall {
+impl ControlServer {
     /// Ends all sessions, so that the others need not wait for silence.
     pub async fn stop(&self) {
         let (done, ended) = oneshot::channel();
@@ -65,7 +65,7 @@
     hash | 1
 }
 
-pub async fn start(settings: &Rc<Settings>, address: SocketAddr) -> Result<Hall, Error> {
+pub async fn start(settings: &Rc<Settings>, address: SocketAddr) -> Result<ControlServer, Error> {
     let (commands, queue) = mpsc::channel(COMMANDS);
     let (synced_tx, mut synced) = mpsc::unbounded_channel();
     let state = settings.state_dir.as_deref().unwrap_or_default();
@@ -76,11 +76,11 @@
     let empty = kept.id.is_none();
     // An empty disk is nobody that was there before; but on the very first start the address names it.
     let first = empty && settings.initial_boot && bootstrap.contains(&own);
-    let id = kept.id.unwrap_or(if first { zugspitze::genesis_id(&own) } else { life });
+    let id = kept.id.unwrap_or(if first { linenthread_consensus::genesis_id(&own) } else { life });
     let genesis = settings.initial_boot.then(|| Value {
         voters: bootstrap
             .iter()
-            .map(|a| Voter { id: zugspitze::genesis_id(a), address: a.clone() })
+            .map(|a| Voter { id: linenthread_consensus::genesis_id(a), address: a.clone() })
             .collect(),
         ..Value::default()
     });
@@ -100,13 +100,16 @@
     log::info!(disk = id, empty = empty, first = first; "event=control_start");
     let control = Control::new(local, id, kept, genesis.clone(), clock::ms());
     if empty {
-        disk.keep(valentia::Record { id: Some(id), decided: genesis, ..Default::default() }, Vec::new());
+        disk.keep(
+            linenthread_messages::Record { id: Some(id), decided: genesis, ..Default::default() },
+            Vec::new(),
+        );
     }
     let calls = TcpListener::bind(address).await.map_err(step("binding", address))?;
     let peers = SocketAddr::new(address.ip(), settings.peers_port);
     let peers = TcpListener::bind(peers).await.map_err(step("binding", peers))?;
     log::info!(calls = address.to_string(), peers = settings.peers_port; "event=control_open");
-    let hub = Hub {
+    let hub = ControlNode {
         control,
         disk,
         links: HashMap::new(),
@@ -143,7 +146,7 @@
             }
         }
     });
-    Ok(Hall { commands })
+    Ok(ControlServer { commands })
 }
 
 /// No descriptor is left, or the like: it will pass.
@@ -161,24 +164,24 @@
         return;
     }
     let queue = commands.clone();
-    let take = move |word| queue.try_send(Command::Word(link, word)).is_ok();
+    let take = move |word| queue.try_send(Command::PeerMessage(link, word)).is_ok();
     if let Err(e) = links::carry(stream, &peer, words, take).await {
         log::info!(cause = e.to_string(); "event=link_ended");
     }
     let _ = commands.send(Command::Closed(link)).await;
 }
 
-struct Hub {
+struct ControlNode {
     control: Control,
     disk: Disk,
-    links: HashMap<Link, mpsc::Sender<Word>>,
+    links: HashMap<Link, mpsc::Sender<PeerMessage>>,
     calls: HashMap<Token, oneshot::Sender<Answer>>,
     tokens: Token,
     commands: mpsc::Sender<Command>,
     port: u16,
 }
 
-impl Hub {
+impl ControlNode {
     async fn run(mut self, mut queue: mpsc::Receiver<Command>) {
         let (mut waiting, mut out) = (Vec::new(), Vec::new());
         loop {
@@ -208,13 +211,13 @@
         self.tokens
     }
 
-    fn take(&mut self, now: u64, command: Command, out: &mut Vec<Out>) {
+    fn take(&mut self, now: u64, command: Command, out: &mut Vec<Effect>) {
         match command {
             Command::Opened(link, to) => {
                 self.links.insert(link, to);
                 self.control.opened(link, out);
             }
-            Command::Word(link, word) => self.control.hear(now, link, word, out),
+            Command::PeerMessage(link, word) => self.control.on_message(now, link, word, out),
             Command::Closed(link) => {
                 self.links.remove(&link);
                 self.control.closed(now, link, out);
@@ -243,26 +246,26 @@
         }
     }
 
-    fn carry_out(&mut self, out: &mut Vec<Out>) {
+    fn carry_out(&mut self, out: &mut Vec<Effect>) {
         for o in out.drain(..) {
             match o {
-                Out::Send { link, word } => {
+                Effect::Send { link, word } => {
                     let full = self.links.get(&link).is_some_and(|to| to.try_send(word).is_err());
                     if full {
                         self.links.remove(&link);
                     }
                 }
-                Out::Keep { record, then } => {
+                Effect::Keep { record, then } => {
                     if !self.disk.keep(record, then) {
                         log::warn!("event=disk_behind");
                     }
                 }
-                Out::Answer { token, answer } => {
+                Effect::Answer { token, answer } => {
                     if let Some(reply) = self.calls.remove(&token) {
                         let _ = reply.send(answer);
                     }
                 }
-                Out::Dial(address) => {
+                Effect::Dial(address) => {
                     let (commands, port) = (self.commands.clone(), self.port);
                     spawn_local(async move {
                         let Ok(control) = address.parse::<SocketAddr>() else { return };
@@ -272,8 +275,8 @@
                         }
                     });
                 }
-                Out::Drop(link) => drop(self.links.remove(&link)),
-                Out::Note(line) => log::info!("{line}"),
+                Effect::Drop(link) => drop(self.links.remove(&link)),
+                Effect::Note(line) => log::info!("{line}"),
             }
         }
     }
@@ -297,7 +300,7 @@
             Ok(framing) => framing,
             Err(refusal) => {
                 logs::refused("judging a call's head", from, format_args!("{refusal:?}"));
-                let status = if refusal == eskdalemuir::Refusal::BodyTooLong { 413 } else { 400 };
+                let status = if refusal == linenthread_http::Refusal::BodyTooLong { 413 } else { 400 };
                 let _ = answer(&mut wire, status, &json!({"error": "body refused"}), false).await;
                 return;
             }
--- a/crates/sonnblick/src/desk.rs
+++ b/crates/linenthread-node/src/desk.rs
@@ -6,12 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eskdalemuir::{greatest, number};
-use kew::{Planned, Settings, Target};
+use linenthread_config::{Planned, Settings, Target};
 use linenthread_core::interface::{
     Arrivals, Index, Listed, NewLookup, NewPart, Phase, Return, RosterNews, Tenths, Why,
 };
 use linenthread_core::{Coordinator, Writer};
+use linenthread_http::{greatest, number};
 use smallvec::SmallVec;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
@@ -192,7 +192,7 @@
                 (_, true) => Phase::Draining,
                 _ => Phase::Ready,
             };
-            let (id, site) = (zugspitze::digest(slot.ident.as_bytes()), sites.of(&slot.zone));
+            let (id, site) = (linenthread_consensus::digest(slot.ident.as_bytes()), sites.of(&slot.zone));
             listed.push(Listed { replica, id, cell, site, phase, started: None, cold_share: None });
         }
         if listed.is_empty() {
--- a/crates/sonnblick/src/disk.rs
+++ b/crates/linenthread-node/src/disk.rs
@@ -3,10 +3,10 @@
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 
+use linenthread_consensus::DurableState;
+use linenthread_messages::{PeerMessage, Record};
 use linenthread_store::{Folder, Log};
 use prost::Message;
-use valentia::{Record, Word};
-use zugspitze::Kept;
 
 use crate::errors::Error;
 
@@ -17,7 +17,7 @@
 /// Records that may wait; above, the register's words are dropped and said again later.
 const WAITING: usize = 256;
 
-type Then = Vec<(u64, Word)>;
+type Then = Vec<(u64, PeerMessage)>;
 
 pub struct Disk {
     to: mpsc::SyncSender<(Record, Then)>,
@@ -42,7 +42,7 @@
     (0..count).map(cut).collect()
 }
 
-fn read(pieces: Vec<Vec<u8>>, kept: &mut Kept) -> Result<(), String> {
+fn read(pieces: Vec<Vec<u8>>, kept: &mut DurableState) -> Result<(), String> {
     let mut whole = Vec::new();
     for piece in pieces {
         let Some((last, bytes)) = piece.split_first() else { return Err("an empty entry".into()) };
@@ -58,16 +58,16 @@
 struct Owner {
     path: PathBuf,
     log: Option<Log<Folder>>,
-    kept: Kept,
+    kept: DurableState,
 }
 
 impl Owner {
-    fn open(path: &Path) -> Result<(Log<Folder>, Kept), String> {
+    fn open(path: &Path) -> Result<(Log<Folder>, DurableState), String> {
         let opened = Log::open(Folder::take(path)?).map_err(|e| e.to_string())?;
         if let Some(cut) = &opened.cut {
             log::info!(file = cut.file, at = cut.at, bytes = cut.bytes; "event=torn_end_cut");
         }
-        let mut kept = Kept::default();
+        let mut kept = DurableState::default();
         read(opened.records, &mut kept)?;
         Ok((opened.log, kept))
     }
@@ -101,9 +101,9 @@
 }
 
 /// Opens what the disk holds. `synced` takes what waited, from the disk's own thread.
-pub fn open(path: &str, synced: impl Fn(Then) + Send + 'static) -> Result<(Disk, Kept), Error> {
+pub fn open(path: &str, synced: impl Fn(Then) + Send + 'static) -> Result<(Disk, DurableState), Error> {
     let path = PathBuf::from(path);
-    let fault = |cause| Error::Word { step: "opening the state", peer: path.display().to_string(), cause };
+    let fault = |cause| Error::Message { step: "opening the state", peer: path.display().to_string(), cause };
     let (log, kept) = Owner::open(&path).map_err(fault)?;
     let (to, from) = mpsc::sync_channel::<(Record, Then)>(WAITING);
     let mut owner = Owner { path: path.clone(), log: Some(log), kept: kept.clone() };
--- a/crates/sonnblick/src/follow.rs
+++ b/crates/linenthread-node/src/follow.rs
@@ -7,9 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use linenthread_messages::{Heartbeat, Hello, PeerMessage, VERSION};
 use oorandom::Rand64;
 use tokio::sync::{mpsc, watch};
-use valentia::{Hello, Tick, VERSION, Word};
 
 use crate::plane::{Plane, Share};
 use crate::{clock, links};
@@ -46,7 +46,11 @@
     }
 }
 
-pub async fn follow(plane: Rc<Plane>, life: u64, mut changed: watch::Receiver<Option<Rc<kew::Settings>>>) {
+pub async fn follow(
+    plane: Rc<Plane>,
+    life: u64,
+    mut changed: watch::Receiver<Option<Rc<linenthread_config::Settings>>>,
+) {
     let mut chance = Rand64::new(u128::from(life));
     let following = Rc::new(Following {
         hubs: RefCell::new(plane.settings.bootstrap_peers.clone()),
@@ -111,7 +115,7 @@
         value: plane.revision(),
         ..Hello::default()
     };
-    let _ = to.try_send(Word::Hello(hello));
+    let _ = to.try_send(PeerMessage::Hello(hello));
     let heard = Rc::new(Cell::new(clock::ms()));
     let outside = Rc::new(Cell::new(0u32));
     let (at, alone, state) = (heard.clone(), outside.clone(), following.clone());
@@ -124,8 +128,8 @@
     let ticking = async {
         loop {
             let asked = following.ask();
-            let tick = Tick { asked, revision: plane.revision(), ..Tick::default() };
-            if to.try_send(Word::Tick(tick)).is_err() {
+            let tick = Heartbeat { asked, revision: plane.revision(), ..Heartbeat::default() };
+            if to.try_send(PeerMessage::Heartbeat(tick)).is_err() {
                 return "the hub does not read";
             }
             tokio::time::sleep(TICK).await;
@@ -149,15 +153,15 @@
 }
 
 /// One word of the hub; false ends the session.
-fn hear(following: &Following, word: Word, outside: &Cell<u32>, met: &impl Fn(String)) -> bool {
+fn hear(following: &Following, word: PeerMessage, outside: &Cell<u32>, met: &impl Fn(String)) -> bool {
     let plane = &following.plane;
     match word {
-        Word::Hello(hello) => {
+        PeerMessage::Hello(hello) => {
             met(hello.zone);
             return hello.version == VERSION;
         }
-        Word::Tick(tick) => outside.set(if tick.whole { 0 } else { outside.get() + 1 }),
-        Word::News(news) => {
+        PeerMessage::Heartbeat(tick) => outside.set(if tick.whole { 0 } else { outside.get() + 1 }),
+        PeerMessage::FrontUpdate(news) => {
             following.log.set(news.log);
             following.place.set(news.place);
             if !news.hubs.is_empty() {
@@ -175,8 +179,10 @@
                 log::info!(revision = plane.revision(); "event=confirmed");
             }
         }
-        Word::Grants(grants) => {
-            let own = |g: &valentia::Grant| g.life == following.life && g.epoch >= plane.share().epoch;
+        PeerMessage::Allotments(grants) => {
+            let own = |g: &linenthread_messages::Allotment| {
+                g.life == following.life && g.epoch >= plane.share().epoch
+            };
             for grant in grants.grants.iter().filter(|g| own(g)) {
                 // Counted from when it was asked for: that was before it was given.
                 let said = following.said.borrow().iter().find(|(n, _)| *n == grant.asked).map(|(_, at)| *at);
--- a/crates/sonnblick/src/front.rs
+++ b/crates/linenthread-node/src/front.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eskdalemuir::{Head, Refusal, number, request_framing};
-use kew::Settings;
+use linenthread_config::Settings;
+use linenthread_http::{Head, Refusal, number, request_framing};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -248,7 +248,7 @@
         to_head: head.method() == "HEAD",
         gathers: planned.route.fanout.is_some(),
     };
-    let key = zugspitze::digest(head.target().as_bytes());
+    let key = linenthread_consensus::digest(head.target().as_bytes());
     let (desk, lookup, mut answer) = plane.take(Rc::new(request), planned, key, deadline);
     tokio::select! {
         biased;
--- a/crates/sonnblick/src/links.rs
+++ b/crates/linenthread-node/src/links.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use linenthread_messages::{PeerMessage, decode, encode};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use valentia::{Word, decode, encode};
 
 use crate::clock;
 use crate::errors::{Error, step};
@@ -50,14 +50,14 @@
 pub async fn carry(
     stream: TcpStream,
     peer: &str,
-    mut words: mpsc::Receiver<Word>,
-    mut take: impl FnMut(Word) -> bool,
+    mut words: mpsc::Receiver<PeerMessage>,
+    mut take: impl FnMut(PeerMessage) -> bool,
 ) -> Result<(), Error> {
     let (mut from, mut to) = stream.into_split();
     let reading = async {
         let mut buffer = BytesMut::with_capacity(4_096);
         loop {
-            while let Some(word) = decode(&mut buffer).map_err(|e| Error::Word {
+            while let Some(word) = decode(&mut buffer).map_err(|e| Error::Message {
                 step: "reading a frame of",
                 peer: peer.to_owned(),
                 cause: e.to_string(),
--- a/crates/sonnblick/src/main.rs
+++ b/crates/linenthread-node/src/main.rs
@@ -21,7 +21,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use kew::{Configuration, Settings};
+use linenthread_config::{Configuration, Settings};
 use tokio::task::LocalSet;
 
 use crate::errors::Error;
@@ -31,7 +31,7 @@
 
     xflags::xflags! {
         /// The daemon of the search front.
-        cmd sonnblick {
+        cmd linenthread-node {
             /// Serves what the settings bind, until SIGTERM. This is what it does without any word.
             default cmd serve {
                 /// The settings file; else the variable LINENTHREAD_BOOT names it.
@@ -54,27 +54,27 @@
 }
 
 fn main() -> ExitCode {
-    let flags = match flags::Sonnblick::from_env() {
+    let flags = match flags::LinenthreadNode::from_env() {
         Ok(flags) => flags,
         Err(e) => e.exit(),
     };
     let done = match flags.subcommand {
-        flags::SonnblickCmd::Serve(serve) => run(serve.settings, serve.pass_through),
-        flags::SonnblickCmd::Check(check) => errors::read(&check.configuration).and_then(|bytes| {
+        flags::LinenthreadNodeCmd::Serve(serve) => run(serve.settings, serve.pass_through),
+        flags::LinenthreadNodeCmd::Check(check) => errors::read(&check.configuration).and_then(|bytes| {
             Configuration::judge(&bytes)
                 .map(drop)
                 .map_err(|source| Error::Fault { file: check.configuration.display().to_string(), source })
         }),
-        flags::SonnblickCmd::CheckSettings(check) => settings(&check.settings).map(drop),
-        flags::SonnblickCmd::Version(_) => {
-            println!("sonnblick {}", env!("CARGO_PKG_VERSION"));
+        flags::LinenthreadNodeCmd::CheckSettings(check) => settings(&check.settings).map(drop),
+        flags::LinenthreadNodeCmd::Version(_) => {
+            println!("linenthread-node {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("sonnblick: {e}");
+            eprintln!("linenthread-node: {e}");
             ExitCode::from(2)
         }
     }
@@ -104,7 +104,7 @@
 
 async fn serve(settings: Rc<Settings>, path: std::path::PathBuf) -> Result<(), Error> {
     let ends = signals::listen(path)?;
-    let hall = match settings.control {
+    let control = match settings.control {
         Some(address) => Some(control::start(&settings, address).await?),
         None => None,
     };
@@ -117,8 +117,8 @@
     if let Some(plane) = plane {
         front::stop(&plane, settings.grace_ms).await;
     }
-    if let Some(hall) = hall {
-        hall.stop().await;
+    if let Some(control) = control {
+        control.stop().await;
     }
     log::info!(node = settings.node_name; "event=stopped");
     Ok(())
--- a/crates/sonnblick/src/plane.rs
+++ b/crates/linenthread-node/src/plane.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use kew::{Configuration, Plan, Planned, Settings, Target};
+use linenthread_config::{Configuration, Plan, Planned, Settings, Target};
 use linenthread_core::interface::{Tenths, WayTo};
 use tokio::sync::{oneshot, watch};
 
@@ -29,7 +29,7 @@
     /// Near ones first.
     pub fn ways(&self) -> Vec<WayTo> {
         let way = |(i, zone): (usize, &String)| WayTo {
-            id: zugspitze::digest(zone.as_bytes()),
+            id: linenthread_consensus::digest(zone.as_bytes()),
             distance: u8::from(i > 0),
             open: 1_000,
         };
@@ -148,7 +148,7 @@
     }
 
     /// What is told of replicas; with `whole`, what is left out is gone.
-    pub fn hear(&self, replicas: &[valentia::Replica], whole: bool) {
+    pub fn hear(&self, replicas: &[linenthread_messages::Replica], whole: bool) {
         let mut changed: Vec<Rc<Slot>> = Vec::new();
         let mut slots = self.slots.borrow_mut();
         for replica in replicas {
@@ -232,7 +232,7 @@
         if let Some(desk) = self.desks.borrow().get(&key) {
             return desk.clone();
         }
-        let seed = self.seed ^ zugspitze::digest(format!("{key:?}").as_bytes());
+        let seed = self.seed ^ linenthread_consensus::digest(format!("{key:?}").as_bytes());
         let desk = Desk::new(key.0.as_slice().into(), tries, &self.settings, seed);
         let slots = self.services.borrow();
         let here: Vec<Rc<Slot>> = key.0.iter().filter_map(|s| slots.get(s)).flatten().cloned().collect();
@@ -254,7 +254,7 @@
         let desk = match &planned.target {
             Target::All(services) => self.desk(services, tries),
             one => {
-                let drawn = zugspitze::digest(request.attempt.as_bytes()) >> 11;
+                let drawn = linenthread_consensus::digest(request.attempt.as_bytes()) >> 11;
                 let service = one.drawn(drawn as f64 / (1u64 << 53) as f64);
                 self.desk(service.map_or(&[][..], std::slice::from_ref), tries)
             }
--- a/crates/sonnblick/src/pool.rs
+++ b/crates/linenthread-node/src/pool.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use eskdalemuir::{Head, answer_framing, number};
 use linenthread_core::interface::Ending;
 use linenthread_core::policy::CONNECT;
+use linenthread_http::{Head, answer_framing, number};
 use tokio::net::TcpStream;
 
 use crate::clock;
@@ -74,7 +74,7 @@
 }
 
 impl Slot {
-    pub fn new(replica: &valentia::Replica, backend: Rc<str>, address: SocketAddr) -> Slot {
+    pub fn new(replica: &linenthread_messages::Replica, backend: Rc<str>, address: SocketAddr) -> Slot {
         Slot {
             ident: replica.ident.clone(),
             backend,
--- a/crates/sonnblick/src/signals.rs
+++ b/crates/linenthread-node/src/signals.rs
@@ -10,7 +10,7 @@
 #[derive(Clone)]
 pub struct Ends {
     end: watch::Receiver<bool>,
-    settings: watch::Receiver<Option<Rc<kew::Settings>>>,
+    settings: watch::Receiver<Option<Rc<linenthread_config::Settings>>>,
 }
 
 impl Ends {
@@ -20,7 +20,7 @@
     }
 
     /// The settings as they were read last, each time they are read anew.
-    pub fn settings(&self) -> watch::Receiver<Option<Rc<kew::Settings>>> {
+    pub fn settings(&self) -> watch::Receiver<Option<Rc<linenthread_config::Settings>>> {
         self.settings.clone()
     }
 }
--- a/crates/sonnblick/src/terms.rs
+++ b/crates/linenthread-node/src/terms.rs
@@ -1,6 +1,6 @@
 //! What a route and the limits of the settings say, in the terms of the decision module.
 
-use kew::{Mode, Planned, Settings, Target};
+use linenthread_config::{Mode, Planned, Settings, Target};
 use linenthread_core::interface::{
     Allowance, ColdStart, Deployment, Effect, FurtherCalls, Index, Layout, Tenths,
 };
--- a/crates/sonnblick/src/wire.rs
+++ b/crates/linenthread-node/src/wire.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use eskdalemuir::{Body, Framing, Head, Refusal};
+use linenthread_http::{Body, Framing, Head, Refusal};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
--- a/crates/sonnblick/tests/system.rs
+++ b/crates/linenthread-node/tests/system.rs
@@ -7,13 +7,13 @@
 use std::path::Path;
 use std::time::Duration;
 
-use neumayer::{Rig, records};
+use linenthread_demo::{Rig, records};
 
 const SOON: Duration = Duration::from_secs(20);
 const SERVICES: [&str; 3] = ["s1", "s2", "s3"];
 
 fn rig(hubs: usize, fronts: usize) -> Rig {
-    let mut rig = Rig::new(Path::new(env!("CARGO_BIN_EXE_sonnblick"))).unwrap();
+    let mut rig = Rig::new(Path::new(env!("CARGO_BIN_EXE_linenthread-node"))).unwrap();
     rig.start(hubs, fronts).unwrap();
     for n in 1..=hubs {
         assert!(rig.wait_for(&format!("hub-{n}"), &["event=control_open"], SOON));
@@ -39,7 +39,7 @@
 }
 
 /// Asks until a whole answer comes, a bounded number of times.
-fn whole(rig: &Rig, front: &str, path: &str, name: &str) -> Option<brocken::Reply> {
+fn whole(rig: &Rig, front: &str, path: &str, name: &str) -> Option<linenthread_ctl::Reply> {
     (0..200).find_map(|n| {
         let reply = rig.ask(front, path, &format!("{name}-{n}")).ok()?;
         (reply.status == 200 && reply.head.header("x-missing-parts") == Some("0")).then_some(reply)
@@ -55,7 +55,9 @@
     let seals = reply.head.header("x-part-seals").unwrap();
     let services: BTreeSet<&str> = seals.split(", ").map(|s| s.split('.').next().unwrap()).collect();
     assert_eq!(services, BTreeSet::from(SERVICES));
-    let ran = |r: &neumayer::Replica| r.ran().iter().any(|r| r.attempt == attempt && r.path == "/all/x?y=1");
+    let ran = |r: &linenthread_demo::Replica| {
+        r.ran().iter().any(|r| r.attempt == attempt && r.path == "/all/x?y=1")
+    };
     for seal in seals.split(", ") {
         let ident = seal.split('.').nth(1).unwrap();
         assert!(rig.replicas.iter().any(|r| r.ident == ident && ran(r)), "{seal}");
@@ -99,7 +101,7 @@
     for hub in ["hub-1", "hub-2", "hub-3"] {
         rig.run(hub).unwrap();
     }
-    let client = brocken::Client { addresses: rig.control(), within: Duration::from_secs(2) };
+    let client = linenthread_ctl::Client { addresses: rig.control(), within: Duration::from_secs(2) };
     let read = (0..200).find_map(|_| {
         client.call("GET", "/Configuration.Read", &[], &[], 5).ok().filter(|r| r.status == 200)
     });
