LeaderLease: a holder that leaves releases the lease, its voters are free at once

A leader that left kept its voters waiting for the rest of its lease. release() puts the lease down and returns LeaseRelease { epoch, life } (envelope tag 18); on_release() frees a voter of just that life and epoch. Why this keeps one holder an epoch stands at on_release. A vote that comes after its request's time is no beginning of a lease.

--- a/crates/linenthread-consensus/src/lease.rs
+++ b/crates/linenthread-consensus/src/lease.rs
@@ -1,63 +1,77 @@
 use std::collections::BTreeSet;
 
-use linenthread_messages::{LeaseRequest, LeaseVote};
+use linenthread_messages::{LeaseRelease, LeaseRequest, LeaseVote};
 
-/// A support is given for so long, from when it is heard; the holder counts from when it asked.
+/// A vote supports the holder for so long, from when the voter hears the request; the holder counts from
+/// when it asked.
 const LEASE: u64 = 2_000;
 /// The holder asks anew after so long, and gives up its lease so much before the lease ends.
 const RENEW: u64 = 450;
 const EARLY: u64 = 200;
 
-#[derive(Clone, Copy)]
+/// The lease that this node holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Held {
     epoch: u64,
     until: u64,
-    /// The value whose disks gave the support.
+    /// Number of the value whose voters gave it.
     on: u64,
 }
 
-/// One machine's part in the leader lease: it supports one holder at a time, and may hold it itself.
+/// Whom this node supports as a voter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Support {
+    holder: u64,
+    life: u64,
+    epoch: u64,
+    until: u64,
+}
+
+/// One node's part in the leader lease: as a voter it supports one holder at a time, and it may hold the lease
+/// itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LeaderLease {
     id: u64,
     life: u64,
-    /// Which disk's machine it supports, in which life, under which epoch and until when; nobody new before then.
-    supports: Option<(u64, u64)>,
+    /// The last support that was given; over when its time is.
+    support: Option<Support>,
+    /// Nobody new is supported before then: support of which this life does not know may last so long.
+    quiet_until: u64,
+    /// The greatest epoch that was supported, or under which others are known to be.
     epoch: u64,
-    until: u64,
     /// What it asks for itself, and since when.
-    asks: Option<(LeaseRequest, u64)>,
-    words: u64,
-    yes: BTreeSet<u64>,
+    request: Option<(LeaseRequest, u64)>,
+    request_count: u64,
+    votes: BTreeSet<u64>,
     held: Option<Held>,
-    /// The last epoch that it held and lost.
-    past: u64,
+    /// The last epoch that it held and lost, or asked for and released.
+    past_epoch: u64,
 }
 
 impl LeaderLease {
     /// Whom an earlier life supported is not known any more, only under which epoch: nobody new is supported
     /// until that has ended.
     pub fn new(id: u64, life: u64, now: u64, first_of_all: bool, epoch: u64) -> LeaderLease {
-        let until = if first_of_all { now } else { now + LEASE };
         LeaderLease {
             id,
             life,
-            supports: None,
+            support: None,
+            quiet_until: if first_of_all { now } else { now + LEASE },
             epoch,
-            until,
-            asks: None,
-            words: 0,
-            yes: BTreeSet::new(),
+            request: None,
+            request_count: 0,
+            votes: BTreeSet::new(),
             held: None,
-            past: 0,
+            past_epoch: 0,
         }
     }
 
-    /// The epoch under which this machine holds the lease now.
+    /// The epoch under which this node holds the lease now.
     pub fn holds(&self, now: u64) -> Option<u64> {
         self.held.filter(|held| now < held.until).map(|held| held.epoch)
     }
 
-    /// Whether it holds it by the support of those whom the value of this number names. Only then may it change
+    /// Whether it holds it by the votes of those whom the value of this number names. Only then may it change
     /// who they are, *one-holder-an-epoch*.
     pub fn holds_on(&self, now: u64, number: u64) -> bool {
         self.held.is_some_and(|held| now < held.until && held.on == number)
@@ -68,26 +82,30 @@
     pub fn tick(&mut self, now: u64, first: bool, number: u64) -> Option<LeaseRequest> {
         let holds = self.holds(now).is_some();
         if let Some(held) = self.held.filter(|_| !holds) {
-            (self.held, self.asks, self.past) = (None, None, held.epoch);
+            (self.held, self.request, self.past_epoch) = (None, None, held.epoch);
         }
         if !first && !holds {
-            self.asks = None;
+            self.request = None;
             return None;
         }
-        if self.asks.as_ref().is_some_and(|(ask, at)| now < at + RENEW && ask.on == number) {
+        if self.request.as_ref().is_some_and(|(request, at)| now < at + RENEW && request.on == number) {
             return None;
         }
-        let epoch = match (self.held, &self.asks) {
+        let epoch = self.epoch_to_ask();
+        self.request_count += 1;
+        let (asked, life) = (self.request_count, self.life);
+        let request = LeaseRequest { epoch, asked, lease_ms: LEASE as u32, life, on: number };
+        self.request = Some((request.clone(), now));
+        self.votes.clear();
+        Some(request)
+    }
+
+    fn epoch_to_ask(&self) -> u64 {
+        match (self.held, &self.request) {
             (Some(held), _) => held.epoch,
-            (None, Some((ask, _))) if ask.epoch > self.epoch => ask.epoch,
-            _ => self.epoch.max(self.past) + 1,
-        };
-        self.words += 1;
-        let (asked, life) = (self.words, self.life);
-        let ask = LeaseRequest { epoch, asked, lease_ms: LEASE as u32, life, on: number };
-        self.asks = Some((ask.clone(), now));
-        self.yes.clear();
-        Some(ask)
+            (None, Some((request, _))) if request.epoch > self.epoch => request.epoch,
+            _ => self.epoch.max(self.past_epoch) + 1,
+        }
     }
 
     /// The greatest epoch that was supported, to be synced before a support under a new one is said.
@@ -100,63 +118,117 @@
     pub fn decided(&mut self, now: u64, epoch: u64, counts_anew: bool) {
         self.epoch = self.epoch.max(epoch);
         if counts_anew {
-            self.until = self.until.max(now + LEASE);
+            self.quiet_until = self.quiet_until.max(now + LEASE);
         }
     }
 
-    /// Another's wish, or its own, where the newest value here has this number; none while another value is in
-    /// doubt. Both must have the same one.
+    /// A request of another node, or its own, where the newest value here has this number; none while another
+    /// value is in doubt. Both must have the same one.
     pub fn on_lease_request(
         &mut self,
         now: u64,
         from: u64,
-        w: &LeaseRequest,
+        request: &LeaseRequest,
         number: Option<u64>,
     ) -> LeaseVote {
-        // Who is supported may go on, under a new epoch as well: two that wait for each other's leases to end
-        // would else never end together. A new life of it needs an epoch of its own.
-        let same = self.supports == Some((from, w.life)) && w.epoch >= self.epoch;
-        let again = self.supports.is_some_and(|(disk, _)| disk == from) || now >= self.until;
-        let yes = number == Some(w.on) && (same || again && w.epoch > self.epoch);
+        let yes = number == Some(request.on) && self.may_support(now, from, request);
         if yes {
-            (self.supports, self.epoch) = (Some((from, w.life)), w.epoch);
-            self.until = now + u64::from(w.lease_ms).min(LEASE);
+            let until = now + u64::from(request.lease_ms).min(LEASE);
+            let (life, epoch) = (request.life, request.epoch);
+            self.support = Some(Support { holder: from, life, epoch, until });
+            self.epoch = epoch;
+        }
+        LeaseVote { epoch: self.epoch, asked: request.asked, yes }
+    }
+
+    /// Whom one supports may go on, under a new epoch as well: two that wait for each other's leases to end would
+    /// else never end together. A new life of it needs an epoch of its own.
+    fn may_support(&self, now: u64, from: u64, request: &LeaseRequest) -> bool {
+        let same_life = |support: Support| (support.holder, support.life) == (from, request.life);
+        if self.support.is_some_and(same_life) && request.epoch >= self.epoch {
+            return true;
         }
-        LeaseVote { epoch: self.epoch, asked: w.asked, yes }
+        let same_holder = self.support.is_some_and(|support| support.holder == from);
+        let lapsed = self.support.is_none_or(|support| now >= support.until);
+        request.epoch > self.epoch && (same_holder || lapsed && now >= self.quiet_until)
     }
 
-    /// An answer; true if the lease is this machine's from now on, or by the support that this value asks for,
-    /// and was not before.
+    /// An answer; true if the lease is this node's from now on, or by the votes that this value asks for, and
+    /// was not before.
     pub fn on_lease_vote(
         &mut self,
         now: u64,
         from: u64,
-        w: &LeaseVote,
+        vote: &LeaseVote,
         number: u64,
-        most: impl Fn(Vec<u64>) -> bool,
+        is_most: impl Fn(Vec<u64>) -> bool,
     ) -> bool {
-        let Some((ask, at)) = &self.asks else { return false };
-        // What has lapsed is not held again under the same epoch.
-        if w.asked != ask.asked || ask.on != number || self.held.is_some_and(|held| now >= held.until) {
+        let Some((request, asked_at)) = &self.request else { return false };
+        let until = *asked_at + LEASE - EARLY;
+        // A vote for a request whose time is over gives nothing: the node may have been frozen meanwhile. What
+        // has lapsed is not held again under the same epoch.
+        let lapsed = now >= until || self.held.is_some_and(|held| now >= held.until);
+        if vote.asked != request.asked || request.on != number || lapsed {
             return false;
         }
-        if !w.yes {
-            // Another epoch is ahead: the next word asks above it, and what was said to this one is void.
-            if self.held.is_none() && w.epoch >= ask.epoch {
-                self.epoch = self.epoch.max(w.epoch);
-                self.asks = None;
-            }
+        if !vote.yes {
+            self.on_refusal(vote);
             return false;
         }
-        self.yes.insert(from);
-        if !most(self.yes.iter().copied().collect()) {
+        let (epoch, on) = (request.epoch, request.on);
+        self.votes.insert(from);
+        if !is_most(self.votes.iter().copied().collect()) {
             return false;
         }
         let new = self.held.is_none_or(|held| held.on != number);
-        self.held = Some(Held { epoch: ask.epoch, until: *at + LEASE - EARLY, on: ask.on });
+        self.held = Some(Held { epoch, until, on });
         new
     }
 
+    /// Another epoch is ahead: the next request asks above it, and votes for this one are void.
+    fn on_refusal(&mut self, vote: &LeaseVote) {
+        let behind = self.request.as_ref().is_some_and(|(request, _)| vote.epoch >= request.epoch);
+        if self.held.is_none() && behind {
+            self.epoch = self.epoch.max(vote.epoch);
+            self.request = None;
+        }
+    }
+
+    /// The holder leaves: from now on it holds nothing, and never again under any epoch that it asked for so far.
+    /// What is returned goes to all voters, itself too; none if it neither holds the lease nor has asked for it.
+    pub fn release(&mut self, _now: u64) -> Option<LeaseRelease> {
+        let asked = self.request.take().map(|(request, _)| request.epoch);
+        let held = self.held.take().map(|held| held.epoch);
+        let epoch = asked.max(held)?;
+        self.votes.clear();
+        self.past_epoch = self.past_epoch.max(epoch);
+        Some(LeaseRelease { epoch, life: self.life })
+    }
+
+    /// The node `from` has released the lease: whoever supports it may support another at once. Returns whether
+    /// a support ended.
+    ///
+    /// Why this keeps *one-holder-an-epoch*: only the holder itself says it, of its own life, after [`release`]
+    /// has put the lease down; from then on it asks only above `epoch`. So no vote that was given to this life up to
+    /// `epoch` can make it hold again: a vote counts only for the request on hand, and that is gone. A support
+    /// under a later epoch of the same life is not ended by it, however late the message comes; neither is the
+    /// quiet time after a start or after joining, which stands for support that this life does not know of.
+    ///
+    /// [`release`]: LeaderLease::release
+    pub fn on_release(&mut self, from: u64, release: &LeaseRelease) -> bool {
+        let released = |support: &Support| {
+            (support.holder, support.life) == (from, release.life) && support.epoch <= release.epoch
+        };
+        let ended = self.support.as_ref().is_some_and(released);
+        if ended {
+            self.support = None;
+            // A request of before, should it come yet, finds its epoch used up.
+            self.epoch = self.epoch.max(release.epoch);
+        }
+        ended
+    }
+
+    /// The name of this node's disk.
     pub fn id(&self) -> u64 {
         self.id
     }
--- /dev/null
+++ b/crates/linenthread-consensus/tests/lease_release.rs
@@ -0,0 +1,86 @@
+//! A holder that leaves: it holds nothing from then on, and its voters need not wait for the lease to end.
+
+use linenthread_consensus::LeaderLease;
+use linenthread_messages::{LeaseRelease, LeaseRequest, LeaseVote};
+use yare::parameterized;
+
+const HOLDER: u64 = 1;
+const OTHER: u64 = 2;
+const LIFE: u64 = 7;
+
+fn request(life: u64, epoch: u64, asked: u64) -> LeaseRequest {
+    LeaseRequest { epoch, asked, lease_ms: 2_000, life, on: 0 }
+}
+
+/// A voter that supports the holder under epoch 3 since 5,000.
+fn voter() -> LeaderLease {
+    let mut voter = LeaderLease::new(3, 9, 0, false, 0);
+    assert!(voter.on_lease_request(5_000, HOLDER, &request(LIFE, 3, 1), Some(0)).yes);
+    voter
+}
+
+#[parameterized(
+    said_by_the_holder = { HOLDER, LIFE, 3, true },
+    under_a_later_epoch = { HOLDER, LIFE, 4, true },
+    under_an_earlier_epoch = { HOLDER, LIFE, 2, false },
+    of_another_life = { HOLDER, 6, 3, false },
+    said_by_another = { OTHER, LIFE, 3, false },
+)]
+fn a_release_frees_the_voter_of_that_holder_only(from: u64, life: u64, epoch: u64, free: bool) {
+    let mut voter = voter();
+    assert_eq!(voter.on_release(from, &LeaseRelease { epoch, life }), free);
+    assert_eq!(voter.on_lease_request(5_100, OTHER, &request(8, 9, 1), Some(0)).yes, free);
+}
+
+#[test]
+fn a_request_that_was_overtaken_by_the_release_is_not_supported() {
+    let mut voter = voter();
+    voter.on_release(HOLDER, &LeaseRelease { epoch: 4, life: LIFE });
+    assert!(!voter.on_lease_request(5_100, HOLDER, &request(LIFE, 4, 2), Some(0)).yes);
+}
+
+#[test]
+fn a_release_does_not_shorten_the_quiet_time_of_a_voter_that_counts_anew() {
+    let mut voter = voter();
+    voter.decided(5_050, 0, true);
+    assert!(voter.on_release(HOLDER, &LeaseRelease { epoch: 3, life: LIFE }));
+    assert!(!voter.on_lease_request(5_100, OTHER, &request(8, 9, 1), Some(0)).yes);
+    assert!(voter.on_lease_request(7_100, OTHER, &request(8, 9, 2), Some(0)).yes);
+}
+
+#[test]
+fn who_has_released_holds_nothing_and_asks_above_it() {
+    let mut lease = LeaderLease::new(HOLDER, LIFE, 0, true, 0);
+    let first = lease.tick(0, true, 0).expect("asks");
+    let is_most = |ids: Vec<u64>| ids.len() >= 2;
+    let yes = LeaseVote { epoch: first.epoch, asked: first.asked, yes: true };
+    lease.on_lease_vote(1, HOLDER, &yes, 0, is_most);
+    assert!(lease.on_lease_vote(2, OTHER, &yes, 0, is_most) && lease.holds(3).is_some());
+    let release = lease.release(3).expect("held");
+    assert_eq!(release, LeaseRelease { epoch: first.epoch, life: LIFE });
+    // Votes that were under way give nothing back.
+    assert!(!lease.on_lease_vote(4, 3, &yes, 0, is_most) && lease.holds(4).is_none());
+    assert!(lease.release(5).is_none());
+    let next = lease.tick(6, true, 0).expect("asks anew");
+    assert!(next.epoch > release.epoch);
+}
+
+#[test]
+fn an_open_request_is_released_as_well() {
+    let mut lease = LeaderLease::new(HOLDER, LIFE, 0, true, 0);
+    let open = lease.tick(0, true, 0).expect("asks");
+    assert_eq!(lease.release(1).map(|release| release.epoch), Some(open.epoch));
+    let yes = LeaseVote { epoch: open.epoch, asked: open.asked, yes: true };
+    assert!(!lease.on_lease_vote(2, OTHER, &yes, 0, |_| true) && lease.holds(2).is_none());
+}
+
+#[test]
+fn a_node_that_was_frozen_past_its_lease_holds_nothing_when_the_votes_come() {
+    let mut lease = LeaderLease::new(HOLDER, LIFE, 0, true, 0);
+    let open = lease.tick(0, true, 0).expect("asks");
+    let yes = LeaseVote { epoch: open.epoch, asked: open.asked, yes: true };
+    // The control part would take this for a lease that begins.
+    assert!(!lease.on_lease_vote(20_000, OTHER, &yes, 0, |_| true));
+    assert_eq!(lease.holds(20_000), None);
+    assert!(!lease.holds_on(20_000, 0));
+}
--- a/crates/linenthread-messages/src/words.rs
+++ b/crates/linenthread-messages/src/words.rs
@@ -153,7 +153,7 @@
 }
 
 /// Support me for the duty for so long from when you hear this, under this epoch.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct LeaseRequest {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -169,7 +169,7 @@
     pub on: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct LeaseVote {
     /// The greatest epoch the speaker has supported.
     #[prost(uint64, tag = "1")]
@@ -180,6 +180,15 @@
     pub yes: bool,
 }
 
+/// The speaker holds the lease no more under this epoch, nor under any of its life before it.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct LeaseRelease {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+}
+
 /// A replica as one hub knows it.
 #[derive(Clone, PartialEq, Message)]
 pub struct Replica {
@@ -359,7 +368,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "PeerMessage", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17")]
+    #[prost(oneof = "PeerMessage", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18")]
     pub word: Option<PeerMessage>,
 }
 
@@ -399,4 +408,6 @@
     LeaseVote(LeaseVote),
     #[prost(message, tag = "17")]
     Allotments(Allotments),
+    #[prost(message, tag = "18")]
+    LeaseRelease(LeaseRelease),
 }
