Control: leave and may_leave as the interface that others build on

A planned end has no word so far. This is the interface alone: leave remembers when it was asked for, may_leave says yes at once, which is what the daemon does today.

--- a/crates/linenthread-control/src/control.rs
+++ b/crates/linenthread-control/src/control.rs
@@ -166,6 +166,8 @@
     /// The place in the log up to which replicas are on disk, and when they were last written.
     written: (u64, u64),
     settled: bool,
+    /// Since when it is to end.
+    leaving: Option<u64>,
 }
 
 impl Control {
@@ -201,6 +203,7 @@
             own_words: VecDeque::new(),
             written: (0, now),
             settled: false,
+            leaving: None,
             local,
         };
         for address in control.local.bootstrap.clone() {
@@ -268,6 +271,18 @@
         serde_json::Value::Array(self.registry.iter().map(|k| one(k.tell(now))).collect())
     }
 
+    // --- leaving ---
+
+    /// A planned end was asked for. Asked again it changes nothing.
+    pub fn leave(&mut self, now: u64, _effects: &mut Vec<Effect>) {
+        self.leaving.get_or_insert(now);
+    }
+
+    /// Whether this control node may end now: others hold durably what it holds, and it leads no more.
+    pub fn may_leave(&self, _now: u64) -> bool {
+        self.leaving.is_some()
+    }
+
     // --- links ---
 
     /// A connection with a peer stands, whoever opened it.
