--- /dev/null
+++ b/crates/linenthread-drill/src/system/fronts.rs
@@ -0,0 +1,146 @@
+//! Fronts: each holds a session with one core machine, follows its log and asks for shares.
+
+use std::collections::BTreeMap;
+
+use linenthread_messages::{Heartbeat, Hello, PeerMessage, VERSION};
+
+use super::world::{Event, World};
+
+/// The allowance that all fronts together may use in a window.
+pub(super) const WHOLE: f64 = 50.0;
+pub(super) const WINDOW: u64 = 4_000;
+pub(super) const FRONTS: usize = 4;
+
+pub(super) struct Front {
+    pub(super) life: u64,
+    pub(super) link: Option<u64>,
+    pub(super) hub: usize,
+    pub(super) log: u64,
+    pub(super) place: u64,
+    pub(super) asked: u64,
+    pub(super) said: BTreeMap<u64, u64>,
+    pub(super) share: f64,
+    pub(super) until: u64,
+    /// Shares held of late: how much, until when.
+    pub(super) held: Vec<(f64, u64)>,
+    pub(super) revision: u64,
+    pub(super) confirmed: bool,
+    pub(super) heard: u64,
+    pub(super) outside: u32,
+    pub(super) epoch: u64,
+}
+
+pub(super) fn hub_of_front(front: usize) -> usize {
+    1_000 + front
+}
+
+impl Front {
+    pub(super) fn new(life: u64) -> Front {
+        Front {
+            life,
+            link: None,
+            hub: 0,
+            log: 0,
+            place: 0,
+            asked: 0,
+            said: BTreeMap::new(),
+            share: 0.0,
+            until: 0,
+            held: Vec::new(),
+            revision: 0,
+            confirmed: false,
+            heard: 0,
+            outside: 0,
+            epoch: 0,
+        }
+    }
+}
+
+impl World {
+    pub(super) fn front(&mut self, f: usize) {
+        let me = hub_of_front(f);
+        let now = self.now;
+        let again = now + 500;
+        self.push(again, Event::Front { front: f });
+        self.count_shares();
+        if let Some(link) = self.fronts[f].link {
+            let silent = now > self.fronts[f].heard + 1_600 || self.fronts[f].outside >= 2;
+            if silent || !self.wires.contains_key(&link) {
+                self.end_link(link, me);
+                self.fronts[f].link = None;
+            }
+        }
+        match self.fronts[f].link {
+            Some(link) => {
+                let front = &mut self.fronts[f];
+                front.asked += 1;
+                front.said.insert(front.asked, now);
+                let tick = Heartbeat { asked: front.asked, revision: front.revision, ..Heartbeat::default() };
+                self.send(me, link, PeerMessage::Heartbeat(tick));
+            }
+            None => {
+                let n = self.up_to(self.nodes.len() as u64) as usize;
+                let cut = self.is_cut(me, n) || self.is_cut(n, me);
+                if self.nodes[n].control.is_none() || cut || self.nodes[n].removed {
+                    return;
+                }
+                let (life, to_life) = (self.fronts[f].life, self.nodes[n].life);
+                let link = self.open(me, life, n, to_life);
+                let front = &mut self.fronts[f];
+                (front.link, front.hub, front.heard, front.outside) = (Some(link), n, now, 0);
+                let hello = Hello {
+                    version: VERSION,
+                    name: format!("front-{f}"),
+                    zone: "z0".into(),
+                    life,
+                    log: front.log,
+                    place: front.place,
+                    value: front.revision,
+                    ..Hello::default()
+                };
+                let at = now + self.delay();
+                self.push(at, Event::Opened { to: n, life: to_life, link });
+                self.wires.get_mut(&link).expect("just made").last = [at, at];
+                self.send(me, link, PeerMessage::Hello(hello));
+            }
+        }
+    }
+
+    pub(super) fn front_hears(&mut self, f: usize, word: PeerMessage) {
+        let now = self.now;
+        let mut breach = None;
+        let front = &mut self.fronts[f];
+        front.heard = now;
+        match word {
+            PeerMessage::Heartbeat(tick) => front.outside = if tick.whole { 0 } else { front.outside + 1 },
+            PeerMessage::FrontUpdate(news) => {
+                (front.log, front.place) = (news.log, news.place);
+                if let Some(value) = news.value {
+                    if value.revision < front.revision {
+                        breach = Some(format!("nothing-goes-back: front {f} is told {}", value.revision));
+                    }
+                    front.revision = value.revision;
+                }
+                front.confirmed |= news.confirmed;
+            }
+            PeerMessage::Allotments(grants) => {
+                for grant in grants.grants {
+                    let said = front.said.get(&grant.asked).copied();
+                    if let (Some(said), true) = (said, grant.life == front.life && grant.epoch >= front.epoch)
+                    {
+                        let until = said + u64::from(grant.lease_ms);
+                        (front.share, front.until, front.epoch) = (grant.share, until, grant.epoch);
+                        if until > now {
+                            front.held.push((grant.share, until));
+                        }
+                    }
+                }
+            }
+            _ => {}
+        }
+        if let Some(what) = breach {
+            self.breach(what);
+        }
+        self.count_shares();
+    }
+}
