--- /dev/null
+++ b/crates/linenthread-ci/src/programs.rs
@@ -0,0 +1,63 @@
+//! Which test program belongs to which package and target, from the messages of
+//! `cargo test --no-run --message-format json-render-diagnostics`: the test output itself names no package.
+
+use serde_json::Value;
+use snafu::Snafu;
+
+/// One test program that cargo built.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Program {
+    /// The file's name, with cargo's hash, so that it is the only one of its name.
+    pub file: String,
+    /// The package it tests.
+    pub package: String,
+    /// Its target: a library, a binary or a file in `tests/`.
+    pub target: String,
+}
+
+/// A line of cargo's messages that is not as it documents them.
+#[derive(Debug, Snafu, PartialEq, Eq)]
+#[snafu(display("line {line} of cargo's messages cannot be read"))]
+pub struct ProgramsFault {
+    line: usize,
+}
+
+/// Reads the test programs out of cargo's messages.
+///
+/// # Errors
+/// The first line that is no message of cargo.
+pub fn read_programs(messages: &str) -> Result<Vec<Program>, ProgramsFault> {
+    let mut programs = Vec::new();
+    for (index, line) in messages.lines().enumerate() {
+        let unreadable = || ProgramsFault { line: index + 1 };
+        let message: Value = serde_json::from_str(line).map_err(|_| unreadable())?;
+        let is_test = message["profile"]["test"] == true;
+        if message["reason"] != "compiler-artifact" || !is_test {
+            continue;
+        }
+        let Some(executable) = message["executable"].as_str() else { continue };
+        programs.push(read_program(&message, executable).ok_or_else(unreadable)?);
+    }
+    Ok(programs)
+}
+
+fn read_program(message: &Value, executable: &str) -> Option<Program> {
+    let package = package_name(message["package_id"].as_str()?)?;
+    let target = message["target"]["name"].as_str()?.to_owned();
+    Some(Program { file: file_name(executable).to_owned(), package, target })
+}
+
+/// The last part of a path.
+pub(crate) fn file_name(path: &str) -> &str {
+    path.rsplit('/').next().unwrap_or(path)
+}
+
+/// The name in a package's id: `path+file:///a/NAME#0.1.0` or `path+file:///a/b#NAME@0.1.0`.
+fn package_name(id: &str) -> Option<String> {
+    let (source, fragment) = id.rsplit_once('#')?;
+    let name = match fragment.split_once('@') {
+        Some((name, _)) => name,
+        None => file_name(source),
+    };
+    Some(name.to_owned())
+}
