--- a/crates/linenthread-drill/src/system/judge.rs
+++ b/crates/linenthread-drill/src/system/judge.rs
@@ -1,5 +1,6 @@
 //! The named rules, each judged where it can be seen.
 
+use linenthread_control::Answer;
 use linenthread_messages::Voter;
 
 use super::fronts::{WHOLE, WINDOW};
