--- a/scripts/paired_days.py
+++ b/scripts/paired_days.py
@@ -3,9 +3,9 @@
 
     scripts/paired_days.py SITE.toml OUTPUT_FOLDER FIRST_SEED COUNT
 
-Each day draws three to six pairs of troubles that strike within two seconds of each other, a rolling restart of
-the core, two to four planned works, one more trouble in the closing seconds and a closing fault. The same seed gives
-the same day. Traffic is that of the site's second standard day.
+Each day draws three to six pairs of troubles that strike within two seconds of each other, a rolling
+restart of the core, two to four planned works, one more trouble in the closing seconds and a closing fault.
+The same seed gives the same day. Traffic is that of the site's second standard day.
 """
 
 import random
