Control: contact by round trips, durable standbys, and a voter that leaves waits for the others

A control node judged contact by the sessions it had: entries that only a tick took out, so that calls processed after a freeze, or behind a one-way cut, were answered on stale contact. A planned end just closed. A joiner counted by a number held in memory.

Now heartbeats carry the speaker's clock and echo the receiver's: a peer is in contact for 2 s from a heartbeat of ours that it is known to have heard, judged in each call. After a pause of over 1.6 s all sessions end and what waited is answered as unclear first. Out of contact, fronts are let go, nothing is told to new ones, and calls are refused with 503. The configuration goes to a front only once it was read anew for its session. Nodes announce the value that their disks confirmed; only such a node takes a vote, and one that leaves waits until more than half of the voters hold all without it (reconfiguration.rs, pure). A vote under a new epoch is said only when that epoch is synced, also when it is asked for again.

--- a/crates/linenthread-control/src/control.rs
+++ b/crates/linenthread-control/src/control.rs
@@ -2,23 +2,34 @@
 
 use linenthread_consensus::{Change, DurableState, Job, LeaderLease, Outcome, Register};
 use linenthread_messages::{
-    Allotment, Allotments, ControlUpdate, FrontUpdate, Heard as Receipt, Heartbeat, Hello, LeaseRequest,
-    PeerMessage, Record, Replica, Session, VERSION, Value, Voter,
+    Allotment, Allotments, ControlUpdate, Durable, FrontUpdate, Heard as Receipt, Heartbeat, Hello,
+    LeaseRequest, PeerMessage, Record, Replica, Session, VERSION, Value, Voter,
 };
 
 use crate::budget::LEASE;
+use crate::reconfiguration::{
+    Holder, Leave, LeaveView, Presence, VoterState, VotersView, next_step_of_leaving, next_voters,
+};
 use crate::replicas::{Beat, Heard, Phase};
 use crate::{Budget, ChangeLog, Link, ReplicaRegistry, Token};
 
 /// A word at least so often, both ways, and the end of a session that hears nothing for so long.
 pub const TICK: u64 = 500;
 pub const SILENT: u64 = 1_600;
+/// A peer is in contact for so long from a heartbeat of ours that it is known to have heard.
+pub const CONTACT: u64 = 2_000;
+/// A process that ran nothing for so long was frozen: what it knew of its peers is stale.
+const PAUSE: u64 = SILENT;
+/// A decided value that its disk has not confirmed is written again after so long.
+const WRITE_AGAIN: u64 = 2_000;
 /// How long a call of the operator or a replica is worked on before it is told to go elsewhere.
 const CALL: u64 = 900;
 /// What waits for words that may be lost is looked at this often.
 const SOON: u64 = 25;
 /// Signs of life go to the other hubs in batches.
 const BATCH: u64 = 200;
+/// So long from its start machines still find each other.
+const STARTING: u64 = 3_000;
 /// A counted machine that is out of touch for so long gives way to one that stands by.
 const LOST: u64 = 1_500;
 /// An address of a hub that nobody answers at is tried less and less often, and forgotten after so long.
@@ -59,6 +70,8 @@
     Conflict(u64),
     /// This hub can't say; another may.
     NotNow(&'static str),
+    /// This hub is about to end; the one at this address takes calls.
+    Elsewhere(String),
 }
 
 #[derive(Debug)]
@@ -89,6 +102,14 @@
     whole: bool,
     /// The newest value that it has, as far as is known: a hub's by number, a front's by revision.
     value: u64,
+    /// Hubs: the newest value that its disk holds.
+    durable: Option<u64>,
+    /// Hubs: it is about to end.
+    leaving: bool,
+    /// Hubs: when, by this machine's clock, the last heartbeat was said that it is known to have heard.
+    reached: Option<u64>,
+    /// Hubs: when, by its clock, its last heartbeat was said.
+    echo: Option<u64>,
     place: Option<u64>,
     hubs: u64,
     confirmed: bool,
@@ -101,6 +122,13 @@
     differs: u32,
 }
 
+impl Peer {
+    /// A round trip was made of late: it hears this machine and is heard by it.
+    fn in_contact(&self, now: u64) -> bool {
+        self.hub && self.reached.is_some_and(|reached| now <= reached + CONTACT)
+    }
+}
+
 enum Wanted {
     Call(Token),
     Confirmed(Link),
@@ -168,11 +196,21 @@
     settled: bool,
     /// Since when it is to end.
     leaving: Option<u64>,
+    /// What its own disk has confirmed.
+    durable: Durable,
+    /// When the newest value was last handed to the disk.
+    value_written: Option<u64>,
+    /// Hubs that ended after they had said that they would, and the newest value that their disks held.
+    departed: BTreeMap<u64, u64>,
+    /// When it last ran anything.
+    active: u64,
 }
 
 impl Control {
     pub fn new(local: Local, id: u64, mut kept: DurableState, genesis: Option<Value>, now: u64) -> Control {
         let replicas = std::mem::take(&mut kept.replicas);
+        let decided_on_disk = |r: &Record| r.decided.as_ref().map(|value| value.number);
+        let durable = Durable { value: kept.records().iter().find_map(decided_on_disk), epoch: kept.epoch };
         let budget = Budget::new(local.retry_allowance, local.retry_window);
         let mut control = Control {
             lease: LeaderLease::new(id, local.life, now, local.first_of_all, kept.epoch),
@@ -204,6 +242,10 @@
             written: (0, now),
             settled: false,
             leaving: None,
+            durable,
+            value_written: None,
+            departed: BTreeMap::new(),
+            active: now,
             local,
         };
         for address in control.local.bootstrap.clone() {
@@ -246,7 +288,8 @@
         serde_json::json!({
             "name": self.local.name,
             "zone": self.local.zone,
-            "whole": self.is_whole(),
+            "whole": self.in_contact(now),
+            "leaving": self.leaving.is_some(),
             "duty_epoch": self.lease.holds(now),
             "value": self.value_number(),
             "revision": decided.map_or(0, |d| d.revision),
@@ -274,13 +317,197 @@
     // --- leaving ---
 
     /// A planned end was asked for. Asked again it changes nothing.
-    pub fn leave(&mut self, now: u64, _effects: &mut Vec<Effect>) {
-        self.leaving.get_or_insert(now);
+    pub fn leave(&mut self, now: u64, out: &mut Vec<Effect>) {
+        if self.leaving.is_some() {
+            return;
+        }
+        self.leaving = Some(now);
+        out.push(Effect::Note("event=leaving".into()));
+        self.drop_fronts(now, out);
+        self.send_heartbeats(now, out);
+        self.agree(now, |register, outs| (register.complete(), register.tick(now, outs)).1, out);
+        self.ticked = 0;
     }
 
     /// Whether this control node may end now: others hold durably what it holds, and it leads no more.
-    pub fn may_leave(&self, _now: u64) -> bool {
-        self.leaving.is_some()
+    pub fn may_leave(&self, now: u64) -> bool {
+        self.leaving.is_some() && self.next_step_of_leaving(now) == Leave::Go
+    }
+
+    /// Why it may not end yet, for the log.
+    pub fn leave_waits_for(&self, now: u64) -> &'static str {
+        match self.next_step_of_leaving(now) {
+            Leave::Wait(cause) => cause,
+            Leave::Release => "the leader lease is to be released",
+            Leave::Go => "nothing",
+        }
+    }
+
+    fn next_step_of_leaving(&self, now: u64) -> Leave {
+        let Some(number) = self.register.decided().map(|value| value.number) else { return Leave::Go };
+        let of =
+            |disk: u64| self.live_hubs().map(|(_, p)| p).find(|p| p.hello.disk == disk && p.in_contact(now));
+        let holder = |voter: &Voter| match (of(voter.id), self.departed.get(&voter.id)) {
+            (Some(peer), _) => Holder {
+                disk: voter.id,
+                durable: peer.durable >= Some(number),
+                presence: if peer.leaving { Presence::Leaving } else { Presence::InContact },
+            },
+            (None, Some(durable)) => {
+                Holder { disk: voter.id, durable: *durable >= number, presence: Presence::Departed }
+            }
+            (None, None) => Holder { disk: voter.id, durable: false, presence: Presence::Absent },
+        };
+        let calls = self.wanted.values().any(|wanted| matches!(wanted, Wanted::Call(_)));
+        next_step_of_leaving(&LeaveView {
+            disk: self.register.id(),
+            voters: self.register.voters().iter().map(holder).collect(),
+            standby: !self.standbys(now, number).is_empty(),
+            in_doubt: self.register.in_doubt(),
+            busy: calls || !self.drains.is_empty(),
+            leads: self.lease.holds(now).is_some(),
+        })
+    }
+
+    fn drop_fronts(&mut self, now: u64, out: &mut Vec<Effect>) {
+        let fronts: Vec<Link> = self.peers.iter().filter(|(_, p)| !p.hub).map(|(l, _)| *l).collect();
+        for link in fronts {
+            self.closed(now, link, out);
+            out.push(Effect::Drop(link));
+        }
+    }
+
+    /// Calls that come while it leaves go to another control node.
+    fn sent_on(&self, now: u64) -> Answer {
+        let stays = |p: &&Peer| p.in_contact(now) && p.whole && !p.leaving;
+        let other = self.live_hubs().map(|(_, p)| p).find(stays);
+        other.map_or(Answer::NotNow("about to end"), |p| Answer::Elsewhere(p.hello.control.clone()))
+    }
+
+    /// Why a call is not taken at all, if so: this machine leaves, or is out of contact with a majority.
+    fn refusal(&self, now: u64) -> Option<Answer> {
+        if self.leaving.is_some() {
+            return Some(self.sent_on(now));
+        }
+        (!self.in_contact(now)).then_some(Answer::NotNow("no contact with more than half of the voters"))
+    }
+
+    /// The same for calls that are settled by a round of the voters: while it starts that may come in time.
+    fn refusal_of_round(&self, now: u64) -> Option<Answer> {
+        self.refusal(now).filter(|_| self.leaving.is_some() || now >= self.began + STARTING)
+    }
+
+    // --- contact ---
+
+    /// Runs before all that comes: after a pause everything that rests on contact is stale, so all sessions end
+    /// and what waited is answered as unclear before anything else is.
+    fn awake(&mut self, now: u64, out: &mut Vec<Effect>) {
+        let paused = now.saturating_sub(self.active);
+        self.active = now;
+        if paused <= PAUSE {
+            return;
+        }
+        out.push(Effect::Note(format!("event=woken paused_ms={paused}")));
+        let links: Vec<Link> = self.peers.keys().copied().collect();
+        for link in links {
+            self.closed(now, link, out);
+            out.push(Effect::Drop(link));
+        }
+        self.whole_since = None;
+        self.settle_drains(now, out);
+        self.agree(now, |register, outs| register.tick(now, outs), out);
+    }
+
+    fn heartbeat(&self, now: u64, echo: Option<u64>) -> PeerMessage {
+        PeerMessage::Heartbeat(Heartbeat {
+            asked: self.value_number(),
+            whole: self.in_contact(now) && self.leaving.is_none(),
+            digest: self.registry.digest(),
+            revision: 0,
+            durable: self.durable.value,
+            sent: now,
+            echo,
+            leaving: self.leaving.is_some(),
+        })
+    }
+
+    fn send_heartbeats(&self, now: u64, out: &mut Vec<Effect>) {
+        let one =
+            |(link, peer): (&Link, &Peer)| Effect::Send { link: *link, word: self.heartbeat(now, peer.echo) };
+        out.extend(self.peers.iter().map(one));
+    }
+
+    /// From no contact to contact: fronts that came before may be told now.
+    fn note_contact(&mut self, now: u64, out: &mut Vec<Effect>) {
+        match (self.in_contact(now), self.whole_since) {
+            (true, None) => {
+                self.whole_since = Some(now);
+                let fronts: Vec<Link> = self.peers.iter().filter(|(_, p)| !p.hub).map(|(l, _)| *l).collect();
+                for link in fronts {
+                    self.confirm(now, link, out);
+                    self.tell(now, link, out);
+                }
+            }
+            (false, Some(_)) => {
+                self.whole_since = None;
+                out.push(Effect::Note("event=contact_lost".into()));
+                self.drop_fronts(now, out);
+            }
+            _ => {}
+        }
+    }
+
+    // --- durability ---
+
+    /// The own disk has confirmed what it was given.
+    fn on_own_durable(&mut self, now: u64, durable: &Durable, out: &mut Vec<Effect>) {
+        self.durable.epoch = self.durable.epoch.max(durable.epoch);
+        if durable.value <= self.durable.value {
+            return;
+        }
+        self.durable.value = durable.value;
+        let word = PeerMessage::Durable(Durable { value: durable.value, epoch: 0 });
+        for (link, _) in self.live_hubs() {
+            out.push(Effect::Send { link: *link, word: word.clone() });
+        }
+        self.voters_may_change(now);
+    }
+
+    fn on_durable(&mut self, now: u64, link: Link, durable: &Durable) {
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        peer.durable = peer.durable.max(durable.value);
+        self.voters_may_change(now);
+    }
+
+    /// A standby that has become ready need not wait for the next tick.
+    fn voters_may_change(&mut self, now: u64) {
+        if self.lease.holds(now).is_some() && !self.standbys(now, self.value_number()).is_empty() {
+            (self.ticked, self.batched) = (0, 0);
+        }
+    }
+
+    /// The disk may have refused the newest value: it is handed over again.
+    fn write_value_again(&mut self, now: u64, out: &mut Vec<Effect>) {
+        let Some(value) = self.register.decided().cloned() else { return };
+        let waits = self.value_written.is_some_and(|at| now < at + WRITE_AGAIN);
+        if self.durable.value >= Some(value.number) || waits {
+            return;
+        }
+        let record = Record { decided: Some(value), ..Record::default() };
+        self.keep(now, record, Vec::new(), out);
+    }
+
+    /// Hands a record to the disk, and asks to be told when what it holds is synced.
+    fn keep(&mut self, now: u64, record: Record, mut then: Vec<(u64, PeerMessage)>, out: &mut Vec<Effect>) {
+        let value = record.decided.as_ref().map(|value| value.number);
+        if value.is_some() {
+            self.value_written = Some(now);
+        }
+        if value.is_some() || record.epoch > 0 {
+            let durable = Durable { value, epoch: record.epoch };
+            then.push((self.register.id(), PeerMessage::Durable(durable)));
+        }
+        out.push(Effect::Keep { record, then });
     }
 
     // --- links ---
@@ -307,7 +534,11 @@
         if let Some(peer) = self.peers.remove(&link) {
             out.push(Effect::Note(format!("event=session_ended peer={} hub={}", peer.hello.name, peer.hub)));
             if peer.hub {
-                if let Some(seen) = self.seen.get_mut(&peer.hello.control) {
+                if peer.leaving {
+                    let durable = peer.durable.unwrap_or_default();
+                    self.departed.insert(peer.hello.disk, durable);
+                }
+                if let Some(seen) = self.seen.get_mut(&peer.hello.control).filter(|_| peer.in_contact(now)) {
                     seen.at = now.min(peer.heard + TICK);
                 }
                 // What it knew may have gone with it.
@@ -320,7 +551,7 @@
     pub fn unreached(&mut self, now: u64, address: &str) {
         if let Some(hub) = self.hubs.get_mut(address) {
             // Machines that start together find each other soon.
-            let most = if now < self.began + 3_000 { 100 } else { 1_600 };
+            let most = if now < self.began + STARTING { 100 } else { 1_600 };
             hub.wait = (hub.wait * 2).clamp(50, most);
             hub.next = now + hub.wait;
         }
@@ -343,14 +574,15 @@
         self.peers.iter().filter(|(_, p)| p.hub)
     }
 
-    /// Disks in touch, this one too.
-    fn disks(&self) -> Vec<u64> {
-        self.live_hubs().map(|(_, p)| p.hello.disk).chain([self.register.id()]).collect()
+    /// Disks in contact, this one too.
+    fn disks(&self, now: u64) -> Vec<u64> {
+        let others = self.live_hubs().filter(|(_, p)| p.in_contact(now)).map(|(_, p)| p.hello.disk);
+        others.chain([self.register.id()]).collect()
     }
 
-    /// It can tell, and hear from, more than half of the counted disks.
-    pub fn is_whole(&self) -> bool {
-        self.register.is_most(self.disks())
+    /// More than half of the voters, this machine among them or not, hear it and are heard by it.
+    pub fn in_contact(&self, now: u64) -> bool {
+        self.register.is_most(self.disks(now))
     }
 
     fn link_of(&self, disk: u64) -> Option<Link> {
@@ -358,6 +590,7 @@
     }
 
     pub fn on_message(&mut self, now: u64, link: Link, word: PeerMessage, out: &mut Vec<Effect>) {
+        self.awake(now, out);
         if let PeerMessage::Hello(hello) = word {
             self.on_hello(now, link, hello, out);
             return;
@@ -371,6 +604,7 @@
         match word {
             PeerMessage::Heartbeat(tick) => self.on_heartbeat(now, link, &tick, out),
             PeerMessage::ControlUpdate(gossip) if hub => self.on_control_update(now, link, gossip, out),
+            PeerMessage::Durable(durable) if hub => self.on_durable(now, link, &durable),
             PeerMessage::Heard(receipt) if hub => self.on_receipt(disk, &receipt, out),
             PeerMessage::Allotments(grants) if hub => self.pass_grants(grants, out),
             PeerMessage::LeaseRequest(w) if hub => self.support(now, disk, &w, out),
@@ -392,6 +626,10 @@
             return;
         }
         let hub = !hello.control.is_empty();
+        if !hub && self.leaving.is_some() {
+            out.push(Effect::Drop(link));
+            return;
+        }
         // An earlier life of the same machine is over, whatever its connection says.
         let same = |p: &Peer| p.hello.name == hello.name && (p.hello.life != hello.life || p.hub);
         let old = |p: &Peer| same(p) && (!hub || p.hello.life != hello.life);
@@ -407,6 +645,10 @@
             heard: now,
             whole: false,
             value: hello.value,
+            durable: None,
+            leaving: false,
+            reached: None,
+            echo: None,
             place,
             hubs: 0,
             confirmed: false,
@@ -422,7 +664,9 @@
         self.peers.insert(link, peer);
         if hub {
             self.learn_hub(now, &hello.control);
+            self.departed.remove(&hello.disk);
             self.seen.insert(hello.control.clone(), Seen { disk: hello.disk, counts: hello.counts, at: now });
+            out.push(Effect::Send { link, word: self.heartbeat(now, None) });
             self.gossip_whole(now, link, out);
             self.send_value(link, out);
         } else {
@@ -433,6 +677,9 @@
 
     /// Reads what is newest for a front that has just come.
     fn confirm(&mut self, now: u64, link: Link, out: &mut Vec<Effect>) {
+        if !self.in_contact(now) {
+            return;
+        }
         if let Some(peer) = self.peers.get_mut(&link).filter(|p| !p.hub && !p.confirmed && !p.confirming) {
             peer.confirming = true;
             self.jobs += 1;
@@ -459,11 +706,21 @@
         }
         peer.whole = tick.whole;
         peer.value = tick.asked;
+        peer.durable = peer.durable.max(tick.durable);
+        peer.leaving = tick.leaving;
+        // What it says it heard was said before now.
+        peer.reached = peer.reached.max(tick.echo.map(|echo| echo.min(now)));
+        let first = peer.echo.replace(tick.sent).is_none();
         peer.differs = if tick.digest == digest { 0 } else { peer.differs + 1 };
-        if let Some(seen) = self.seen.get_mut(&peer.hello.control) {
+        if let Some(seen) = self.seen.get_mut(&peer.hello.control).filter(|_| peer.in_contact(now)) {
             seen.at = now;
         }
         let sweep = peer.differs >= 2 && now >= peer.swept + SWEEP;
+        if first {
+            // It learns at once that it is heard.
+            out.push(Effect::Send { link, word: self.heartbeat(now, Some(tick.sent)) });
+        }
+        self.note_contact(now, out);
         if sweep {
             self.gossip_whole(now, link, out);
         }
@@ -474,11 +731,9 @@
 
     /// A replica's beat.
     pub fn beat(&mut self, now: u64, token: Token, ident: &str, beat: Beat, out: &mut Vec<Effect>) {
-        if !self.is_whole() {
-            out.push(Effect::Answer {
-                token,
-                answer: Answer::NotNow("no touch with more than half of the core"),
-            });
+        self.awake(now, out);
+        if let Some(answer) = self.refusal(now) {
+            out.push(Effect::Answer { token, answer });
             return;
         }
         let draining = beat.phase == Phase::Draining;
@@ -501,7 +756,7 @@
         if draining && drains && !self.safe.contains(ident) {
             self.await_receipts(now, token, ident, out);
         } else {
-            let answer = Answer::Heard(self.report_to(&said.zone));
+            let answer = Answer::Heard(self.report_to(now, &said.zone));
             out.push(Effect::Answer { token, answer });
         }
         if heard == Heard::Changed {
@@ -510,14 +765,15 @@
     }
 
     pub fn departure(&mut self, now: u64, token: Token, ident: &str, out: &mut Vec<Effect>) {
-        if !self.is_whole() {
-            out.push(Effect::Answer {
-                token,
-                answer: Answer::NotNow("no touch with more than half of the core"),
-            });
+        self.awake(now, out);
+        if let Some(answer) = self.refusal(now) {
+            out.push(Effect::Answer { token, answer });
             return;
         }
-        if self.registry.depart(now, ident) {
+        let departs = self.registry.depart(now, ident);
+        // It ended before, and too few others have said so far that they know.
+        let unknown = self.registry.get(ident).is_some() && !self.safe.contains(ident);
+        if departs || unknown {
             self.safe.remove(ident);
             self.spread(ident, Heard::Changed, &[]);
             self.await_receipts(now, token, ident, out);
@@ -587,11 +843,12 @@
     }
 
     /// The control address of the first hub of a zone that is in touch; else this one's.
-    fn report_to(&self, zone: &str) -> Option<String> {
+    fn report_to(&self, now: u64, zone: &str) -> Option<String> {
         if self.local.zone == zone {
             return Some(self.local.control.clone());
         }
-        let of_zone = self.live_hubs().filter(|(_, p)| p.hello.zone == zone && p.whole);
+        let takes = |p: &Peer| p.hello.zone == zone && p.whole && !p.leaving && p.in_contact(now);
+        let of_zone = self.live_hubs().filter(|(_, p)| takes(p));
         of_zone.map(|(_, p)| &p.hello.control).min().cloned()
     }
 
@@ -669,8 +926,12 @@
 
     // --- fronts ---
 
-    /// Tells a front all that it lacks.
+    /// Tells a front all that it lacks: nothing while out of contact with a majority, and the configuration
+    /// only once it was read anew for this session.
     fn tell(&mut self, now: u64, link: Link, out: &mut Vec<Effect>) {
+        if !self.in_contact(now) {
+            return;
+        }
         let place = self.changes.place();
         let hubs = self.hub_addresses();
         let Some(peer) = self.peers.get_mut(&link).filter(|p| !p.hub) else { return };
@@ -680,7 +941,8 @@
             Some(idents) => idents.iter().filter_map(|i| self.registry.get(i)).map(|k| k.tell(now)).collect(),
             None => self.registry.iter().map(|k| k.tell(now)).collect(),
         };
-        let value = self.register.decided().filter(|d| d.revision > peer.value).cloned();
+        let newer = |d: &&Value| peer.confirmed && d.revision > peer.value;
+        let value = self.register.decided().filter(newer).cloned();
         let confirmed = peer.confirmed && !peer.whole;
         let new_hubs = peer.hubs != self.hubs_version;
         if !whole && replicas.is_empty() && value.is_none() && !confirmed && !new_hubs {
@@ -778,6 +1040,11 @@
         document: Vec<u8>,
         out: &mut Vec<Effect>,
     ) {
+        self.awake(now, out);
+        if let Some(answer) = self.refusal_of_round(now) {
+            out.push(Effect::Answer { token, answer });
+            return;
+        }
         self.jobs += 1;
         let job = self.jobs;
         self.wanted.insert(job, Wanted::Call(token));
@@ -787,6 +1054,11 @@
     }
 
     pub fn read(&mut self, now: u64, token: Token, out: &mut Vec<Effect>) {
+        self.awake(now, out);
+        if let Some(answer) = self.refusal_of_round(now) {
+            out.push(Effect::Answer { token, answer });
+            return;
+        }
         self.jobs += 1;
         let job = self.jobs;
         self.wanted.insert(job, Wanted::Call(token));
@@ -797,6 +1069,7 @@
 
     /// What waited on the disk.
     pub fn synced(&mut self, now: u64, then: Vec<(u64, PeerMessage)>, out: &mut Vec<Effect>) {
+        self.awake(now, out);
         for (to, word) in then {
             self.post(to, word, out);
         }
@@ -824,9 +1097,7 @@
             for o in std::mem::take(&mut outs) {
                 match o {
                     linenthread_consensus::Effect::Send { to, word } => self.post(to, word, out),
-                    linenthread_consensus::Effect::Keep { record, then } => {
-                        out.push(Effect::Keep { record, then })
-                    }
+                    linenthread_consensus::Effect::Keep { record, then } => self.keep(now, record, then, out),
                     linenthread_consensus::Effect::Decided(value) => self.decided(now, &value, out),
                     linenthread_consensus::Effect::Reply { job, outcome } => {
                         self.reply(now, job, outcome, out)
@@ -837,6 +1108,7 @@
             let id = self.register.id();
             match word {
                 PeerMessage::LeaseVote(say) => self.on_lease_vote(now, id, &say, out),
+                PeerMessage::Durable(durable) => self.on_own_durable(now, &durable, out),
                 word => self.register.on_message(now, id, word, &mut outs),
             }
         }
@@ -888,12 +1160,11 @@
 
     /// Supports who asks for the duty, or not; a new epoch is on disk before it is said.
     fn support(&mut self, now: u64, from: u64, ask: &LeaseRequest, out: &mut Vec<Effect>) {
-        let before = self.lease.epoch();
         let number = Some(self.value_number()).filter(|_| !self.register.in_doubt());
         let say = PeerMessage::LeaseVote(self.lease.on_lease_request(now, from, ask, number));
         let epoch = self.lease.epoch();
-        if epoch > before {
-            out.push(Effect::Keep { record: Record { epoch, ..Record::default() }, then: vec![(from, say)] });
+        if epoch > self.durable.epoch {
+            self.keep(now, Record { epoch, ..Record::default() }, vec![(from, say)], out);
         } else {
             self.post(from, say, out);
             self.agree(now, |_, _| {}, out);
@@ -923,9 +1194,13 @@
         }
     }
 
-    /// Whether no counted machine before this one, by the order of value n, is in touch.
-    fn is_first(&self) -> bool {
-        let disks = self.disks();
+    /// Whether no counted machine before this one, by the order of value n, is in contact and stays.
+    fn is_first(&self, now: u64) -> bool {
+        if self.leaving.is_some() {
+            return false;
+        }
+        let mut disks = self.disks(now);
+        disks.retain(|disk| !self.live_hubs().any(|(_, p)| p.hello.disk == *disk && p.leaving));
         let first = self.register.voters().iter().find(|v| disks.contains(&v.id));
         first.is_some_and(|v| v.id == self.register.id())
     }
@@ -933,34 +1208,14 @@
     /// The holder of the duty keeps the set of counted disks to the machines that are there: one change at a
     /// time.
     fn keep_voters(&mut self, now: u64, epoch: u64, out: &mut Vec<Effect>) {
-        if self.voting || !self.is_whole() || !self.lease.holds_on(now, self.value_number()) {
+        if self.voting || !self.in_contact(now) || !self.lease.holds_on(now, self.value_number()) {
             return;
         }
-        let Some(value) = self.register.decided() else { return };
-        let voters = &value.voters;
-        let disks = self.disks();
-        let own = Voter { id: self.register.id(), address: self.local.control.clone() };
-        let ready = self.live_hubs().filter(|(_, p)| p.hello.counts && p.value >= value.number);
-        let ready = ready.map(|(_, p)| Voter { id: p.hello.disk, address: p.hello.control.clone() });
-        let mut spare: Vec<Voter> = ready.chain(self.local.counts.then_some(own)).collect();
-        spare.retain(|s| !voters.iter().any(|v| v.id == s.id));
-        let replaced = |v: &Voter| self.seen.get(&v.address).is_some_and(|s| s.disk != v.id && s.counts);
-        let lost = |v: &Voter| {
-            let at = self.seen.get(&v.address).map_or(self.began, |s| s.at);
-            !disks.contains(&v.id) && now > at.max(self.whole_since.unwrap_or(now)) + LOST
-        };
-        let mut next = voters.clone();
-        let there = |v: &Voter| spare.iter().find(|s| s.address == v.address);
-        let replaced = voters.iter().position(|v| replaced(v) && there(v).is_some());
-        match (replaced.or(voters.iter().position(lost)), spare.first()) {
-            (Some(gone), Some(new)) => next[gone] = there(&voters[gone]).unwrap_or(new).clone(),
-            (Some(gone), None) if voters.len() > self.local.least => drop(next.remove(gone)),
-            (None, Some(new)) => next.push(new.clone()),
-            _ => return,
-        }
+        let Some(on) = self.register.decided().map(|value| value.number) else { return };
+        let Some(next) = next_voters(&self.voters_view(now, on)) else { return };
         self.voting = true;
         self.jobs += 1;
-        let (job, on) = (self.jobs, value.number);
+        let job = self.jobs;
         self.wanted.insert(job, Wanted::Voters);
         let names: Vec<&str> = next.iter().map(|v| v.address.as_str()).collect();
         out.push(Effect::Note(format!("event=counted_change on={on} counted={}", names.join(","))));
@@ -968,10 +1223,48 @@
         self.agree(now, |register, outs| register.propose(now, job, change, now + 3 * CALL, outs), out);
     }
 
+    /// Machines that may take a vote at once: in contact, with the newest value on their disks.
+    fn standbys(&self, now: u64, number: u64) -> Vec<Voter> {
+        let ready =
+            |p: &&Peer| p.in_contact(now) && p.hello.counts && !p.leaving && p.durable >= Some(number);
+        let others = self.live_hubs().map(|(_, p)| p).filter(ready);
+        let others = others.map(|p| Voter { id: p.hello.disk, address: p.hello.control.clone() });
+        let own_ready = self.local.counts && self.leaving.is_none() && self.durable.value >= Some(number);
+        let own = Voter { id: self.register.id(), address: self.local.control.clone() };
+        let mut standbys: Vec<Voter> = others.chain(own_ready.then_some(own)).collect();
+        standbys.retain(|s| !self.register.voters().iter().any(|v| v.id == s.id));
+        standbys
+    }
+
+    fn voters_view(&self, now: u64, number: u64) -> VotersView {
+        let disks = self.disks(now);
+        let replaced = |v: &Voter| self.seen.get(&v.address).is_some_and(|s| s.disk != v.id && s.counts);
+        let lost = |v: &Voter| {
+            let at = self.seen.get(&v.address).map_or(self.began, |s| s.at);
+            !disks.contains(&v.id) && now > at.max(self.whole_since.unwrap_or(now)) + LOST
+        };
+        let leaving = |v: &Voter| match v.id == self.register.id() {
+            true => self.leaving.is_some(),
+            false => self.live_hubs().any(|(_, p)| p.hello.disk == v.id && p.leaving),
+        };
+        let state = |v: &Voter| VoterState {
+            voter: v.clone(),
+            replaced: replaced(v),
+            lost: lost(v),
+            leaving: leaving(v),
+        };
+        VotersView {
+            voters: self.register.voters().iter().map(state).collect(),
+            standbys: self.standbys(now, number),
+            least: self.local.least,
+        }
+    }
+
     /// When [`Control::tick`] is due at the latest.
     pub fn due(&self, now: u64) -> u64 {
-        let begins = now < self.began + 3_000 && !self.is_whole();
-        let soon = if begins || self.register.is_busy() || !self.drains.is_empty() {
+        let begins = now < self.began + STARTING && !self.in_contact(now);
+        let leaves = self.leaving.is_some();
+        let soon = if begins || leaves || self.register.is_busy() || !self.drains.is_empty() {
             self.last + SOON
         } else {
             u64::MAX
@@ -981,10 +1274,11 @@
 
     /// All that is due by time.
     pub fn tick(&mut self, now: u64, out: &mut Vec<Effect>) {
+        self.awake(now, out);
         self.last = now;
         self.agree(now, |register, outs| register.tick(now, outs), out);
         self.settle_drains(now, out);
-        if now < self.began + 3_000 && !self.is_whole() {
+        if now < self.began + STARTING && !self.in_contact(now) {
             self.dial(now, out);
         }
         if now < self.batched + BATCH {
@@ -997,11 +1291,8 @@
             self.closed(now, link, out);
             out.push(Effect::Drop(link));
         }
-        match (self.is_whole(), self.whole_since) {
-            (true, None) => self.whole_since = Some(now),
-            (false, Some(_)) => self.whole_since = None,
-            _ => {}
-        }
+        self.note_contact(now, out);
+        self.write_value_again(now, out);
         // Silence counts only where it could have been heard.
         let silence = 3 * self.local.heartbeat + 1_000;
         let settled = self.whole_since.is_some_and(|since| now > since + silence);
@@ -1024,16 +1315,10 @@
             return;
         }
         self.ticked = now;
-        let tick = PeerMessage::Heartbeat(Heartbeat {
-            asked: self.value_number(),
-            whole: self.is_whole(),
-            digest: self.registry.digest(),
-            revision: 0,
-        });
+        self.send_heartbeats(now, out);
         let sessions = self.own_sessions();
         let hubs = self.hub_addresses();
         for (link, peer) in &mut self.peers {
-            out.push(Effect::Send { link: *link, word: tick.clone() });
             if peer.hub {
                 let hubs = if peer.hubs == self.hubs_version { Vec::new() } else { hubs.clone() };
                 peer.hubs = self.hubs_version;
@@ -1051,8 +1336,11 @@
         if self.doubts > 1 {
             self.agree(now, |register, outs| (register.complete(), register.tick(now, outs)).1, out);
         }
-        let first = self.is_first();
-        if let Some(ask) = self.lease.tick(now, first, self.value_number()) {
+        let first = self.is_first(now);
+        // One that leaves asks for no more time once it has nothing left to do.
+        let releases = self.leaving.is_some() && self.next_step_of_leaving(now) == Leave::Release;
+        let ask = if releases { None } else { self.lease.tick(now, first, self.value_number()) };
+        if let Some(ask) = ask {
             for (link, _) in self.live_hubs() {
                 out.push(Effect::Send { link: *link, word: PeerMessage::LeaseRequest(ask.clone()) });
             }
--- a/crates/linenthread-control/src/lib.rs
+++ b/crates/linenthread-control/src/lib.rs
@@ -5,10 +5,11 @@
 mod budget;
 mod control;
 mod log;
+pub mod reconfiguration;
 mod replicas;
 
 pub use budget::Budget;
-pub use control::{Answer, Control, Effect, Local};
+pub use control::{Answer, CONTACT, Control, Effect, Local};
 pub use log::ChangeLog;
 pub use replicas::{Beat, Heard, Known, ReplicaRegistry};
 
--- a/crates/linenthread-messages/src/words.rs
+++ b/crates/linenthread-messages/src/words.rs
@@ -274,6 +274,29 @@
     /// From a front: the revision it goes by.
     #[prost(uint64, tag = "4")]
     pub revision: u64,
+    /// From a control node: the newest value that its disk holds, synced; none while it holds none.
+    #[prost(uint64, optional, tag = "5")]
+    pub durable: Option<u64>,
+    /// The speaker's steady clock when this was said.
+    #[prost(uint64, tag = "6")]
+    pub sent: u64,
+    /// `sent` of the last heartbeat that the speaker heard on this session: proof of a round trip.
+    #[prost(uint64, optional, tag = "7")]
+    pub echo: Option<u64>,
+    /// From a control node: it is about to end.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
+}
+
+/// What the speaker's disk holds, synced.
+#[derive(Clone, PartialEq, Message)]
+pub struct Durable {
+    /// The newest value's number.
+    #[prost(uint64, optional, tag = "1")]
+    pub value: Option<u64>,
+    /// The greatest epoch of a lease that it voted for.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
 }
 
 /// From hub to front: changes in a row, or all there is.
@@ -359,7 +382,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "PeerMessage", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17")]
+    #[prost(oneof = "PeerMessage", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,23")]
     pub word: Option<PeerMessage>,
 }
 
@@ -399,4 +422,6 @@
     LeaseVote(LeaseVote),
     #[prost(message, tag = "17")]
     Allotments(Allotments),
+    #[prost(message, tag = "23")]
+    Durable(Durable),
 }
--- a/crates/linenthread-node/src/control.rs
+++ b/crates/linenthread-node/src/control.rs
@@ -320,6 +320,7 @@
         let done = match reply {
             Reply::Json(status, value) => answer(&mut wire, status, &value, keep).await,
             Reply::Raw(document) => raw(&mut wire, 200, &document, keep).await,
+            Reply::Elsewhere(address) => sent_on(&mut wire, &address, head.target(), keep).await,
         };
         if done.is_err() || !keep {
             if done.is_err() {
@@ -333,6 +334,8 @@
 enum Reply {
     Json(u16, serde_json::Value),
     Raw(Vec<u8>),
+    /// The same call is to be made at this address.
+    Elsewhere(String),
 }
 
 fn refuse(status: u16, cause: impl std::fmt::Display) -> Reply {
@@ -410,6 +413,7 @@
             Reply::Json(412, json!({"error": "another version is in place", "revision": revision}))
         }
         Ok(Answer::NotNow(cause)) => refuse(503, cause),
+        Ok(Answer::Elsewhere(address)) => Reply::Elsewhere(address),
         Err(_) => refuse(503, "ending"),
     }
 }
@@ -418,6 +422,16 @@
     raw(wire, status, value.to_string().as_bytes(), keep).await
 }
 
+/// Another control node is to be called.
+async fn sent_on(wire: &mut Wire, address: &str, target: &str, keep: bool) -> Result<(), Stop> {
+    let close = if keep { "" } else { "Connection: close\r\n" };
+    let bytes = format!(
+        "HTTP/1.1 307 Temporary Redirect\r\nLocation: http://{address}{target}\r\n\
+         Content-Length: 0\r\n{close}\r\n"
+    );
+    wire.write(bytes.as_bytes(), Instant::now() + SLOW).await
+}
+
 async fn raw(wire: &mut Wire, status: u16, body: &[u8], keep: bool) -> Result<(), Stop> {
     let reason = match status {
         200 => "OK",
