StateLog: the log of the durable state, generic over the files, apart from the disk's thread

The daemon's disk thread held the handling of the log itself (pieces, compaction, a new start after a failure), so that no drill could run it.

--- a/crates/linenthread-control/src/lib.rs
+++ b/crates/linenthread-control/src/lib.rs
@@ -6,11 +6,13 @@
 mod control;
 mod log;
 mod replicas;
+mod state_log;
 
 pub use budget::Budget;
 pub use control::{Answer, Control, Effect, Local};
 pub use log::ChangeLog;
 pub use replicas::{Beat, Heard, Known, ReplicaRegistry};
+pub use state_log::{OpenedState, StateLog, StateLogError};
 
 /// A connection with a peer, named by whoever owns the sockets.
 pub type Link = u64;
--- /dev/null
+++ b/crates/linenthread-control/tests/state_log.rs
@@ -0,0 +1,72 @@
+//! The state's log over the modelled disk: crashes at any moment, full disks, compaction.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use linenthread_control::{OpenedState, StateLog, StateLogError};
+use linenthread_messages::{Record, Value};
+use linenthread_store::Model;
+use oorandom::Rand64;
+
+const COMPACT_ABOVE: u64 = 4_000;
+
+type Disk = Rc<RefCell<Model>>;
+
+fn open(disk: &Disk) -> OpenedState<Disk, impl FnMut() -> Result<Disk, String> + use<>> {
+    let disk = disk.clone();
+    StateLog::open(move || Ok(disk.clone()), COMPACT_ABOVE).expect("a disk without damage opens")
+}
+
+fn decided(number: u64, bytes: usize) -> Record {
+    let document = vec![number as u8; bytes].into();
+    Record { decided: Some(Value { number, document, ..Value::default() }), ..Record::default() }
+}
+
+fn number(opened: &OpenedState<Disk, impl FnMut() -> Result<Disk, String>>) -> u64 {
+    opened.state.records()[0].decided.as_ref().map_or(0, |value| value.number)
+}
+
+#[test]
+fn what_was_written_outlasts_losses_of_power_and_compaction() {
+    let (disk, mut chance) = (Disk::default(), Rand64::new(7));
+    let mut synced = 0;
+    for round in 0..300 {
+        let mut opened = open(&disk);
+        assert!(number(&opened) >= synced, "round {round}");
+        synced = number(&opened);
+        for _ in 0..chance.rand_range(1..9) {
+            opened.log.write(&[decided(synced + 1, 300)]).expect("there is room");
+            synced += 1;
+            assert!(opened.log.bytes() < COMPACT_ABOVE + 400);
+        }
+        // The last write of this life is cut off by the loss of power.
+        disk.borrow_mut().syncs_left = Some(chance.rand_range(0..3) as usize);
+        let _ = opened.log.write(&[decided(synced + 1, 300)]);
+        disk.borrow_mut().crash(&mut chance);
+    }
+}
+
+#[test]
+fn a_full_disk_refuses_and_all_is_written_once_there_is_room() {
+    let disk = Disk::default();
+    let mut opened = open(&disk);
+    opened.log.write(&[decided(1, 300)]).expect("there is room");
+    disk.borrow_mut().room = Some(0);
+    for number in 2..5 {
+        let refused = opened.log.write(&[decided(number, 300)]);
+        assert!(matches!(refused, Err(StateLogError::Disk { .. })));
+    }
+    disk.borrow_mut().room = None;
+    opened.log.write(&[Record { epoch: 3, ..Record::default() }]).expect("there is room again");
+    drop(opened);
+    let opened = open(&disk);
+    assert_eq!((number(&opened), opened.state.epoch), (4, 3));
+}
+
+#[test]
+fn a_record_longer_than_an_entry_is_read_back_whole() {
+    let disk = Disk::default();
+    let record = decided(1, 3 * linenthread_store::LONGEST);
+    open(&disk).log.write(std::slice::from_ref(&record)).expect("there is room");
+    assert_eq!(open(&disk).state.records()[0].decided, record.decided);
+}
