--- a/crates/linenthread-control/src/lib.rs
+++ b/crates/linenthread-control/src/lib.rs
@@ -7,11 +7,13 @@
 mod log;
 pub mod reconfiguration;
 mod replicas;
+mod state_log;
 
 pub use budget::Budget;
 pub use control::{Answer, CONTACT, Control, Effect, Local};
 pub use log::ChangeLog;
 pub use replicas::{Beat, Heard, Known, ReplicaRegistry};
+pub use state_log::{OpenedState, StateLog, StateLogError};
 
 /// A connection with a peer, named by whoever owns the sockets.
 pub type Link = u64;
