Data plane: a crate behind a transport trait; an answer belongs to a request by its id

Cause: an answer without X-Attempt-Id was taken as the request's own, and a promise that nothing ran (421, X-Not-Executed) was believed whatever it came on. Pool, framing and dispatcher could only be played by sockets.

Change: crates/linenthread-dataplane holds the traffic path, generic over Connector and ReplicaTransport, with tokio's clock. outcome.rs is the one typed place: classify (whose answer is it), judge (event to Ending and SendState), may_send_again (mode, SendState); the dispatcher passes every sub-request through the last. A request never uses one connection twice; lookups are known by place and number. Desk, Slot, Plane, Wire, Act, Done are renamed; the circle between dispatcher and data plane is gone (zones.rs). Iteration is ordered, for replays.

--- a/crates/linenthread-node/src/wire.rs
+++ b/crates/linenthread-dataplane/src/connection.rs
@@ -1,16 +1,25 @@
 //! One HTTP/1.1 connection: whole heads and bodies off it, whole messages onto it.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use linenthread_http::{Body, Framing, Head, Refusal};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
-pub struct Wire {
-    pub stream: TcpStream,
-    pub buffer: BytesMut,
+use crate::transport::ReplicaTransport;
+
+/// How much room is made for each read.
+const READ: usize = 2_048;
+/// A buffer that has grown beyond this is let go after the message; so much of a next message may wait in it.
+const KEPT: usize = 16_384;
+
+/// A connection and what was read off it and not taken yet.
+pub struct HttpConnection<S = TcpStream> {
+    stream: S,
+    buffer: BytesMut,
 }
 
 /// Why nothing more can be read.
@@ -24,15 +33,22 @@
     Refused(Refusal),
 }
 
-impl Wire {
-    pub fn new(stream: TcpStream) -> Wire {
-        let _ = stream.set_nodelay(true);
-        Wire { stream, buffer: BytesMut::new() }
+/// A message was not written whole.
+#[derive(Debug, PartialEq, Eq)]
+pub struct WriteFailed {
+    pub stop: Stop,
+    /// Bytes that this side has let go of.
+    pub written: usize,
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> HttpConnection<S> {
+    pub fn new(stream: S) -> HttpConnection<S> {
+        HttpConnection { stream, buffer: BytesMut::new() }
     }
 
     /// Reads some more by then.
     async fn more(&mut self, by: Instant) -> Result<(), Stop> {
-        self.buffer.reserve(2_048);
+        self.buffer.reserve(READ);
         match timeout_at(by, self.stream.read_buf(&mut self.buffer)).await {
             Err(_) => Err(Stop::Late),
             Ok(Ok(0) | Err(_)) => Err(Stop::Cut),
@@ -85,31 +101,41 @@
             let next = Instant::now() + quiet;
             self.more(by.map_or(next, |by| by.min(next))).await?;
         }
-        if self.buffer.is_empty() && self.buffer.capacity() > 16_384 {
+        if self.buffer.is_empty() && self.buffer.capacity() > KEPT {
             self.buffer = BytesMut::new();
         }
         Ok(body.read)
     }
 
+    /// Writes a message whole by then.
     pub async fn write(&mut self, bytes: &[u8], by: Instant) -> Result<(), Stop> {
-        match timeout_at(by, self.stream.write_all(bytes)).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(Stop::Cut),
-            Err(_) => Err(Stop::Late),
-        }
+        self.write_counted(bytes, by).await.map_err(|failed| failed.stop)
     }
 
-    /// Nothing waits on it and the other side has not closed.
-    pub fn is_quiet(&self) -> bool {
-        let mut one = [0; 1];
-        self.buffer.is_empty()
-            && matches!(self.stream.try_read(&mut one), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    /// The same; a failure tells how much of it may have reached the other side.
+    pub async fn write_counted(&mut self, bytes: &[u8], by: Instant) -> Result<(), WriteFailed> {
+        let mut written = 0;
+        let writing = async {
+            while written < bytes.len() {
+                match self.stream.write(&bytes[written..]).await? {
+                    0 => return Err(io::Error::from(io::ErrorKind::WriteZero)),
+                    some => written += some,
+                }
+            }
+            Ok(())
+        };
+        let stop = match timeout_at(by, writing).await {
+            Ok(Ok(())) => return Ok(()),
+            Ok(Err(_)) => Stop::Cut,
+            Err(_) => Stop::Late,
+        };
+        Err(WriteFailed { stop, written })
     }
 
     /// Returns when the other side has closed; what it sends meanwhile waits, up to a bound.
     pub async fn closed(&mut self) {
         loop {
-            if self.buffer.len() > 16_384 {
+            if self.buffer.len() > KEPT {
                 std::future::pending::<()>().await;
             }
             match self.stream.read_buf(&mut self.buffer).await {
@@ -119,3 +145,10 @@
         }
     }
 }
+
+impl<S: ReplicaTransport> HttpConnection<S> {
+    /// Nothing waits on it and the other side has not closed.
+    pub fn is_quiet(&self) -> bool {
+        self.buffer.is_empty() && self.stream.is_quiet()
+    }
+}
--- a/crates/linenthread-node/src/logs.rs
+++ b/crates/linenthread-node/src/logs.rs
@@ -1,12 +1,10 @@
-use std::cell::RefCell;
-use std::collections::HashMap;
-use std::fmt::{Display, Write};
+use std::fmt::Write;
 
 use logforth::append::Stdout;
 use logforth::kv::{KeyView, ValueView, Visitor};
 use logforth::layout::Layout;
 
-use crate::clock;
+pub use linenthread_dataplane::refused;
 use logforth::record::Record;
 use logforth::{Diagnostic, Error};
 
@@ -38,27 +36,6 @@
     }
 }
 
-/// Lines of one kind in a second.
-const MOST: u32 = 5;
-
-thread_local! {
-    static SAID: RefCell<HashMap<&'static str, (u64, u32)>> = RefCell::default();
-}
-
-/// What a peer sent could not be taken: a line with the step and the peer, a few a second for each step.
-pub fn refused(step: &'static str, peer: impl Display, cause: impl Display) {
-    let second = clock::ms() / 1_000;
-    let said = SAID.with_borrow_mut(|all| {
-        let (at, n) = all.entry(step).or_default();
-        (*at, *n) = if *at == second { (second, *n + 1) } else { (second, 1) };
-        *n
-    });
-    if said <= MOST {
-        let (peer, cause) = (peer.to_string(), cause.to_string());
-        log::warn!(step = step, peer = peer, cause = cause; "event=refused");
-    }
-}
-
 pub fn start() {
     let logger =
         logforth::core::builder().dispatch(|d| d.append(Stdout::default().with_layout(Pairs))).build();
--- a/crates/linenthread-node/src/main.rs
+++ b/crates/linenthread-node/src/main.rs
@@ -2,30 +2,34 @@
 //! serves: `bind.ingress` the traffic, `bind.control_plane` replicas and operators, with the state on its
 //! disk.
 
-mod clock;
 mod control;
-mod desk;
 mod disk;
 mod errors;
 mod follow;
 mod front;
 mod links;
 mod logs;
-mod pass_through;
-mod plane;
-mod pool;
 mod signals;
-mod terms;
-mod wire;
 
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use linenthread_config::{Configuration, Settings};
+use linenthread_dataplane::clock;
 use tokio::task::LocalSet;
 
 use crate::errors::Error;
 
+/// Connections as control uses them.
+mod wire {
+    pub use linenthread_dataplane::connection::{HttpConnection as Wire, Stop};
+}
+
+/// The data plane as the sessions with control fill it.
+mod plane {
+    pub use linenthread_dataplane::{DataPlane as Plane, Share};
+}
+
 mod flags {
     use std::path::PathBuf;
 
