Daemon: on SIGTERM a control node leaves within its grace, and its callers are sent on

The control server ended at once on SIGTERM, after its own front. Now it leaves beside its front: it serves on until Control::may_leave, at most for the grace without a second, and logs left or left_unready with what it waited for. Calls that come meanwhile get 307 to another node. A second SIGTERM changes nothing.

Test all_hubs_at_once...: its 200 tries ran out within 0.13 to 0.2 s on connections refused while the three processes were still starting (5 of 13 runs failed or nearly so on this busy machine; all failures seen were refused connections). It now waits for control_open of each before it reads: as strict, by event and not by tries.

--- a/crates/linenthread-node/src/control.rs
+++ b/crates/linenthread-node/src/control.rs
@@ -36,11 +36,20 @@
     Unreached(String),
     Beat(String, Beat, oneshot::Sender<Answer>),
     Departure(String, oneshot::Sender<Answer>),
-    Replace { base: u64, revision: u64, document: Vec<u8>, reply: oneshot::Sender<Answer> },
+    Replace {
+        base: u64,
+        revision: u64,
+        document: Vec<u8>,
+        reply: oneshot::Sender<Answer>,
+    },
     Read(oneshot::Sender<Answer>),
     Members(oneshot::Sender<serde_json::Value>),
     Replicas(oneshot::Sender<serde_json::Value>),
     Synced(Vec<(u64, PeerMessage)>),
+    /// A planned end was asked for; the answer comes when this node may go.
+    Leave(oneshot::Sender<()>),
+    /// Why it may not go yet.
+    LeaveWaits(oneshot::Sender<&'static str>),
     Stop(oneshot::Sender<()>),
 }
 
@@ -49,6 +58,25 @@
 }
 
 impl ControlServer {
+    /// Serves on until others hold what this node holds and it leads no more, or that takes too long.
+    pub async fn leave(&self, within: Duration) {
+        let began = Instant::now();
+        let (done, may_go) = oneshot::channel();
+        if self.commands.send(Command::Leave(done)).await.is_err() {
+            return;
+        }
+        let took = |began: Instant| began.elapsed().as_millis() as u64;
+        if tokio::time::timeout(within, may_go).await.is_ok() {
+            log::info!(ms = took(began); "event=left");
+            return;
+        }
+        let (tell, cause) = oneshot::channel();
+        let _ = self.commands.send(Command::LeaveWaits(tell)).await;
+        let cause = tokio::time::timeout(Duration::from_millis(100), cause).await;
+        let cause = cause.ok().and_then(Result::ok).unwrap_or("no answer");
+        log::warn!(ms = took(began), waits_for = cause; "event=left_unready");
+    }
+
     /// Ends all sessions, so that the others need not wait for silence.
     pub async fn stop(&self) {
         let (done, ended) = oneshot::channel();
@@ -117,6 +145,7 @@
         tokens: 0,
         commands: commands.clone(),
         port: settings.peers_port,
+        leaves: Vec::new(),
     };
     spawn_local(hub.run(queue));
     let to = commands.clone();
@@ -179,6 +208,8 @@
     tokens: Token,
     commands: mpsc::Sender<Command>,
     port: u16,
+    /// Who waits for this node to be free to go.
+    leaves: Vec<oneshot::Sender<()>>,
 }
 
 impl ControlNode {
@@ -202,6 +233,11 @@
                 self.control.tick(now, &mut out);
             }
             self.carry_out(&mut out);
+            if !self.leaves.is_empty() && self.control.may_leave(now) {
+                for done in self.leaves.drain(..) {
+                    let _ = done.send(());
+                }
+            }
         }
     }
 
@@ -242,6 +278,11 @@
             Command::Members(reply) => drop(reply.send(self.control.members(now))),
             Command::Replicas(reply) => drop(reply.send(self.control.replicas(now))),
             Command::Synced(then) => self.control.synced(now, then, out),
+            Command::Leave(done) => {
+                self.control.leave(now, out);
+                self.leaves.push(done);
+            }
+            Command::LeaveWaits(reply) => drop(reply.send(self.control.leave_waits_for(now))),
             Command::Stop(_) => {}
         }
     }
--- a/crates/linenthread-node/src/main.rs
+++ b/crates/linenthread-node/src/main.rs
@@ -20,6 +20,7 @@
 
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use linenthread_config::{Configuration, Settings};
 use tokio::task::LocalSet;
@@ -53,6 +54,9 @@
     }
 }
 
+/// So long before the end of its grace a control node stops waiting for others.
+const LEAVE_MARGIN_MS: u64 = 1_000;
+
 fn main() -> ExitCode {
     let flags = match flags::LinenthreadNode::from_env() {
         Ok(flags) => flags,
@@ -102,6 +106,11 @@
     local.block_on(&runtime, serve(settings, path))
 }
 
+/// How long a control node may take to leave: what is left of the grace is for its end.
+fn leave_within(grace_ms: u64) -> Duration {
+    Duration::from_millis(grace_ms.saturating_sub(LEAVE_MARGIN_MS).max(grace_ms / 2))
+}
+
 async fn serve(settings: Rc<Settings>, path: std::path::PathBuf) -> Result<(), Error> {
     let ends = signals::listen(path)?;
     let control = match settings.control {
@@ -114,9 +123,17 @@
     };
     ends.asked().await;
     log::info!(node = settings.node_name; "event=stopping");
-    if let Some(plane) = plane {
-        front::stop(&plane, settings.grace_ms).await;
-    }
+    let front_stops = async {
+        if let Some(plane) = &plane {
+            front::stop(plane, settings.grace_ms).await;
+        }
+    };
+    let control_leaves = async {
+        if let Some(control) = &control {
+            control.leave(leave_within(settings.grace_ms)).await;
+        }
+    };
+    tokio::join!(front_stops, control_leaves);
     if let Some(control) = control {
         control.stop().await;
     }
--- a/crates/linenthread-node/src/signals.rs
+++ b/crates/linenthread-node/src/signals.rs
@@ -1,3 +1,5 @@
+//! Signals: the end that was asked for, once for all however often it is asked, and settings to be read anew.
+
 use std::path::PathBuf;
 use std::rc::Rc;
 
--- a/crates/linenthread-node/tests/system.rs
+++ b/crates/linenthread-node/tests/system.rs
@@ -101,6 +101,9 @@
     for hub in ["hub-1", "hub-2", "hub-3"] {
         rig.run(hub).unwrap();
     }
+    for hub in ["hub-1", "hub-2", "hub-3"] {
+        assert!(rig.wait_for(hub, &["event=control_open"], SOON));
+    }
     let client = linenthread_ctl::Client { addresses: rig.control(), within: Duration::from_secs(2) };
     let read = (0..200).find_map(|_| {
         client.call("GET", "/Configuration.Read", &[], &[], 5).ok().filter(|r| r.status == 200)
