Consensus: a ledger of taken orders apart from the value; register.rs split by job

Cause: an order sent again after more than 64 later ones was refused though it was taken (REMEMBERED = 64), and each accept and record carried all that was remembered. Its digest was FNV-1a of 64 bits.

A value carries how many orders were taken and the last 16; each node keeps the others in a ledger of its own (65,536 at least), a chain by base, so that two neighbours prove what was passed over. What is missing is fetched 1,024 at a time, newest first (LedgerRequest, LedgerEntries); where it is missing or forgotten the answer is Unclear. Register tells durable_number(), ledger_complete(), holds_all_durably(); records that the disk dropped are handed over again. An order on a base that is not decided yet is Unclear, no longer refused: it could be taken afterwards.

An acceptor whose disk holds acceptances above what it holds as decided keeps them and takes part in nothing below; before, it forgot both and could accept another value for a decided number (tests/acceptor_restart.rs).

Peers' VERSION is 2.

Changed check: the drill's acked-lasts asked the newest value's `taken` and only below 64 changes; now each node that has got so far must know each acknowledged order by its ledger.

--- /dev/null
+++ b/crates/linenthread-consensus/src/durability.rs
@@ -0,0 +1,100 @@
+use linenthread_messages::{OrderIdentity, PeerMessage, Record, Synced, Value};
+
+use crate::effects::Effect;
+
+/// What was handed over and is not synced after so long is handed over again, then after twice as long and so on:
+/// the disk drops records when too many wait.
+const REWRITE: u64 = 5_000;
+const REWRITE_MOST: u64 = 40_000;
+
+/// Which of the decided values and of the ledger's records are on this node's disk.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Durability {
+    id: u64,
+    /// Number of the newest decided value that is synced.
+    number: u64,
+    /// Records of the ledger in this life: handed over, and synced without one missing in between.
+    ledger_handed_over: u64,
+    ledger_synced: u64,
+    /// The last record that holds the whole ledger: all before it may be missing.
+    ledger_whole: u64,
+    last_at: u64,
+    wait: u64,
+}
+
+impl Durability {
+    pub(crate) fn new(id: u64, number: u64) -> Durability {
+        Durability {
+            id,
+            number,
+            ledger_handed_over: 0,
+            ledger_synced: 0,
+            ledger_whole: 0,
+            last_at: 0,
+            wait: REWRITE,
+        }
+    }
+
+    /// Number of the newest decided value that is synced.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Whether the value of this number and all records of the ledger are synced.
+    pub(crate) fn holds(&self, number: u64) -> bool {
+        self.number >= number && self.ledger_synced == self.ledger_handed_over
+    }
+
+    /// Hands a decided value over to the disk.
+    pub(crate) fn keep_value(&mut self, now: u64, value: &Value, effects: &mut Vec<Effect>) {
+        self.last_at = now;
+        let record = Record { decided: Some(value.clone()), ..Record::default() };
+        self.keep(record, Synced { number: value.number, ledger_record: 0 }, effects);
+    }
+
+    /// Hands orders that were fetched over to the disk.
+    pub(crate) fn keep_orders(&mut self, now: u64, orders: Vec<OrderIdentity>, effects: &mut Vec<Effect>) {
+        self.last_at = now;
+        self.ledger_handed_over += 1;
+        let record = Record { ledger: orders, ..Record::default() };
+        self.keep(record, Synced { number: 0, ledger_record: self.ledger_handed_over }, effects);
+    }
+
+    fn keep(&self, record: Record, synced: Synced, effects: &mut Vec<Effect>) {
+        let then = vec![(self.id, PeerMessage::Synced(synced))];
+        effects.push(Effect::Keep { record, then });
+    }
+
+    /// A record is on disk.
+    pub(crate) fn on_synced(&mut self, synced: &Synced) {
+        self.number = self.number.max(synced.number);
+        let next = self.ledger_synced + 1;
+        if synced.ledger_record == next || synced.ledger_record == self.ledger_whole {
+            self.ledger_synced = self.ledger_synced.max(synced.ledger_record);
+        }
+    }
+
+    /// Whether what was handed over is to be handed over again.
+    pub(crate) fn is_overdue(&mut self, now: u64, number: u64) -> bool {
+        if self.holds(number) {
+            self.wait = REWRITE;
+            return false;
+        }
+        let overdue = now >= self.last_at + self.wait;
+        if overdue {
+            self.wait = (self.wait * 2).min(REWRITE_MOST);
+        }
+        overdue
+    }
+
+    /// Hands all orders over in one record.
+    pub(crate) fn keep_whole_ledger(
+        &mut self,
+        now: u64,
+        orders: Vec<OrderIdentity>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.ledger_whole = self.ledger_handed_over + 1;
+        self.keep_orders(now, orders, effects);
+    }
+}
--- /dev/null
+++ b/crates/linenthread-consensus/src/durable_state.rs
@@ -0,0 +1,92 @@
+use linenthread_messages::{Accepted, Ballot, Record, Replica, Value};
+
+use crate::acceptor::Acceptor;
+use crate::ledger::Ledger;
+
+/// What a disk holds, record by record.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DurableState {
+    /// The disk's name.
+    pub id: Option<u64>,
+    decided: Option<Value>,
+    ledger: Ledger,
+    number: u64,
+    promised: Option<Ballot>,
+    accepted: Option<Accepted>,
+    /// The greatest epoch of the lease that was supported.
+    pub epoch: u64,
+    /// Replicas as they were last written.
+    pub replicas: Vec<Replica>,
+}
+
+impl DurableState {
+    /// Takes the next record, oldest first.
+    pub fn add(&mut self, record: Record) {
+        self.id = record.id.or(self.id);
+        self.epoch = self.epoch.max(record.epoch);
+        if !record.replicas.is_empty() {
+            self.replicas = record.replicas;
+        }
+        record.ledger.iter().for_each(|order| self.ledger.insert(order));
+        if let Some(value) = record.decided {
+            self.add_decided(value);
+        }
+        if let Some(promised) = record.promised {
+            self.add_promise(record.number, promised, record.accepted);
+        }
+    }
+
+    fn add_decided(&mut self, value: Value) {
+        value.recent.iter().for_each(|order| self.ledger.insert(order));
+        if self.decided.as_ref().is_none_or(|decided| decided.number < value.number) {
+            self.decided = Some(value);
+        }
+    }
+
+    fn add_promise(&mut self, number: u64, promised: Ballot, accepted: Option<Accepted>) {
+        if number > self.number {
+            (self.number, self.promised, self.accepted) = (number, None, None);
+        }
+        if number == self.number {
+            self.promised = self.promised.max(Some(promised));
+            self.accepted = accepted.or(self.accepted.take());
+        }
+    }
+
+    /// The records that hold all of it.
+    pub fn records(&self) -> Vec<Record> {
+        vec![
+            Record {
+                id: self.id,
+                decided: self.decided.clone(),
+                epoch: self.epoch,
+                replicas: self.replicas.clone(),
+                ledger: self.ledger.iter().collect(),
+                ..Record::default()
+            },
+            Record {
+                number: self.number,
+                promised: self.promised,
+                accepted: self.accepted.clone(),
+                ..Record::default()
+            },
+        ]
+    }
+
+    /// The newest decided value, the ledger, and what was promised above it.
+    pub(crate) fn into_parts(self, genesis: Option<Value>) -> (Option<Value>, Ledger, Acceptor) {
+        let decided = self.decided.or(genesis);
+        let next = decided.as_ref().map_or(0, |value| value.number + 1);
+        let acceptor = if self.number >= next {
+            Acceptor::new(self.number, self.promised, self.accepted)
+        } else {
+            Acceptor::new(next, None, None)
+        };
+        (decided, self.ledger, acceptor)
+    }
+
+    /// Number of the newest decided value that it holds; 0 if none.
+    pub(crate) fn decided_number(&self) -> u64 {
+        self.decided.as_ref().map_or(0, |value| value.number)
+    }
+}
--- /dev/null
+++ b/crates/linenthread-consensus/src/proposer.rs
@@ -0,0 +1,293 @@
+use std::collections::{BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
+
+use linenthread_messages::{
+    Accept, AcceptAck, Accepted, Ballot, PeerMessage, Prepare, Promise, Rejected, Value,
+};
+use oorandom::Rand64;
+
+use crate::decided_state::{DecidedState, Verdict};
+use crate::effects::{Effect, Job, Outcome};
+use crate::order::{Change, Wanted};
+use crate::register::{RESEND_AFTER, ROUND_TIMEOUT, WAITING_JOBS, send_to_voters};
+
+/// Two proposers that clash wait up to so long, more with each clash.
+const BACK_OFF: u64 = 25;
+const MOST_DOUBLINGS: u32 = 6;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct WaitingChange {
+    job: Job,
+    wanted: Wanted,
+    until: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Preparing { promised_by: BTreeSet<u64>, newest_accepted: Option<Accepted> },
+    Accepting { value: Value, accepted_by: BTreeSet<u64> },
+}
+
+/// One attempt to decide the next number.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Round {
+    number: u64,
+    ballot: Ballot,
+    began: u64,
+    last_sent: u64,
+    phase: Phase,
+}
+
+impl Round {
+    /// What it says to the voters now.
+    fn request(&self) -> PeerMessage {
+        match &self.phase {
+            Phase::Preparing { .. } => {
+                PeerMessage::Prepare(Prepare { number: self.number, ballot: self.ballot })
+            }
+            Phase::Accepting { value, .. } => {
+                PeerMessage::Accept(Accept { ballot: self.ballot, value: value.clone() })
+            }
+        }
+    }
+
+    fn is_for(&self, number: u64, ballot: Ballot) -> bool {
+        (self.number, self.ballot) == (number, ballot)
+    }
+}
+
+/// Draws how long to back off. States that differ in it alone are alike to whoever hashes them.
+#[derive(Clone, Debug)]
+struct BackOff(Rand64);
+
+impl PartialEq for BackOff {
+    fn eq(&self, _: &BackOff) -> bool {
+        true
+    }
+}
+
+impl Eq for BackOff {}
+
+impl Hash for BackOff {
+    fn hash<H: Hasher>(&self, _: &mut H) {}
+}
+
+/// Changes that wait, and the round that decides one of them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Proposer {
+    /// Tells this life's ballots from those of all others, earlier ones of the same disk too.
+    life: u64,
+    waiting: VecDeque<WaitingChange>,
+    round: Option<Round>,
+    /// No round before this.
+    rest_until: u64,
+    clashes: u32,
+    highest_round: u64,
+    /// Something was seen to be half done.
+    completion_wanted: bool,
+    back_off: BackOff,
+}
+
+impl Proposer {
+    pub(crate) fn new(life: u64) -> Proposer {
+        Proposer {
+            life,
+            waiting: VecDeque::new(),
+            round: None,
+            rest_until: 0,
+            clashes: 0,
+            highest_round: 0,
+            completion_wanted: false,
+            back_off: BackOff(Rand64::new(u128::from(life))),
+        }
+    }
+
+    /// Takes a change; false if too many wait.
+    pub(crate) fn add(&mut self, job: Job, change: Change, until: u64) -> bool {
+        let room = self.waiting.len() < WAITING_JOBS;
+        if room {
+            self.waiting.push_back(WaitingChange { job, wanted: change.into(), until });
+        }
+        room
+    }
+
+    /// Something half done is to be decided.
+    pub(crate) fn complete(&mut self) {
+        self.completion_wanted = true;
+    }
+
+    pub(crate) fn is_busy(&self) -> bool {
+        !self.waiting.is_empty() || self.completion_wanted
+    }
+
+    /// Ends changes whose time is over.
+    pub(crate) fn expire(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        self.waiting.retain(|change| {
+            let in_time = change.until > now;
+            if !in_time {
+                effects.push(Effect::Reply { job: change.job, outcome: Outcome::Unclear });
+            }
+            in_time
+        });
+    }
+
+    /// Begins or repeats a round, or gives it up.
+    pub(crate) fn tick(&mut self, now: u64, decided: &DecidedState, effects: &mut Vec<Effect>) {
+        if !self.is_busy() {
+            self.round = None;
+            return;
+        }
+        self.round.take_if(|round| now >= round.began + ROUND_TIMEOUT);
+        match &mut self.round {
+            Some(round) if now >= round.last_sent + RESEND_AFTER => {
+                round.last_sent = now;
+                send_to_voters(decided, &round.request(), effects);
+            }
+            None if now >= self.rest_until => self.begin(now, decided, effects),
+            _ => {}
+        }
+    }
+
+    fn begin(&mut self, now: u64, decided: &DecidedState, effects: &mut Vec<Effect>) {
+        self.highest_round += 1;
+        let round = Round {
+            number: decided.next(),
+            ballot: Ballot { round: self.highest_round, proposer: self.life },
+            began: now,
+            last_sent: now,
+            phase: Phase::Preparing { promised_by: BTreeSet::new(), newest_accepted: None },
+        };
+        send_to_voters(decided, &round.request(), effects);
+        self.round = Some(round);
+    }
+
+    /// What the round on hand says, for a node that has caught up.
+    pub(crate) fn request(&self) -> Option<PeerMessage> {
+        self.round.as_ref().map(Round::request)
+    }
+
+    /// A promise. With those of more than half of the voters the newest accepted value is proposed; if there is
+    /// none, nothing can be half done, and what waits is judged by the newest decided value.
+    pub(crate) fn on_promise(
+        &mut self,
+        now: u64,
+        from: u64,
+        promise: Promise,
+        decided: &DecidedState,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(round) = self.round.as_mut().filter(|round| round.is_for(promise.number, promise.ballot))
+        else {
+            return;
+        };
+        let Phase::Preparing { promised_by, newest_accepted } = &mut round.phase else { return };
+        promised_by.insert(from);
+        let ballot = |accepted: &Option<Accepted>| accepted.as_ref().map(|accepted| accepted.ballot);
+        if ballot(&promise.accepted) > ballot(newest_accepted) {
+            *newest_accepted = promise.accepted;
+        }
+        if !decided.is_most(promised_by.iter().copied()) {
+            return;
+        }
+        let half_done = newest_accepted.take().map(|accepted| accepted.value);
+        match half_done.or_else(|| self.next_value(decided, effects)) {
+            Some(value) => self.propose(now, value, decided, effects),
+            // Nothing is half done and nothing is wanted any more.
+            None => (self.round, self.completion_wanted) = (None, false),
+        }
+    }
+
+    fn propose(&mut self, now: u64, value: Value, decided: &DecidedState, effects: &mut Vec<Effect>) {
+        let Some(round) = &mut self.round else { return };
+        round.phase = Phase::Accepting { value, accepted_by: BTreeSet::new() };
+        round.last_sent = now;
+        send_to_voters(decided, &round.request(), effects);
+    }
+
+    /// The value that the first change makes of the newest one; changes that come to nothing are answered.
+    fn next_value(&mut self, decided: &DecidedState, effects: &mut Vec<Effect>) -> Option<Value> {
+        while let Some(change) = self.waiting.front() {
+            match judge(&change.wanted, decided) {
+                Ok(value) => return Some(value),
+                Err(outcome) => effects.push(Effect::Reply { job: change.job, outcome }),
+            }
+            self.waiting.pop_front();
+        }
+        None
+    }
+
+    /// An acknowledgement; the value, if more than half of the voters have accepted it now.
+    pub(crate) fn on_accept_ack(
+        &mut self,
+        from: u64,
+        acknowledgement: &AcceptAck,
+        decided: &DecidedState,
+    ) -> Option<Value> {
+        let (number, ballot) = (acknowledgement.number, acknowledgement.ballot);
+        let round = self.round.as_mut().filter(|round| round.is_for(number, ballot))?;
+        let Phase::Accepting { value, accepted_by } = &mut round.phase else { return None };
+        accepted_by.insert(from);
+        if !decided.is_most(accepted_by.iter().copied()) {
+            return None;
+        }
+        self.clashes = 0;
+        Some(value.clone())
+    }
+
+    /// A greater ballot is about: the round is given up, and the next one comes after a pause.
+    pub(crate) fn on_rejected(&mut self, now: u64, rejected: &Rejected, decided: &DecidedState) {
+        if rejected.number != decided.next() {
+            return;
+        }
+        self.highest_round = self.highest_round.max(rejected.promised.round);
+        if self.round.as_ref().is_some_and(|round| round.ballot < rejected.promised) {
+            self.round = None;
+            self.clashes = (self.clashes + 1).min(MOST_DOUBLINGS);
+            let most = BACK_OFF << self.clashes;
+            self.rest_until = now + 1 + self.back_off.0.rand_range(0..most);
+        }
+    }
+
+    /// A value was decided: rounds begin anew, and changes that it settles are answered.
+    pub(crate) fn on_decided(&mut self, decided: &DecidedState, effects: &mut Vec<Effect>) {
+        (self.round, self.completion_wanted) = (None, false);
+        (self.highest_round, self.rest_until) = (0, 0);
+        self.waiting.retain(|change| {
+            let outcome = settled_by(&change.wanted, decided);
+            let settled = outcome.is_some();
+            effects.extend(outcome.map(|outcome| Effect::Reply { job: change.job, outcome }));
+            !settled
+        });
+    }
+}
+
+/// The value that a change makes of the newest one, or how it ends.
+fn judge(wanted: &Wanted, decided: &DecidedState) -> Result<Value, Outcome> {
+    let revision = decided.value().map_or(0, |value| value.revision);
+    match wanted {
+        Wanted::Order { identity, document } => match decided.judge(identity) {
+            Verdict::Proposable => decided.with_order(identity, document).ok_or(Outcome::Unclear),
+            Verdict::Taken => Err(Outcome::Taken(identity.revision)),
+            Verdict::Conflict => Err(Outcome::Conflict(revision)),
+            Verdict::Unknown => Err(Outcome::Unclear),
+        },
+        Wanted::Voters { on, voters, epoch } if *on == decided.number() && !voters.is_empty() => {
+            decided.with_voters(voters, *epoch).ok_or(Outcome::Unclear)
+        }
+        Wanted::Voters { .. } => Err(Outcome::Conflict(revision)),
+        Wanted::Completion => Err(Outcome::Taken(revision)),
+    }
+}
+
+/// How a change ends by what was just decided, if that needs no round.
+fn settled_by(wanted: &Wanted, decided: &DecidedState) -> Option<Outcome> {
+    match wanted {
+        Wanted::Order { identity, .. } => {
+            decided.ledger().contains(identity).then_some(Outcome::Taken(identity.revision))
+        }
+        Wanted::Voters { on, .. } if *on < decided.number() => {
+            Some(Outcome::Taken(decided.value().map_or(0, |value| value.revision)))
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/linenthread-consensus/tests/common/mod.rs
@@ -0,0 +1,252 @@
+//! A few registers on modelled disks and a modelled network, one clock for all.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use linenthread_consensus::{Change, DurableState, Effect, Job, Outcome, Register};
+use linenthread_messages::{PeerMessage, Record, Value, Voter};
+
+/// How long a call is worked on, as in the control part.
+const CALL: u64 = 900;
+const STEP: u64 = 25;
+
+type Loss = Box<dyn Fn(u64, u64, &PeerMessage) -> bool>;
+type Then = Vec<(u64, PeerMessage)>;
+
+struct Node {
+    register: Register,
+    id: u64,
+    lives: u64,
+    disk: Vec<Record>,
+    unsynced: Vec<(Record, Then)>,
+    stalled: bool,
+    cut_off: bool,
+}
+
+struct Message {
+    from: u64,
+    to: u64,
+    message: PeerMessage,
+}
+
+/// Nodes 1 to n; messages and syncs happen at once, unless they are lost or a disk is stalled.
+pub struct Cluster {
+    nodes: Vec<Node>,
+    now: u64,
+    jobs: Job,
+    outcomes: BTreeMap<Job, Outcome>,
+    network: VecDeque<Message>,
+    lost: Loss,
+    sent: Vec<PeerMessage>,
+}
+
+/// An order whose document is this text.
+pub fn order(base: u64, revision: u64, document: &str) -> Change {
+    Change::Document { base, revision, document: document.into() }
+}
+
+fn address(at: u64) -> String {
+    format!("10.0.0.{at}:80")
+}
+
+fn life(id: u64, lives: u64) -> u64 {
+    id * 1_000 + lives
+}
+
+impl Cluster {
+    pub fn new(size: u64) -> Cluster {
+        let voters: Vec<Voter> = (1..=size).map(|at| Voter { id: at, address: address(at) }).collect();
+        let genesis = Value { voters, ..Value::default() };
+        let node = |id| Node {
+            register: Register::new(id, DurableState::default(), Some(genesis.clone()), life(id, 1)),
+            id,
+            lives: 1,
+            disk: vec![Record { id: Some(id), decided: Some(genesis.clone()), ..Record::default() }],
+            unsynced: Vec::new(),
+            stalled: false,
+            cut_off: false,
+        };
+        Cluster {
+            nodes: (1..=size).map(node).collect(),
+            now: 1_000,
+            jobs: 1_000,
+            outcomes: BTreeMap::new(),
+            network: VecDeque::new(),
+            lost: Box::new(|_, _, _| false),
+            sent: Vec::new(),
+        }
+    }
+
+    pub fn register(&self, at: u64) -> &Register {
+        &self.nodes[at as usize - 1].register
+    }
+
+    pub fn outcome(&self, job: Job) -> Option<Outcome> {
+        self.outcomes.get(&job).cloned()
+    }
+
+    /// From now on messages are lost by this rule of sender, receiver and message.
+    pub fn lose(&mut self, lost: impl Fn(u64, u64, &PeerMessage) -> bool + 'static) {
+        self.lost = Box::new(lost);
+    }
+
+    pub fn cut_off(&mut self, nodes: &[u64]) {
+        nodes.iter().for_each(|at| self.node(*at).cut_off = true);
+    }
+
+    pub fn heal(&mut self) {
+        self.nodes.iter_mut().for_each(|node| node.cut_off = false);
+    }
+
+    pub fn count_messages(&mut self) {
+        self.sent.clear();
+    }
+
+    pub fn counted(&self, of: impl Fn(&PeerMessage) -> bool) -> usize {
+        self.sent.iter().filter(|message| of(message)).count()
+    }
+
+    fn node(&mut self, at: u64) -> &mut Node {
+        &mut self.nodes[at as usize - 1]
+    }
+
+    /// Begins a call; its outcome comes under this job.
+    pub fn start_order(&mut self, at: u64, job: Job, change: Change) {
+        let until = self.now + CALL;
+        self.drive(at, |register, now, effects| register.propose(now, job, change, until, effects));
+    }
+
+    /// A call to its end.
+    pub fn order(&mut self, at: u64, change: Change) -> Outcome {
+        self.jobs += 1;
+        let job = self.jobs;
+        self.start_order(at, job, change);
+        self.await_outcome(job)
+    }
+
+    fn await_outcome(&mut self, job: Job) -> Outcome {
+        let end = self.now + 2 * CALL;
+        while !self.outcomes.contains_key(&job) && self.now < end {
+            self.pass_time(STEP);
+        }
+        self.outcome(job).expect("each call ends in time")
+    }
+
+    /// Orders in a row, each on the one before it.
+    pub fn take_orders(&mut self, at: u64, revisions: std::ops::RangeInclusive<u64>) {
+        for revision in revisions {
+            let change = order(revision - 1, revision, &revision.to_string());
+            assert_eq!(self.order(at, change), Outcome::Taken(revision));
+        }
+    }
+
+    pub fn pass_time(&mut self, time: u64) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            for at in 1..=self.nodes.len() as u64 {
+                self.drive(at, |register, now, effects| register.tick(now, effects));
+            }
+        }
+    }
+
+    /// What was not synced is gone.
+    pub fn restart(&mut self, at: u64) {
+        let node = self.node(at);
+        node.lives += 1;
+        node.unsynced.clear();
+        let mut kept = DurableState::default();
+        node.disk.iter().for_each(|record| kept.add(record.clone()));
+        node.register = Register::new(node.id, kept, None, life(node.id, node.lives));
+    }
+
+    pub fn restart_all(&mut self) {
+        (1..=self.nodes.len() as u64).for_each(|at| self.restart(at));
+    }
+
+    /// The disk is lost, an empty one learns what is decided, then another node makes it count in its place.
+    pub fn replace_disk(&mut self, at: u64) {
+        let other = at % self.nodes.len() as u64 + 1;
+        let node = self.node(at);
+        let old = node.id;
+        node.id += 100;
+        (node.lives, node.disk, node.unsynced) = (1, Vec::new(), Vec::new());
+        node.register = Register::new(node.id, DurableState::default(), None, life(node.id, 1));
+        let new = node.id;
+        let value = self.register(other).decided().expect("has one").clone();
+        let (on, epoch, mut voters) = (value.number, value.epoch, value.voters.clone());
+        let from = self.register(other).id();
+        self.network.push_back(Message { from, to: new, message: PeerMessage::Decided(value) });
+        self.settle();
+        self.pass_time(1_000);
+        voters.iter_mut().filter(|voter| voter.id == old).for_each(|voter| voter.id = new);
+        assert!(matches!(self.order(other, Change::Voters { on, voters, epoch }), Outcome::Taken(_)));
+    }
+
+    /// From now on nothing is synced at this node, until [`Cluster::sync_disk`].
+    pub fn stall_disk(&mut self, at: u64) {
+        self.node(at).stalled = true;
+    }
+
+    pub fn sync_disk(&mut self, at: u64) {
+        self.node(at).stalled = false;
+        self.settle();
+    }
+
+    /// The disk was behind: records that wait for it are dropped, and what waits on them.
+    pub fn drop_unsynced(&mut self, at: u64) {
+        self.node(at).unsynced.clear();
+    }
+
+    fn drive(&mut self, at: u64, step: impl FnOnce(&mut Register, u64, &mut Vec<Effect>)) {
+        let (now, mut effects) = (self.now, Vec::new());
+        step(&mut self.node(at).register, now, &mut effects);
+        self.carry_out(at, effects);
+        self.settle();
+    }
+
+    fn carry_out(&mut self, at: u64, effects: Vec<Effect>) {
+        let from = self.node(at).id;
+        let ids: Vec<u64> = self.nodes.iter().map(|node| node.id).collect();
+        for effect in effects {
+            match effect {
+                Effect::Send { to, word } => self.network.push_back(Message { from, to, message: word }),
+                Effect::Keep { record, then } => self.node(at).unsynced.push((record, then)),
+                Effect::Reply { job, outcome } => _ = self.outcomes.insert(job, outcome),
+                // The control part tells all others at once.
+                Effect::Decided(value) => {
+                    for to in ids.iter().copied().filter(|to| *to != from) {
+                        let message = PeerMessage::Decided(value.clone());
+                        self.network.push_back(Message { from, to, message });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Until nothing is under way.
+    fn settle(&mut self) {
+        loop {
+            self.sync();
+            let Some(Message { from, to, message }) = self.network.pop_front() else { return };
+            let cut_off = |id| self.nodes.iter().any(|node| node.id == id && node.cut_off);
+            let lost = to != from && (cut_off(to) || cut_off(from)) || (self.lost)(from, to, &message);
+            let Some(at) = self.nodes.iter().position(|node| node.id == to).filter(|_| !lost) else {
+                continue;
+            };
+            self.sent.push(message.clone());
+            let (now, mut effects) = (self.now, Vec::new());
+            self.nodes[at].register.on_message(now, from, message, &mut effects);
+            self.carry_out(at as u64 + 1, effects);
+        }
+    }
+
+    fn sync(&mut self) {
+        for node in self.nodes.iter_mut().filter(|node| !node.stalled) {
+            let from = node.id;
+            for (record, then) in node.unsynced.drain(..) {
+                node.disk.push(record);
+                self.network.extend(then.into_iter().map(|(to, message)| Message { from, to, message }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/linenthread-consensus/tests/orders.rs
@@ -0,0 +1,178 @@
+//! What becomes of an order that is sent again: acknowledged or left unclear, never refused, if it was taken.
+
+mod common;
+
+use common::{Cluster, order};
+use linenthread_consensus::{KEPT_ORDERS, Ledger, ORDERS_A_MESSAGE, Outcome, document_digest};
+use linenthread_messages::{OrderIdentity, PeerMessage};
+use yare::parameterized;
+
+const LONG_DAY: u64 = 2_000;
+
+fn identity(revision: u64) -> OrderIdentity {
+    OrderIdentity { revision, base: revision - 1, digest: document_digest(format!("{revision}").as_bytes()) }
+}
+
+#[test]
+fn of_two_orders_under_one_number_one_wins_and_the_other_is_refused_at_each_node() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.order(1, order(0, 1, "first")), Outcome::Taken(1));
+    for at in 1..=3 {
+        assert_eq!(cluster.order(at, order(0, 1, "second")), Outcome::Conflict(1));
+        assert_eq!(cluster.order(at, order(0, 1, "first")), Outcome::Taken(1));
+    }
+    cluster.take_orders(2, 2..=100);
+    cluster.restart_all();
+    cluster.replace_disk(3);
+    for at in 1..=3 {
+        assert_eq!(cluster.order(at, order(0, 1, "second")), Outcome::Conflict(100));
+        assert_eq!(cluster.order(at, order(0, 1, "first")), Outcome::Taken(1));
+    }
+}
+
+#[parameterized(
+    same_document_on_another_base = { order(3, 7, "7") },
+    another_document = { order(6, 7, "other") },
+    a_number_that_was_passed_over = { order(6, 8, "8") },
+)]
+fn what_was_not_taken_is_refused_long_after(change: linenthread_consensus::Change) {
+    let mut cluster = Cluster::new(3);
+    cluster.take_orders(1, 1..=7);
+    assert_eq!(cluster.order(1, order(7, 9, "9")), Outcome::Taken(9));
+    cluster.take_orders(1, 10..=40);
+    for at in 1..=3 {
+        assert_eq!(cluster.order(at, change.clone()), Outcome::Conflict(40));
+    }
+}
+
+#[test]
+fn an_order_is_known_after_two_thousand_later_ones_a_restart_of_all_and_a_replaced_disk() {
+    let mut cluster = Cluster::new(3);
+    cluster.take_orders(1, 1..=LONG_DAY + 1);
+    for at in 1..=3 {
+        assert_eq!(cluster.order(at, order(0, 1, "1")), Outcome::Taken(1));
+    }
+    cluster.restart_all();
+    for at in 1..=3 {
+        assert_eq!(cluster.order(at, order(0, 1, "1")), Outcome::Taken(1));
+    }
+    cluster.replace_disk(2);
+    assert_eq!(cluster.order(2, order(0, 1, "1")), Outcome::Taken(1));
+    // And once more from that disk alone.
+    cluster.restart(2);
+    assert_eq!(cluster.order(2, order(999, 1_000, "1000")), Outcome::Taken(1_000));
+}
+
+#[test]
+fn an_order_sent_again_while_its_first_copy_is_half_done_is_taken_once() {
+    let mut cluster = Cluster::new(3);
+    cluster.take_orders(1, 1..=3);
+    // Node 1 gets its order accepted at 1 and 2, and hears no acknowledgement.
+    cluster.lose(|_, to, message| to == 1 && matches!(message, PeerMessage::AcceptAck(_)));
+    cluster.start_order(1, 500, order(3, 4, "4"));
+    cluster.lose(|_, _, _| false);
+    assert_eq!(cluster.order(3, order(3, 4, "4")), Outcome::Taken(4));
+    assert_eq!(cluster.outcome(500), Some(Outcome::Taken(4)));
+    assert_eq!(cluster.register(3).decided().map(|value| value.taken_count), Some(4));
+}
+
+#[test]
+fn a_rival_of_a_half_done_order_is_refused_only_when_that_one_is_decided() {
+    let mut cluster = Cluster::new(3);
+    cluster.lose(|_, to, message| to == 1 && matches!(message, PeerMessage::AcceptAck(_)));
+    cluster.start_order(1, 500, order(0, 1, "first"));
+    cluster.lose(|_, _, _| false);
+    assert_eq!(cluster.order(2, order(0, 1, "second")), Outcome::Conflict(1));
+    assert_eq!(cluster.order(3, order(0, 1, "first")), Outcome::Taken(1));
+}
+
+#[parameterized(taken = { "1" }, refused = { "other" })]
+fn a_node_in_a_minority_neither_confirms_nor_refuses(document: &str) {
+    let mut cluster = Cluster::new(3);
+    cluster.take_orders(1, 1..=30);
+    cluster.cut_off(&[3]);
+    assert_eq!(cluster.order(3, order(0, 1, document)), Outcome::Unclear);
+}
+
+#[test]
+fn a_node_that_lacks_part_of_the_ledger_does_not_refuse_what_it_cannot_know() {
+    let mut cluster = Cluster::new(3);
+    cluster.cut_off(&[3]);
+    cluster.take_orders(1, 1..=100);
+    cluster.heal();
+    // It learns the newest value, and gets no answer about the orders before its last ones.
+    cluster.lose(|_, _, message| matches!(message, PeerMessage::LedgerEntries(_)));
+    assert_eq!(cluster.order(3, order(99, 100, "100")), Outcome::Taken(100));
+    assert!(!cluster.register(3).ledger_complete());
+    assert_eq!(cluster.order(3, order(39, 40, "40")), Outcome::Unclear);
+    assert_eq!(cluster.order(3, order(39, 40, "other")), Outcome::Unclear);
+    assert_eq!(cluster.order(3, order(94, 95, "other")), Outcome::Conflict(100));
+    cluster.lose(|_, _, _| false);
+    cluster.pass_time(1_000);
+    assert!(cluster.register(3).ledger_complete());
+    assert_eq!(cluster.order(3, order(39, 40, "40")), Outcome::Taken(40));
+    assert_eq!(cluster.order(3, order(39, 40, "other")), Outcome::Conflict(100));
+}
+
+#[test]
+fn an_order_on_a_base_that_may_come_yet_is_not_refused() {
+    let mut cluster = Cluster::new(3);
+    cluster.take_orders(1, 1..=3);
+    assert_eq!(cluster.order(2, order(4, 5, "5")), Outcome::Unclear);
+    assert_eq!(cluster.order(1, order(3, 4, "4")), Outcome::Taken(4));
+    assert_eq!(cluster.order(2, order(4, 5, "5")), Outcome::Taken(5));
+    // One that can never be taken is refused at once.
+    assert_eq!(cluster.order(2, order(9, 9, "9")), Outcome::Conflict(5));
+}
+
+#[test]
+fn a_joiner_is_ready_only_when_value_and_ledger_are_on_its_disk() {
+    let mut cluster = Cluster::new(3);
+    cluster.take_orders(1, 1..=LONG_DAY);
+    cluster.stall_disk(3);
+    cluster.replace_disk(3);
+    assert!(cluster.register(3).ledger_complete(), "it has all in memory");
+    assert!(!cluster.register(3).holds_all_durably() && cluster.register(3).durable_number() == 0);
+    cluster.sync_disk(3);
+    assert!(cluster.register(3).holds_all_durably());
+    assert_eq!(cluster.register(3).durable_number(), LONG_DAY + 1);
+}
+
+#[test]
+fn records_that_the_disk_dropped_are_handed_over_again() {
+    let mut cluster = Cluster::new(3);
+    cluster.take_orders(1, 1..=LONG_DAY);
+    cluster.stall_disk(3);
+    cluster.replace_disk(3);
+    cluster.drop_unsynced(3);
+    cluster.sync_disk(3);
+    assert!(!cluster.register(3).holds_all_durably());
+    cluster.pass_time(6_000);
+    assert!(cluster.register(3).holds_all_durably());
+    cluster.restart(3);
+    assert!(cluster.register(3).ledger_complete() && cluster.register(3).ledger().len() == LONG_DAY as usize);
+}
+
+#[test]
+fn catching_up_takes_a_bounded_number_of_messages() {
+    let mut cluster = Cluster::new(3);
+    cluster.take_orders(1, 1..=5_000);
+    cluster.count_messages();
+    cluster.replace_disk(3);
+    assert!(cluster.register(3).ledger_complete());
+    let chunks = 5_000_usize.div_ceil(ORDERS_A_MESSAGE);
+    assert_eq!(cluster.counted(|message| matches!(message, PeerMessage::LedgerRequest(_))), chunks);
+    assert_eq!(cluster.counted(|message| matches!(message, PeerMessage::LedgerEntries(_))), chunks);
+}
+
+#[test]
+fn the_ledger_is_bounded_and_what_it_forgot_is_unclear() {
+    let mut ledger = Ledger::default();
+    for revision in 1..=100_000 {
+        ledger.insert(&identity(revision));
+        assert!(ledger.len() < KEPT_ORDERS + 1_024);
+    }
+    assert!(ledger.len() >= KEPT_ORDERS && ledger.is_complete());
+    assert!(ledger.contains(&identity(100_000 - KEPT_ORDERS as u64 + 1)));
+    assert!(!ledger.contains(&identity(1)));
+}
--- a/crates/linenthread-drill/src/system.rs
+++ b/crates/linenthread-drill/src/system.rs
@@ -11,7 +11,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use linenthread_consensus::{DurableState, digest, genesis_id};
+use linenthread_consensus::{DurableState, document_digest, genesis_id};
 use linenthread_control::{Answer, Beat, Control, Effect, Local};
 use linenthread_messages::{Heartbeat, Hello, PeerMessage, Record, VERSION, Value, Voter};
 use oorandom::Rand64;
@@ -974,9 +974,16 @@
         }
         let newest = self.values.last_key_value().map(|(_, v)| v.clone()).unwrap_or_default();
         for (revision, change) in self.acked.clone() {
-            let taken = linenthread_messages::Taken { revision, digest: digest(&change.document) };
+            let digest = document_digest(&change.document);
+            let order = linenthread_messages::OrderIdentity { revision, base: change.base, digest };
             let there = self.values.values().any(|v| v.revision == revision && v.document == change.document);
-            if !there || !newest.taken.contains(&taken) && newest.taken.len() < 64 {
+            // Each node that has got so far knows the order, replaced disks too.
+            let known = |n: &Node| {
+                let register = n.control.as_ref().map(|control| control.register());
+                let behind = register.is_none_or(|r| r.decided().is_none_or(|d| d.revision < revision));
+                behind || register.is_some_and(|r| r.ledger().contains(&order))
+            };
+            if !there || !self.nodes.iter().filter(|n| !n.removed).all(known) {
                 self.breach(format!("acked-lasts: {revision} is not in the chain"));
             }
         }
--- a/crates/linenthread-messages/src/words.rs
+++ b/crates/linenthread-messages/src/words.rs
@@ -1,6 +1,7 @@
 use prost::{Message, Oneof};
 
-pub const VERSION: u32 = 1;
+/// Peers of another version are turned away. 2: a value carries its last orders by identity, not all of them.
+pub const VERSION: u32 = 2;
 
 /// A machine whose disk counts: its disk's name and where its control calls and peers' port are.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
@@ -12,17 +13,29 @@
     pub address: String,
 }
 
-/// What was taken under which revision.
-#[derive(Clone, PartialEq, Message)]
-pub struct Taken {
+/// The first 128 bits of the SHA-256 of a document.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Message)]
+pub struct DocumentDigest {
+    #[prost(fixed64, tag = "1")]
+    pub high: u64,
+    #[prost(fixed64, tag = "2")]
+    pub low: u64,
+}
+
+/// What makes an order the same one when it is sent again.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct OrderIdentity {
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    #[prost(fixed64, tag = "2")]
-    pub digest: u64,
+    /// The revision that it builds on: of an order that was taken, the revision of the one taken before it.
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    #[prost(message, required, tag = "3")]
+    pub digest: DocumentDigest,
 }
 
 /// What the counted disks agree on, one after another.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Value {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -35,12 +48,15 @@
     /// Whose disks decide the next value.
     #[prost(message, repeated, tag = "4")]
     pub voters: Vec<Voter>,
-    /// What was taken of late, oldest first.
-    #[prost(message, repeated, tag = "5")]
-    pub taken: Vec<Taken>,
     /// The epoch under which the voters were last changed: whoever has this value supports none below it.
     #[prost(uint64, tag = "6")]
     pub epoch: u64,
+    /// How many orders were ever taken.
+    #[prost(uint64, tag = "7")]
+    pub taken_count: u64,
+    /// The last orders that were taken, oldest first; earlier ones are in each node's ledger.
+    #[prost(message, repeated, tag = "8")]
+    pub recent: Vec<OrderIdentity>,
 }
 
 /// Greater rounds win; the proposer tells equal ones apart.
@@ -52,7 +68,7 @@
     pub proposer: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Accepted {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -81,9 +97,12 @@
     /// All replicas that were known, where this record tells them.
     #[prost(message, repeated, tag = "7")]
     pub replicas: Vec<Replica>,
+    /// Orders that were taken, in any order: they join those of earlier records.
+    #[prost(message, repeated, tag = "8")]
+    pub ledger: Vec<OrderIdentity>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Prepare {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -91,7 +110,7 @@
     pub ballot: Ballot,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Promise {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -101,7 +120,7 @@
     pub accepted: Option<Accepted>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Accept {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -110,7 +129,7 @@
 }
 
 /// Accepted, synced.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct AcceptAck {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -119,7 +138,7 @@
 }
 
 /// A greater ballot was promised for this number.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Rejected {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -128,20 +147,50 @@
 }
 
 /// The speaker has decided values up to this one only.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct CatchUpRequest {
     #[prost(uint64, tag = "1")]
     pub number: u64,
 }
 
+/// Which orders were taken, from this revision downwards and above that one?
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct LedgerRequest {
+    #[prost(uint64, tag = "1")]
+    pub newest: u64,
+    #[prost(uint64, tag = "2")]
+    pub above: u64,
+}
+
+/// Orders in a row, newest first, each the base of the one before it; none if the speaker lacks the newest.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct LedgerEntries {
+    /// What was asked for.
+    #[prost(uint64, tag = "1")]
+    pub newest: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub orders: Vec<OrderIdentity>,
+}
+
+/// What a node says to itself when a record of its own is synced; from another node it means nothing.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Synced {
+    /// The decided value that the record holds; 0 if none.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Which record of the ledger it is, counted within this life; 0 if none.
+    #[prost(uint64, tag = "2")]
+    pub ledger_record: u64,
+}
+
 /// What have you decided and accepted? Only answers to this very question count.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ReadRequest {
     #[prost(uint64, tag = "1")]
     pub question: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ReadReply {
     #[prost(uint64, tag = "1")]
     pub question: u64,
@@ -368,7 +417,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "PeerMessage", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18")]
+    #[prost(oneof = "PeerMessage", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21")]
     pub word: Option<PeerMessage>,
 }
 
@@ -410,4 +459,10 @@
     Allotments(Allotments),
     #[prost(message, tag = "18")]
     LeaseRelease(LeaseRelease),
+    #[prost(message, tag = "19")]
+    LedgerRequest(LedgerRequest),
+    #[prost(message, tag = "20")]
+    LedgerEntries(LedgerEntries),
+    #[prost(message, tag = "21")]
+    Synced(Synced),
 }
--- a/crates/linenthread-node/src/disk.rs
+++ b/crates/linenthread-node/src/disk.rs
@@ -77,7 +77,7 @@
         for record in records {
             self.kept.add(record.clone());
         }
-        let whole: Vec<Vec<u8>> = self.kept.records().iter().flat_map(pieces).collect();
+        let whole = || -> Vec<Vec<u8>> { self.kept.records().iter().flat_map(pieces).collect() };
         let result = match &mut self.log {
             Some(log) if log.bytes() < LONG => (|| {
                 for piece in records.iter().flat_map(pieces) {
@@ -85,10 +85,10 @@
                 }
                 log.sync().map_err(|e| e.to_string())
             })(),
-            Some(log) => log.rewrite(&whole).map_err(|e| e.to_string()),
+            Some(log) => log.rewrite(&whole()).map_err(|e| e.to_string()),
             None => {
                 let (mut log, _) = Owner::open(&self.path)?;
-                log.rewrite(&whole).map_err(|e| e.to_string())?;
+                log.rewrite(&whole()).map_err(|e| e.to_string())?;
                 self.log = Some(log);
                 Ok(())
             }
