--- a/crates/linenthread-drill/src/system/schedule.rs
+++ b/crates/linenthread-drill/src/system/schedule.rs
@@ -1,8 +1,9 @@
 //! One day from its start through the troubles and the calm after them; many days by seed.
 
-use linenthread_consensus::digest;
+use linenthread_consensus::document_digest;
 
 use super::fronts::FRONTS;
+use super::machines::Node;
 use super::world::World;
 
 const DAY: u64 = 40_000;
@@ -29,9 +30,16 @@
         }
         let newest = self.values.last_key_value().map(|(_, v)| v.clone()).unwrap_or_default();
         for (revision, change) in self.acked.clone() {
-            let taken = linenthread_messages::Taken { revision, digest: digest(&change.document) };
+            let digest = document_digest(&change.document);
+            let order = linenthread_messages::OrderIdentity { revision, base: change.base, digest };
             let there = self.values.values().any(|v| v.revision == revision && v.document == change.document);
-            if !there || !newest.taken.contains(&taken) && newest.taken.len() < 64 {
+            // Each node that has got so far knows the order, replaced disks too.
+            let known = |n: &Node| {
+                let register = n.control.as_ref().map(|control| control.register());
+                let behind = register.is_none_or(|r| r.decided().is_none_or(|d| d.revision < revision));
+                behind || register.is_some_and(|r| r.ledger().contains(&order))
+            };
+            if !there || !self.nodes.iter().filter(|n| !n.removed).all(known) {
                 self.breach(format!("acked-lasts: {revision} is not in the chain"));
             }
         }
