--- /dev/null
+++ b/crates/linenthread-hollow/src/api.rs
@@ -0,0 +1,228 @@
+//! All that is used of `linenthread-control`, `-consensus` and `-messages`: a rename there changes this file only.
+
+use bytes::BytesMut;
+use linenthread_config::Configuration;
+use linenthread_consensus::{DurableState, genesis_id};
+use linenthread_control::{Beat, Control, Local};
+use linenthread_messages::{Heartbeat, Hello, VERSION, Value, Voter, decode};
+
+pub use linenthread_control::{Answer, Effect, Link, Token};
+pub use linenthread_messages::{FrontUpdate, PeerMessage, Record, Replica, encode};
+
+use crate::cost::Work;
+
+const RETRY_ALLOWANCE: f64 = 50.0;
+const RETRY_WINDOW_MS: u64 = 4_000;
+
+/// What a control node is started with.
+pub struct NodeSettings {
+    pub name: String,
+    pub zone: String,
+    pub address: String,
+    pub life: u64,
+    pub votes: bool,
+    pub bootstrap: Vec<String>,
+    pub heartbeat_ms: u64,
+}
+
+/// What happens to a control node.
+pub enum Input {
+    Opened(Link),
+    Closed(Link),
+    Unreached(String),
+    Frame(Link, BytesMut),
+    /// A replica's heartbeat, as the body of its call.
+    Beat {
+        token: Token,
+        ident: String,
+        body: Vec<u8>,
+    },
+    Departure {
+        token: Token,
+        ident: String,
+    },
+    Replace {
+        token: Token,
+        base: u64,
+        revision: u64,
+        document: Vec<u8>,
+    },
+    Synced(Vec<(u64, PeerMessage)>),
+    Tick,
+}
+
+/// One real control state machine.
+pub struct Node {
+    control: Control,
+}
+
+impl Node {
+    /// A node with an empty disk on the very first start, and the record that its disk holds from then on.
+    pub fn first_start(settings: NodeSettings, now: u64) -> (Node, Record) {
+        let bootstraps = settings.bootstrap.contains(&settings.address);
+        let id = if bootstraps { genesis_id(&settings.address) } else { settings.life };
+        let voter = |a: &String| Voter { id: genesis_id(a), address: a.clone() };
+        let genesis = Value { voters: settings.bootstrap.iter().map(voter).collect(), ..Value::default() };
+        let record = Record { id: Some(id), decided: Some(genesis.clone()), ..Record::default() };
+        let local = Local {
+            name: settings.name,
+            zone: settings.zone,
+            life: settings.life,
+            control: settings.address,
+            counts: settings.votes,
+            least: 3,
+            heartbeat: settings.heartbeat_ms,
+            bootstrap: settings.bootstrap,
+            first_of_all: true,
+            retry_allowance: RETRY_ALLOWANCE,
+            retry_window: RETRY_WINDOW_MS,
+        };
+        let control = Control::new(local, id, DurableState::default(), Some(genesis), now);
+        (Node { control }, record)
+    }
+
+    pub fn due(&self, now: u64) -> u64 {
+        self.control.due(now)
+    }
+
+    pub fn is_leader(&self, now: u64) -> bool {
+        self.control.holds_lease(now).is_some()
+    }
+
+    pub fn voters(&self) -> usize {
+        self.control.register().voters().len()
+    }
+
+    pub fn known_replicas(&self) -> usize {
+        self.control.registry().len()
+    }
+
+    /// Works on one input; says what kind of work it was. `from_front` tells whose link a frame came on.
+    pub fn handle(&mut self, now: u64, input: Input, from_front: bool, out: &mut Vec<Effect>) -> Work {
+        match input {
+            Input::Opened(link) => {
+                self.control.opened(link, out);
+                Work::Sessions
+            }
+            Input::Closed(link) => {
+                self.control.closed(now, link, out);
+                Work::Sessions
+            }
+            Input::Unreached(address) => {
+                self.control.unreached(now, &address);
+                Work::Sessions
+            }
+            Input::Frame(link, mut frame) => match decode(&mut frame) {
+                Ok(Some(word)) => {
+                    let work = work_of(&word, from_front);
+                    self.control.on_message(now, link, word, out);
+                    work
+                }
+                _ => Work::Sessions,
+            },
+            Input::Beat { token, ident, body } => {
+                if let Ok(beat) = serde_json::from_slice::<Beat>(&body) {
+                    self.control.beat(now, token, &ident, beat, out);
+                }
+                Work::ReplicaHeartbeats
+            }
+            Input::Departure { token, ident } => {
+                self.control.departure(now, token, &ident, out);
+                Work::ReplicaHeartbeats
+            }
+            Input::Replace { token, base, revision, document } => {
+                if Configuration::judge(&document).is_ok() {
+                    self.control.replace(now, token, base, revision, document, out);
+                }
+                Work::Configuration
+            }
+            Input::Synced(then) => {
+                self.control.synced(now, then, out);
+                Work::Configuration
+            }
+            Input::Tick => {
+                self.control.tick(now, out);
+                Work::Timer
+            }
+        }
+    }
+}
+
+/// What a message is about.
+pub fn work_of(word: &PeerMessage, with_front: bool) -> Work {
+    match word {
+        PeerMessage::Hello(_) if with_front => Work::FrontJoins,
+        PeerMessage::Hello(_) => Work::Sessions,
+        PeerMessage::Heartbeat(_) if with_front => Work::FrontHeartbeats,
+        PeerMessage::Heartbeat(_) => Work::PeerHeartbeats,
+        PeerMessage::FrontUpdate(update) if update.whole => Work::FrontJoins,
+        PeerMessage::FrontUpdate(update) if update.value.is_some() => Work::Configuration,
+        PeerMessage::FrontUpdate(_) => Work::FrontUpdates,
+        PeerMessage::ControlUpdate(update) if update.has_sessions => Work::PeerSessions,
+        PeerMessage::ControlUpdate(_) => Work::PeerReplicas,
+        PeerMessage::Heard(_) => Work::PeerReplicas,
+        PeerMessage::LeaseRequest(_) | PeerMessage::LeaseVote(_) => Work::Lease,
+        PeerMessage::Allotments(_) => Work::RetryBudget,
+        _ => Work::Configuration,
+    }
+}
+
+/// What a simulated network has to know of a message on its way to a front.
+pub struct Notice {
+    pub work: Work,
+    /// The revision of the configuration in it.
+    pub revision: Option<u64>,
+    pub confirmed: bool,
+    /// The log that it belongs to, and the place after it.
+    pub place: Option<(u64, u64)>,
+    /// A share of the retry budget, for this life.
+    pub share: Option<(u64, f64)>,
+}
+
+pub fn notice(word: &PeerMessage) -> Notice {
+    let work = work_of(word, true);
+    let none = Notice { work, revision: None, confirmed: false, place: None, share: None };
+    match word {
+        PeerMessage::FrontUpdate(update) => Notice {
+            revision: update.value.as_ref().map(|value| value.revision),
+            confirmed: update.confirmed,
+            place: Some((update.log, update.place)),
+            ..none
+        },
+        PeerMessage::Allotments(allotments) => {
+            let share = allotments.grants.first().map(|grant| (grant.life, grant.share));
+            Notice { share, ..none }
+        }
+        _ => none,
+    }
+}
+
+/// A front's first word. `place` is how far it followed which node's log.
+pub fn front_hello(
+    name: &str,
+    zone: &str,
+    life: u64,
+    place: Option<(u64, u64)>,
+    revision: u64,
+) -> PeerMessage {
+    let (log, place) = place.unwrap_or((0, 0));
+    PeerMessage::Hello(Hello {
+        version: VERSION,
+        name: name.to_owned(),
+        zone: zone.to_owned(),
+        life,
+        log,
+        place,
+        value: revision,
+        ..Hello::default()
+    })
+}
+
+pub fn front_heartbeat(asked: u64, revision: u64) -> PeerMessage {
+    PeerMessage::Heartbeat(Heartbeat { asked, revision, ..Heartbeat::default() })
+}
+
+/// One whole frame back into a message.
+pub fn read_frame(frame: &[u8]) -> Option<PeerMessage> {
+    decode(&mut BytesMut::from(frame)).ok().flatten()
+}
--- /dev/null
+++ b/crates/linenthread-hollow/src/scale.rs
@@ -0,0 +1,40 @@
+/// How large a simulated system is, and what happens in it while it is measured.
+#[derive(Clone, Debug)]
+pub struct Scale {
+    pub fronts: usize,
+    pub replicas: usize,
+    /// Control nodes, voters among them.
+    pub control: usize,
+    /// Control nodes whose disks may vote.
+    pub voters: usize,
+    /// Simulated seconds that are measured.
+    pub seconds: u64,
+    pub seed: u64,
+    pub heartbeat_ms: u64,
+    /// Size of the configuration document.
+    pub document_bytes: usize,
+    /// Configuration changes in the measured time, evenly spread.
+    pub changes: usize,
+    /// Replicas that drain, depart and come back under a new name in the measured time, evenly spread.
+    pub restarts: usize,
+    /// Fronts that come back with nothing at one moment, after the measured time.
+    pub storm: usize,
+}
+
+impl Default for Scale {
+    fn default() -> Scale {
+        Scale {
+            fronts: 30,
+            replicas: 192,
+            control: 3,
+            voters: 3,
+            seconds: 4,
+            seed: 1,
+            heartbeat_ms: 1_000,
+            document_bytes: 60_000,
+            changes: 1,
+            restarts: 2,
+            storm: 10,
+        }
+    }
+}
