Leaving and joining: no set of voters that a second loss stops; tests that step whole cores

Found by playing a second loss at each moment of a planned replacement (tests/nodes): a standby was added beside a voter that was going or silent, so that two of four were left; a leaver went before it knew of the standby, or of its leader's change on the way, or that another left at the same moment; a joiner in a system at its very first value was counted though it held nothing, since number 0 stood for none as well.

Now a standby takes the place of a voter that leaves or is lost, and is added beside the others only while all are in contact. A leaver waits until all in contact have answered its word, for any joining machine, and while the leader is about to change the voters (Heartbeat.reconfiguring); of several the first in order goes first. Where the set would be too large to bear its going, it is taken off first. A node that has gone says nothing more.

--- a/crates/linenthread-control/src/control.rs
+++ b/crates/linenthread-control/src/control.rs
@@ -106,6 +106,8 @@
     durable: Option<u64>,
     /// Hubs: it is about to end.
     leaving: bool,
+    /// Hubs: it leads, and is about to change the voters.
+    reconfiguring: bool,
     /// Hubs: when, by this machine's clock, the last heartbeat was said that it is known to have heard.
     reached: Option<u64>,
     /// Hubs: when, by its clock, its last heartbeat was said.
@@ -362,7 +364,12 @@
         next_step_of_leaving(&LeaveView {
             disk: self.register.id(),
             voters: self.register.voters().iter().map(holder).collect(),
-            standby: !self.standbys(now, number).is_empty(),
+            // Also one that does not hold all yet: what it lacks it is about to have.
+            standby: !self.standbys(now, None).is_empty(),
+            least: self.local.least,
+            // Who has answered has said as well whether it leaves itself, and whether it changes the voters.
+            unanswered: self.contacts(now).any(|p| p.reached < self.leaving),
+            reconfiguring: self.reconfigures(now) || self.contacts(now).any(|p| p.reconfiguring),
             in_doubt: self.register.in_doubt(),
             busy: calls || !self.drains.is_empty(),
             leads: self.lease.holds(now).is_some(),
@@ -425,6 +432,7 @@
             digest: self.registry.digest(),
             revision: 0,
             durable: self.durable.value,
+            reconfiguring: self.reconfigures(now),
             sent: now,
             echo,
             leaving: self.leaving.is_some(),
@@ -481,7 +489,7 @@
 
     /// A standby that has become ready need not wait for the next tick.
     fn voters_may_change(&mut self, now: u64) {
-        if self.lease.holds(now).is_some() && !self.standbys(now, self.value_number()).is_empty() {
+        if self.lease.holds(now).is_some() && !self.standbys(now, Some(self.value_number())).is_empty() {
             (self.ticked, self.batched) = (0, 0);
         }
     }
@@ -574,6 +582,11 @@
         self.peers.iter().filter(|(_, p)| p.hub)
     }
 
+    /// Control nodes in contact.
+    fn contacts(&self, now: u64) -> impl Iterator<Item = &Peer> {
+        self.live_hubs().map(|(_, p)| p).filter(move |p| p.in_contact(now))
+    }
+
     /// Disks in contact, this one too.
     fn disks(&self, now: u64) -> Vec<u64> {
         let others = self.live_hubs().filter(|(_, p)| p.in_contact(now)).map(|(_, p)| p.hello.disk);
@@ -647,6 +660,7 @@
             value: hello.value,
             durable: None,
             leaving: false,
+            reconfiguring: false,
             reached: None,
             echo: None,
             place,
@@ -691,7 +705,9 @@
 
     fn send_value(&mut self, link: Link, out: &mut Vec<Effect>) {
         let Some(value) = self.register.decided().cloned() else { return };
-        if let Some(peer) = self.peers.get_mut(&link).filter(|p| p.value < value.number) {
+        // The first value of all has the number that stands for none as well.
+        let lacks = |p: &&mut Peer| p.value < value.number || value.number == 0 && p.durable.is_none();
+        if let Some(peer) = self.peers.get_mut(&link).filter(lacks) {
             peer.value = value.number;
             out.push(Effect::Send { link, word: PeerMessage::Decided(value) });
         }
@@ -707,7 +723,9 @@
         peer.whole = tick.whole;
         peer.value = tick.asked;
         peer.durable = peer.durable.max(tick.durable);
+        let begins_to_leave = tick.leaving && !peer.leaving;
         peer.leaving = tick.leaving;
+        peer.reconfiguring = tick.reconfiguring;
         // What it says it heard was said before now.
         peer.reached = peer.reached.max(tick.echo.map(|echo| echo.min(now)));
         let first = peer.echo.replace(tick.sent).is_none();
@@ -716,7 +734,7 @@
             seen.at = now;
         }
         let sweep = peer.differs >= 2 && now >= peer.swept + SWEEP;
-        if first {
+        if first || begins_to_leave {
             // It learns at once that it is heard.
             out.push(Effect::Send { link, word: self.heartbeat(now, Some(tick.sent)) });
         }
@@ -1153,7 +1171,11 @@
                     self.tell(now, link, out);
                 }
             }
-            Some(Wanted::Voters) => self.voting = false,
+            Some(Wanted::Voters) => {
+                self.voting = false;
+                // Who leaves waits to hear of it.
+                (self.ticked, self.batched) = (0, 0);
+            }
             None => {}
         }
     }
@@ -1223,13 +1245,20 @@
         self.agree(now, |register, outs| register.propose(now, job, change, now + 3 * CALL, outs), out);
     }
 
-    /// Machines that may take a vote at once: in contact, with the newest value on their disks.
-    fn standbys(&self, now: u64, number: u64) -> Vec<Voter> {
-        let ready =
-            |p: &&Peer| p.in_contact(now) && p.hello.counts && !p.leaving && p.durable >= Some(number);
+    /// It leads, and changes the voters, or will as soon as a standby holds all.
+    fn reconfigures(&self, now: u64) -> bool {
+        let changes = |number| next_voters(&self.voters_view(now, number)).is_some();
+        let wants = || !self.standbys(now, None).is_empty() || changes(self.value_number());
+        self.lease.holds(now).is_some() && (self.voting || wants())
+    }
+
+    /// Machines in contact that may vote, do not yet, and stay; with a number only those that may take a vote at
+    /// once, since they hold the value of this number on their disks.
+    fn standbys(&self, now: u64, number: Option<u64>) -> Vec<Voter> {
+        let ready = |p: &&Peer| p.in_contact(now) && p.hello.counts && !p.leaving && p.durable >= number;
         let others = self.live_hubs().map(|(_, p)| p).filter(ready);
         let others = others.map(|p| Voter { id: p.hello.disk, address: p.hello.control.clone() });
-        let own_ready = self.local.counts && self.leaving.is_none() && self.durable.value >= Some(number);
+        let own_ready = self.local.counts && self.leaving.is_none() && self.durable.value >= number;
         let own = Voter { id: self.register.id(), address: self.local.control.clone() };
         let mut standbys: Vec<Voter> = others.chain(own_ready.then_some(own)).collect();
         standbys.retain(|s| !self.register.voters().iter().any(|v| v.id == s.id));
@@ -1245,17 +1274,21 @@
         };
         let leaving = |v: &Voter| match v.id == self.register.id() {
             true => self.leaving.is_some(),
-            false => self.live_hubs().any(|(_, p)| p.hello.disk == v.id && p.leaving),
+            false => {
+                self.departed.contains_key(&v.id)
+                    || self.live_hubs().any(|(_, p)| p.hello.disk == v.id && p.leaving)
+            }
         };
         let state = |v: &Voter| VoterState {
             voter: v.clone(),
+            in_contact: disks.contains(&v.id),
             replaced: replaced(v),
             lost: lost(v),
             leaving: leaving(v),
         };
         VotersView {
             voters: self.register.voters().iter().map(state).collect(),
-            standbys: self.standbys(now, number),
+            standbys: self.standbys(now, Some(number)),
             least: self.local.least,
         }
     }
--- a/crates/linenthread-control/src/reconfiguration.rs
+++ b/crates/linenthread-control/src/reconfiguration.rs
@@ -6,11 +6,12 @@
 #[derive(Clone, Debug)]
 pub struct VoterState {
     pub voter: Voter,
+    pub in_contact: bool,
     /// Its address is served by another disk now.
     pub replaced: bool,
     /// Out of contact for so long that its place goes to a standby.
     pub lost: bool,
-    /// It has said that it is about to end.
+    /// It has said that it is about to end, or ended after it had said so.
     pub leaving: bool,
 }
 
@@ -20,10 +21,24 @@
     pub voters: Vec<VoterState>,
     /// Machines in contact that may vote, do not yet, do not leave, and hold the newest value on their disks.
     pub standbys: Vec<Voter>,
-    /// A lost voter is taken off without a successor only above so many.
+    /// A voter is taken off without a successor only above so many.
     pub least: usize,
 }
 
+/// Whether one voter of so many may be down for good with the fault budget left whole: a majority is there after
+/// as many more losses as the least set of voters bears.
+fn bears_one_down(voters: usize, least: usize) -> bool {
+    let majority = voters / 2 + 1;
+    let budget = least.saturating_sub(1) / 2;
+    voters > majority + budget
+}
+
+/// Whether a voter that leaves is first taken off, with no standby there: the set is large enough without it, and
+/// would not bear what it should with it counted and down.
+pub fn takes_leaver_off(voters: usize, least: usize) -> bool {
+    voters > least && !bears_one_down(voters, least)
+}
+
 impl VotersView {
     fn standby_at(&self, address: &str) -> Option<&Voter> {
         self.standbys.iter().find(|standby| standby.address == address)
@@ -38,17 +53,20 @@
 }
 
 /// The next value's voters, at most one machine away from the present ones; none where they are as they should
-/// be. A leaving voter is swapped for a standby and never taken off without one.
+/// be. A leaving voter is swapped for a standby, or taken off where [`takes_leaver_off`] says so.
 pub fn next_voters(view: &VotersView) -> Option<Vec<Voter>> {
     let mut next: Vec<Voter> = view.voters.iter().map(|v| v.voter.clone()).collect();
     let Some(outgoing) = view.outgoing() else {
-        next.push(view.standbys.first()?.clone());
+        // Beside a voter that may be down one more would only raise the majority: it waits for that one's place.
+        let standby = view.standbys.first().filter(|_| view.voters.iter().all(|v| v.in_contact))?;
+        next.push(standby.clone());
         return Some(next);
     };
     let state = &view.voters[outgoing];
     match view.standby_at(&state.voter.address).or(view.standbys.first()) {
         Some(standby) => next[outgoing] = standby.clone(),
         None if state.lost && next.len() > view.least => drop(next.remove(outgoing)),
+        None if takes_leaver_off(next.len(), view.least) => drop(next.remove(outgoing)),
         None => return None,
     }
     Some(next)
@@ -82,6 +100,12 @@
     pub voters: Vec<Holder>,
     /// Some machine may take a voter's place at once.
     pub standby: bool,
+    /// A voter is taken off without a successor only above so many.
+    pub least: usize,
+    /// Some peer in contact has not yet answered what this machine said of its leaving.
+    pub unanswered: bool,
+    /// The holder of the leader lease is about to change the voters.
+    pub reconfiguring: bool,
     /// This disk accepted a value that it does not know to be decided.
     pub in_doubt: bool,
     /// Calls wait for their answers.
@@ -137,8 +161,13 @@
     if view.busy {
         return Leave::Wait("calls wait for their answers");
     }
-    if view.standby && view.own_position().is_some() {
-        return Leave::Wait("a standby is to take its vote");
+    if view.unanswered {
+        return Leave::Wait("not all others know that it leaves");
+    }
+    let changes = view.standby || view.reconfiguring;
+    let taken_off = changes || takes_leaver_off(view.voters.len(), view.least);
+    if taken_off && view.own_position().is_some() {
+        return Leave::Wait("its vote is to be taken off");
     }
     if !view.others_hold_all() {
         return Leave::Wait("too few others hold the newest value");
--- /dev/null
+++ b/crates/linenthread-control/tests/nodes/leaving.rs
@@ -0,0 +1,205 @@
+//! Nodes that leave and join, and a second loss at each moment of it.
+
+use crate::cluster::{Cluster, address};
+use linenthread_control::Answer;
+use yare::parameterized;
+
+fn leave(cluster: &mut Cluster, n: usize) {
+    cluster.at(n, |c, now, effects| c.leave(now, effects));
+}
+
+#[test]
+fn with_no_standby_a_voter_leaves_as_soon_as_the_others_hold_all() {
+    let mut cluster = Cluster::new(3, 3);
+    let leader = cluster.leader().unwrap();
+    let other = (0..3).find(|n| *n != leader).unwrap();
+    leave(&mut cluster, other);
+    assert!(cluster.run_until(100, |c| c.may_leave(other)));
+    assert_eq!(cluster.voters(leader).len(), 3);
+    // Asked again it changes nothing.
+    leave(&mut cluster, other);
+    assert!(cluster.may_leave(other));
+}
+
+#[test]
+fn a_voter_stays_until_the_others_disks_hold_what_it_holds() {
+    let mut cluster = Cluster::new(3, 3);
+    let leader = cluster.leader().unwrap();
+    let (leaver, slow) = ((leader + 1) % 3, (leader + 2) % 3);
+    cluster.nodes[slow].sync_ms = 3_000;
+    let token = cluster.order(leader, 0, 1);
+    assert!(cluster.run_until(900, |c| c.nodes[leader].answers.contains_key(&token)));
+    assert_eq!(cluster.nodes[leader].answers[&token], Answer::Taken(1));
+    leave(&mut cluster, leaver);
+    assert!(!cluster.run_until(1_500, |c| c.may_leave(leaver)), "only one disk would hold it");
+    assert!(cluster.run_until(6_000, |c| c.may_leave(leaver)));
+    // Now the leader may be lost with its disk, while the others lose power.
+    cluster.crash(leaver);
+    cluster.wipe(leader);
+    cluster.crash(slow);
+    cluster.nodes[slow].sync_ms = 2;
+    cluster.start(slow);
+    cluster.start(leaver);
+    assert_eq!(cluster.order_until_answered(8_000, 0, 1), Some(Answer::Taken(1)));
+}
+
+#[test]
+fn a_leader_gives_its_vote_to_a_standby_and_its_lease_back_before_it_goes() {
+    let mut cluster = Cluster::new(4, 3);
+    let leader = cluster.leader().unwrap();
+    leave(&mut cluster, leader);
+    cluster.start(3);
+    assert!(cluster.run_until(5_000, |c| c.may_leave(leader)));
+    let other = (0..3).find(|n| *n != leader).unwrap();
+    let voters = cluster.voters(other);
+    assert!(voters.contains(&address(3)) && !voters.contains(&address(leader)) && voters.len() == 3);
+    assert_ne!(cluster.leader(), Some(leader));
+    // It is no spare while it leaves.
+    cluster.run(3_000);
+    assert!(cluster.voters(other).len() == 3 && cluster.leader().is_some());
+}
+
+#[test]
+fn a_leader_with_no_standby_hands_over_soon() {
+    let mut cluster = Cluster::new(3, 3);
+    let leader = cluster.leader().unwrap();
+    leave(&mut cluster, leader);
+    assert!(cluster.run_until(2_500, |c| c.may_leave(leader)));
+    assert!(cluster.run_until(2_500, |c| c.leader().is_some_and(|n| n != leader)));
+    assert_eq!(cluster.order_until_answered(1_000, 0, 1), Some(Answer::Taken(1)));
+}
+
+#[test]
+fn of_two_that_leave_at_once_the_second_waits_for_the_first_to_return() {
+    let mut cluster = Cluster::new(3, 3);
+    let leader = cluster.leader().unwrap();
+    let leavers: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+    leavers.iter().for_each(|n| leave(&mut cluster, *n));
+    assert!(cluster.run_until(500, |c| leavers.iter().any(|n| c.may_leave(*n))));
+    let first = *leavers.iter().find(|n| cluster.may_leave(**n)).unwrap();
+    let second = *leavers.iter().find(|n| **n != first).unwrap();
+    cluster.crash(first);
+    assert!(!cluster.run_until(3_000, |c| c.may_leave(second)));
+    cluster.start(first);
+    assert!(cluster.run_until(4_000, |c| c.may_leave(second)));
+}
+
+#[test]
+fn where_all_leave_all_may_go() {
+    let mut cluster = Cluster::new(3, 3);
+    (0..3).for_each(|n| leave(&mut cluster, n));
+    let begins = cluster.now;
+    while cluster.nodes.iter().any(|n| n.control.is_some()) && cluster.now < begins + 6_000 {
+        cluster.run(5);
+        for n in 0..3 {
+            if cluster.may_leave(n) {
+                cluster.crash(n);
+            }
+        }
+    }
+    assert!(cluster.nodes.iter().all(|n| n.control.is_none()));
+}
+
+#[test]
+fn a_call_at_one_that_leaves_is_sent_on() {
+    let mut cluster = Cluster::new(3, 3);
+    leave(&mut cluster, 0);
+    let token = cluster.order(0, 0, 1);
+    let Answer::Elsewhere(to) = cluster.nodes[0].answers[&token].clone() else { panic!("sent on") };
+    assert!([address(1), address(2)].contains(&to));
+}
+
+#[test]
+fn a_machine_votes_only_once_its_disk_holds_the_newest_value() {
+    let mut cluster = Cluster::new(4, 3);
+    assert_eq!(cluster.order_until_answered(1_000, 0, 1), Some(Answer::Taken(1)));
+    cluster.nodes[3].sync_ms = 2_000;
+    cluster.start(3);
+    cluster.run(1_500);
+    let newest = |c: &Cluster, n: usize| c.control(n).register().decided().map(|v| v.number);
+    assert_eq!(newest(&cluster, 3), newest(&cluster, 0), "it holds it in memory");
+    assert_eq!(cluster.voters(0).len(), 3);
+    assert!(cluster.run_until(8_000, |c| c.voters(0).len() == 4));
+}
+
+/// A voter leaves for good while its successor joins; at some moment of it, or after it, as many others as the
+/// core bears are lost with their disks and all others lose power. What was acknowledged is there, and changes are
+/// acknowledged again.
+#[parameterized(fast = { 2, 2 }, slow_voter = { 300, 2 }, slow_joiner = { 2, 300 }, all_slow = { 100, 100 })]
+fn a_second_loss_at_any_moment_of_a_planned_replacement_costs_nothing(voter_sync: u64, joiner_sync: u64) {
+    for moment in (0..3_000).step_by(60) {
+        for lost in [&[0][..], &[1]] {
+            planned_replacement(Plan { voters: 3, voter_sync, joiner_sync, moment, lost });
+        }
+    }
+}
+
+#[parameterized(fast = { 2, 2 }, slow_voter = { 300, 2 }, slow_joiner = { 2, 300 })]
+fn of_five_two_more_losses_at_any_moment_cost_nothing(voter_sync: u64, joiner_sync: u64) {
+    for moment in (0..3_000).step_by(200) {
+        for lost in [&[0, 1][..], &[0, 3], &[1, 2]] {
+            planned_replacement(Plan { voters: 5, voter_sync, joiner_sync, moment, lost });
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Plan<'a> {
+    voters: usize,
+    voter_sync: u64,
+    joiner_sync: u64,
+    moment: u64,
+    lost: &'a [usize],
+}
+
+fn planned_replacement(plan: Plan) {
+    let (leaver, joiner) = (plan.voters - 1, plan.voters);
+    let mut cluster = Cluster::new(plan.voters + 1, plan.voters);
+    cluster.nodes[1].sync_ms = plan.voter_sync;
+    cluster.nodes[joiner].sync_ms = plan.joiner_sync;
+    cluster.start(joiner);
+    assert_eq!(cluster.order_until_answered(3_000, 0, 1), Some(Answer::Taken(1)), "{plan:?}");
+    // The successor has found the others; that it holds nothing yet does not matter.
+    assert!(cluster.run_until(2_000, |c| c.control(joiner).in_contact(c.now)), "{plan:?}");
+    cluster.run(10);
+    leave(&mut cluster, leaver);
+    let end = cluster.now + plan.moment;
+    while cluster.now < end {
+        cluster.run(5);
+        if cluster.may_leave(leaver) {
+            cluster.wipe(leaver);
+        }
+    }
+    lose(&mut cluster, plan.lost);
+    assert_eq!(cluster.order_until_answered(10_000, 1, 2), Some(Answer::Taken(2)), "{plan:?}");
+}
+
+/// Some are lost with their disks, all others lose power and start again.
+fn lose(cluster: &mut Cluster, lost: &[usize]) {
+    lost.iter().for_each(|n| cluster.wipe(*n));
+    let rest: Vec<usize> = (0..cluster.nodes.len())
+        .filter(|n| !lost.contains(n) && cluster.nodes[*n].control.is_some())
+        .collect();
+    rest.iter().for_each(|n| cluster.crash(*n));
+    for n in rest {
+        cluster.nodes[n].sync_ms = 2;
+        cluster.start(n);
+    }
+}
+
+/// A voter is lost with its disk and a successor starts; once that has had its time, another may be lost.
+#[parameterized(at_its_address = { 2 }, elsewhere = { 3 })]
+fn a_second_loss_after_an_unplanned_replacement_costs_nothing(successor: usize) {
+    for lost in 0..2 {
+        let mut cluster = Cluster::new(4, 3);
+        assert_eq!(cluster.order_until_answered(3_000, 0, 1), Some(Answer::Taken(1)));
+        cluster.wipe(2);
+        cluster.run(100);
+        cluster.start(successor);
+        // Out of contact for 1.5 s, a tick, and a value with its syncs.
+        cluster.run(2_500);
+        lose(&mut cluster, &[lost]);
+        let answer = cluster.order_until_answered(10_000, 1, 2);
+        assert_eq!(answer, Some(Answer::Taken(2)), "node {lost} lost");
+    }
+}
--- /dev/null
+++ b/crates/linenthread-control/tests/nodes/main.rs
@@ -0,0 +1,5 @@
+//! Control nodes stepped together: contact, freezes, leaving and joining, second losses.
+
+mod cluster;
+mod contact;
+mod leaving;
--- /dev/null
+++ b/crates/linenthread-control/tests/reconfiguration.rs
@@ -0,0 +1,125 @@
+//! Who votes next and when a machine may go, as tables of cases.
+
+use linenthread_control::reconfiguration::{
+    Holder, Leave, LeaveView, Presence, VoterState, VotersView, next_step_of_leaving, next_voters,
+};
+use linenthread_messages::Voter;
+use yare::parameterized;
+
+fn voter(id: u64) -> Voter {
+    Voter { id, address: format!("address {id}") }
+}
+
+/// Voters 1, 2, 3 and so on: `+` as they should be, `s` silent for a moment, `l` lost, `g` leaving, `r` replaced at their address.
+fn view(states: &str, standbys: &[u64], least: usize) -> VotersView {
+    let state = |(i, c): (usize, char)| VoterState {
+        voter: voter(i as u64 + 1),
+        in_contact: !"slr".contains(c),
+        lost: c == 'l',
+        leaving: c == 'g',
+        replaced: c == 'r',
+    };
+    let standbys = standbys.iter().map(|id| voter(*id)).collect();
+    VotersView { voters: states.chars().enumerate().map(state).collect(), standbys, least }
+}
+
+#[parameterized(
+    nothing = { "+++", &[], 3, None },
+    one_more = { "+++", &[7], 3, Some(&[1, 2, 3, 7]) },
+    one_more_beside_a_silent_one = { "+s+", &[7], 3, None },
+    lost_for_a_standby = { "+l+", &[7, 8], 3, Some(&[1, 7, 3]) },
+    lost_and_least = { "+l+", &[], 3, None },
+    lost_and_enough = { "+l++", &[], 3, Some(&[1, 3, 4]) },
+    leaving_for_a_standby = { "++g", &[7], 3, Some(&[1, 2, 7]) },
+    leaving_and_least = { "++g", &[], 3, None },
+    leaving_and_one_too_many = { "++g+", &[], 3, Some(&[1, 2, 4]) },
+    leaving_of_five_that_bear_one_down = { "++g++", &[], 3, None },
+    leaving_of_five_that_must_bear_two = { "++g++", &[], 5, None },
+    leaving_of_six_that_must_bear_two = { "++g+++", &[], 5, Some(&[1, 2, 4, 5, 6]) },
+    lost_before_leaving = { "+gl", &[7], 3, Some(&[1, 2, 7]) },
+    replaced_with_no_standby_there = { "+r+", &[], 3, None },
+)]
+fn voters_change_one_at_a_time(states: &str, standbys: &[u64], least: usize, next: Option<&[u64]>) {
+    let ids = next_voters(&view(states, standbys, least)).map(|v| v.iter().map(|v| v.id).collect::<Vec<_>>());
+    assert_eq!(ids.as_deref(), next);
+}
+
+#[test]
+fn who_comes_back_under_another_name_has_its_own_place() {
+    let mut view = view("rl+", &[7], 3);
+    view.standbys.push(Voter { id: 8, address: "address 1".into() });
+    let ids: Vec<u64> = next_voters(&view).unwrap().iter().map(|v| v.id).collect();
+    assert_eq!(ids, [8, 2, 3]);
+}
+
+/// Voters 1, 2, 3 and so on, of which this machine is `own`: `+` in contact, `l` leaving, `d` departed, `a`
+/// absent; upper case (`P` for `+`) where its disk does not hold the newest value.
+fn leave_view(own: u64, states: &str) -> LeaveView {
+    let holder = |(i, c): (usize, char)| Holder {
+        disk: i as u64 + 1,
+        durable: !c.is_uppercase(),
+        presence: match c.to_ascii_lowercase() {
+            'l' => Presence::Leaving,
+            'd' => Presence::Departed,
+            'a' => Presence::Absent,
+            _ => Presence::InContact,
+        },
+    };
+    let voters = states.chars().enumerate().map(holder).collect();
+    LeaveView {
+        disk: own,
+        voters,
+        standby: false,
+        least: 3,
+        unanswered: false,
+        reconfiguring: false,
+        in_doubt: false,
+        busy: false,
+        leads: false,
+    }
+}
+
+#[parameterized(
+    others_hold_all = { 3, "+++", true },
+    one_lags = { 3, "+P+", false },
+    one_is_absent = { 3, "+a+", false },
+    one_departed = { 3, "+d+", false },
+    a_later_one_leaves = { 2, "++l", true },
+    an_earlier_one_leaves = { 3, "+l+", false },
+    all_others_leave = { 3, "ll+", true },
+    all_others_left = { 3, "dd+", true },
+    all_others_left_and_one_lagged = { 3, "Dd+", false },
+    three_of_five = { 5, "++P++", true },
+    two_of_five = { 5, "+PP++", false },
+    removed_and_held = { 9, "++P", true },
+    removed_and_not_held = { 9, "+PP", false },
+    removed_while_a_voter_leaves = { 9, "+lP", true },
+    alone = { 1, "+", true },
+    of_two = { 1, "+P", false },
+    of_two_that_hold = { 1, "++", true },
+)]
+fn a_machine_goes_when_the_others_hold_all(own: u64, states: &str, goes: bool) {
+    assert_eq!(next_step_of_leaving(&leave_view(own, states)) == Leave::Go, goes);
+}
+
+#[parameterized(
+    in_doubt = { LeaveView { in_doubt: true, ..leave_view(3, "+++") }, false },
+    busy = { LeaveView { busy: true, ..leave_view(3, "+++") }, false },
+    a_standby_comes = { LeaveView { standby: true, ..leave_view(3, "+++") }, false },
+    unanswered = { LeaveView { unanswered: true, ..leave_view(3, "+++") }, false },
+    voters_change = { LeaveView { reconfiguring: true, ..leave_view(3, "+++") }, false },
+    others_change = { LeaveView { reconfiguring: true, ..leave_view(9, "+++") }, true },
+    a_standby_for_others = { LeaveView { standby: true, ..leave_view(9, "+++") }, true },
+    one_too_many = { leave_view(3, "++++"), false },
+)]
+fn what_else_it_waits_for(view: LeaveView, goes: bool) {
+    assert_eq!(next_step_of_leaving(&view) == Leave::Go, goes);
+}
+
+#[test]
+fn a_leader_releases_its_lease_last() {
+    let view = LeaveView { leads: true, ..leave_view(3, "+++") };
+    assert_eq!(next_step_of_leaving(&view), Leave::Release);
+    let waits = LeaveView { leads: true, ..leave_view(3, "+P+") };
+    assert!(matches!(next_step_of_leaving(&waits), Leave::Wait(_)));
+}
--- a/crates/linenthread-messages/src/words.rs
+++ b/crates/linenthread-messages/src/words.rs
@@ -344,6 +344,9 @@
     /// From a control node: it is about to end.
     #[prost(bool, tag = "8")]
     pub leaving: bool,
+    /// From the holder of the leader lease: the voters are about to change.
+    #[prost(bool, tag = "9")]
+    pub reconfiguring: bool,
 }
 
 /// What the speaker's disk holds, synced.
--- a/crates/linenthread-node/src/control.rs
+++ b/crates/linenthread-node/src/control.rs
@@ -146,6 +146,7 @@
         commands: commands.clone(),
         port: settings.peers_port,
         leaves: Vec::new(),
+        gone: false,
     };
     spawn_local(hub.run(queue));
     let to = commands.clone();
@@ -210,14 +211,20 @@
     port: u16,
     /// Who waits for this node to be free to go.
     leaves: Vec<oneshot::Sender<()>>,
+    /// It has left: nothing is taken any more.
+    gone: bool,
 }
 
 impl ControlNode {
     async fn run(mut self, mut queue: mpsc::Receiver<Command>) {
         let (mut waiting, mut out) = (Vec::new(), Vec::new());
         loop {
-            let due = clock::at_ms(self.control.due(clock::ms())).into();
-            let _ = tokio::time::timeout_at(due, queue.recv_many(&mut waiting, 64)).await;
+            if self.gone {
+                queue.recv_many(&mut waiting, 64).await;
+            } else {
+                let due = clock::at_ms(self.control.due(clock::ms())).into();
+                let _ = tokio::time::timeout_at(due, queue.recv_many(&mut waiting, 64)).await;
+            }
             let now = clock::ms();
             for command in waiting.drain(..) {
                 if let Command::Stop(done) = command {
@@ -227,20 +234,34 @@
                     let _ = done.send(());
                     return;
                 }
-                self.take(now, command, &mut out);
+                if !self.gone {
+                    self.take(now, command, &mut out);
+                }
+            }
+            if self.gone {
+                out.clear();
+                continue;
             }
             if now >= self.control.due(now) {
                 self.control.tick(now, &mut out);
             }
             self.carry_out(&mut out);
             if !self.leaves.is_empty() && self.control.may_leave(now) {
-                for done in self.leaves.drain(..) {
-                    let _ = done.send(());
-                }
+                self.go();
             }
         }
     }
 
+    /// Others may have been told that they can go because this node stays: from here on it says nothing more.
+    fn go(&mut self) {
+        self.gone = true;
+        self.links.clear();
+        self.calls.clear();
+        for done in self.leaves.drain(..) {
+            let _ = done.send(());
+        }
+    }
+
     fn token(&mut self, reply: oneshot::Sender<Answer>) -> Token {
         self.tokens += 1;
         self.calls.insert(self.tokens, reply);
