--- a/crates/linenthread-control/tests/nodes/contact.rs
+++ b/crates/linenthread-control/tests/nodes/contact.rs
@@ -69,12 +69,12 @@
     serde_json::from_str(&text).unwrap()
 }
 
+fn answer(effect: &Effect) -> Option<&Answer> {
+    if let Effect::Answer { answer, .. } = effect { Some(answer) } else { None }
+}
+
 fn answers(effects: &[Effect]) -> Vec<&Answer> {
-    let of = |e| -> Option<&Answer> {
-        let Effect::Answer { answer, .. } = e else { return None };
-        Some(answer)
-    };
-    effects.iter().filter_map(of).collect()
+    effects.iter().filter_map(answer).collect()
 }
 
 /// Whether a front is told of replicas or a configuration, and whether of the configuration.
