A value is confirmed as durable only when the ledger is durable too

A joiner with value n synced and the ledger still under way was ready to count. Register::ledger_durable() says when all of the ledger is synced; control's on_own_durable waits for it (the value is written again then).

--- a/crates/linenthread-consensus/src/durability.rs
+++ b/crates/linenthread-consensus/src/durability.rs
@@ -40,9 +40,14 @@
         self.number
     }
 
+    /// Whether all records of the ledger are synced.
+    pub(crate) fn holds_ledger(&self) -> bool {
+        self.ledger_synced == self.ledger_handed_over
+    }
+
     /// Whether the value of this number and all records of the ledger are synced.
     pub(crate) fn holds(&self, number: u64) -> bool {
-        self.number >= number && self.ledger_synced == self.ledger_handed_over
+        self.number >= number && self.holds_ledger()
     }
 
     /// Hands a decided value over to the disk.
--- a/crates/linenthread-consensus/src/register.rs
+++ b/crates/linenthread-consensus/src/register.rs
@@ -102,10 +102,15 @@
         self.decided.value().is_some() && self.decided.ledger().is_complete()
     }
 
+    /// The ledger is complete, and all of it that came apart from values is synced on this node's disk.
+    pub fn ledger_durable(&self) -> bool {
+        self.ledger_complete() && self.durability.holds_ledger()
+    }
+
     /// The newest decided value that this node knows and all of the ledger are synced on its disk: only then may
     /// it begin to count.
     pub fn holds_all_durably(&self) -> bool {
-        self.ledger_complete() && self.durability.holds(self.decided.number())
+        self.ledger_durable() && self.durability.holds(self.decided.number())
     }
 
     /// Wants a change by then.
--- a/crates/linenthread-consensus/tests/orders.rs
+++ b/crates/linenthread-consensus/tests/orders.rs
@@ -133,8 +133,9 @@
     cluster.replace_disk(3);
     assert!(cluster.register(3).ledger_complete(), "it has all in memory");
     assert!(!cluster.register(3).holds_all_durably() && cluster.register(3).durable_number() == 0);
+    assert!(!cluster.register(3).ledger_durable());
     cluster.sync_disk(3);
-    assert!(cluster.register(3).holds_all_durably());
+    assert!(cluster.register(3).holds_all_durably() && cluster.register(3).ledger_durable());
     assert_eq!(cluster.register(3).durable_number(), LONG_DAY + 1);
 }
 
--- a/crates/linenthread-control/src/control.rs
+++ b/crates/linenthread-control/src/control.rs
@@ -462,7 +462,8 @@
     /// The own disk has confirmed what it was given.
     fn on_own_durable(&mut self, now: u64, durable: &Durable, out: &mut Vec<Effect>) {
         self.durable.epoch = self.durable.epoch.max(durable.epoch);
-        if durable.value <= self.durable.value {
+        // Without the ledger it does not hold all that it must: the value is written again, and confirmed then.
+        if durable.value <= self.durable.value || !self.register.ledger_durable() {
             return;
         }
         self.durable.value = durable.value;
