Drill: the data plane in simulated time; tests of the hard cases of a connection

linenthread-dataplane-sim plays the daemon's own pool, framing, dispatcher, decision module and client side on connections in memory with a paused clock: second answers (of the previous request, with no id, with another's, rejections, 421s) at once, on idle connections and where the next answer is due; half answers; resets and closes with and without a run; silence; forgotten connections; writes that fail or stop at any byte; rejections with and without an id; replaced replicas at the same address; freezes of replicas and of the front; clients that leave.

--- a/crates/linenthread-drill/src/main.rs
+++ b/crates/linenthread-drill/src/main.rs
@@ -2,6 +2,7 @@
 //! found with all that is needed to play them again, ends with `N checked, B breaches`, and exits with 1
 //! where B is not 0.
 
+mod dataplane;
 mod failover;
 mod fleet;
 mod link;
@@ -27,6 +28,7 @@
     Fleet(record::Drill),
     Zones(zones::Drill),
     System(system::Drill),
+    Dataplane(dataplane::Drill),
     Members { seed: u64 },
     Failover { seeds: usize, seed: u64 },
     Processes { program: Option<PathBuf>, rounds: usize, seed: u64, scenario: String },
@@ -106,6 +108,20 @@
         .footer("Example: linenthread-drill system --core 5 --schedules 10000 --seed 7")
         .command("system")
         .help("Check the system's control");
+    let sessions = long("sessions").help("Sessions of clients to play").argument("N").fallback(2_000);
+    let seed =
+        long("seed").help("The first world's seed; the others count on from it").argument("S").fallback(1);
+    let told = long("told").help("Say what was answered, and the digest of all that happened, too").switch();
+    let dataplane = construct!(dataplane::Drill { sessions, seed, told })
+        .map(Command::Dataplane)
+        .to_options()
+        .descr(
+            "The traffic path in simulated time against replicas that answer twice, half, late or not at all, \
+             judged by each run at each replica and each answer at each client",
+        )
+        .footer("Example: linenthread-drill dataplane --sessions 100000 --seed 7")
+        .command("dataplane")
+        .help("Check the data plane");
     let names: Vec<&str> = scenarios::ALL.iter().map(|(name, _)| *name).collect();
     let names = format!("zones (random troubles, round after round), all, or one of: {}", names.join(", "));
     let of_processes = long("program")
@@ -184,7 +200,8 @@
         .command("merging-speed")
         .help("Measure merging");
     construct!([
-        merged, link, fleet, zones, system, processes, members, failover, link_bytes, link_speed, speed
+        merged, link, fleet, zones, system, dataplane, processes, members, failover, link_bytes, link_speed,
+        speed
     ])
     .to_options()
     .descr("Long checks of linenthread's subsystems")
@@ -229,6 +246,11 @@
             let (checked, breaches) = drill.run();
             close(checked, breaches)
         }
+        Command::Dataplane(drill) => {
+            let (checked, breaches) = drill.run();
+            println!("{checked} sessions checked, {breaches} breaches");
+            if breaches == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
         Command::Zones(drill) => {
             let (checked, breaches) = drill.run();
             close(checked, breaches)
