A request has exactly one id; no more connections than a replica accepts

A request with two X-Attempt-Id headers was sent on with both, so that its answers could be known by either: 400 now. Where an idle connection does not fit (it carried the request before), the oldest one goes before a new one is made.

--- a/crates/linenthread-dataplane-sim/src/world.rs
+++ b/crates/linenthread-dataplane-sim/src/world.rs
@@ -199,7 +199,8 @@
     }
 }
 
-fn settings() -> Settings {
+/// The settings of a front.
+pub fn settings() -> Settings {
     Settings {
         node_name: "front".into(),
         zone: "z".into(),
@@ -223,7 +224,8 @@
     }
 }
 
-fn configuration() -> String {
+/// The configuration of all worlds.
+pub fn configuration() -> String {
     let all = GATHERED_SERVICES.map(|s| format!("\"{s}\"")).join(",");
     let route = |label: &str, mode: &str, more: &str| {
         format!(
--- a/crates/linenthread-dataplane/src/pool.rs
+++ b/crates/linenthread-dataplane/src/pool.rs
@@ -210,9 +210,7 @@
         let (http, number, age) = match self.take_idle(request) {
             Some(idle) => (idle.http, idle.number, Connection::Reused),
             None => {
-                if self.open.get() >= self.most.get() {
-                    return Err(WireEvent::NoRoom);
-                }
+                self.make_room()?;
                 let (http, number) = self.connect(time).await?;
                 (http, number, Connection::Fresh)
             }
@@ -221,6 +219,19 @@
         Ok(Lease { http, number, age, _open: OpenCount::new(&self.open) })
     }
 
+    /// Room for one more connection: of those that wait and don't fit the oldest goes, if need be.
+    fn make_room(&self) -> Result<(), WireEvent> {
+        let most = self.most.get();
+        if self.open.get() >= most {
+            return Err(WireEvent::NoRoom);
+        }
+        let mut idle = self.idle.borrow_mut();
+        if !idle.is_empty() && self.open.get() + idle.len() >= most {
+            idle.remove(0);
+        }
+        Ok(())
+    }
+
     /// A used connection that is still good and has not carried this request.
     fn take_idle(&self, request: &Request) -> Option<IdleConnection<C>> {
         let now = Instant::now();
--- a/crates/linenthread-dataplane/src/serve.rs
+++ b/crates/linenthread-dataplane/src/serve.rs
@@ -152,9 +152,7 @@
     };
     let host = head.header("host").unwrap_or_default();
     let Some(planned) = plan.route(host, head.path()) else { return Some(Reply::bare(404)) };
-    let Some(attempt) = head.header("x-attempt-id").filter(|a| !a.is_empty()) else {
-        return Some(Reply::bare(400));
-    };
+    let Some(attempt) = attempt(head) else { return Some(Reply::bare(400)) };
     let Ok(deadline) = deadline(head, planned) else { return Some(Reply::bare(400)) };
     let request = Request::new(
         head_to_replicas(head, host),
@@ -175,6 +173,12 @@
     }
 }
 
+/// The request's id, by which its answers are known: exactly one.
+fn attempt(head: &Head) -> Option<&str> {
+    let only = head.all("x-attempt-id").count() == 1;
+    head.header("x-attempt-id").filter(|attempt| only && !attempt.is_empty())
+}
+
 /// When a request ends: what the client leaves of its time, within the route's own bound.
 fn deadline(head: &Head, planned: &Planned) -> Result<Tenths, std::num::ParseIntError> {
     let limit = planned.route.limit_ms;
--- a/crates/linenthread-dataplane/tests/pool.rs
+++ b/crates/linenthread-dataplane/tests/pool.rs
@@ -254,3 +254,16 @@
     assert_eq!((outcome.ending, outcome.sent), (Ending::Unconnected, SendState::Rejected));
     assert_eq!(rig.pool.idle(), 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn no_more_connections_are_up_than_a_replica_accepts() {
+    let rejected = || vec![vec![(1, rejection("a"))]];
+    let rig = rig(vec![rejected(), rejected(), rejected()]);
+    rig.pool.most.set(2);
+    let request = request("a");
+    for waiting in [1, 2, 2] {
+        rig.pool.call(&request, TIME).await;
+        assert_eq!(rig.pool.idle(), waiting);
+    }
+    assert_eq!(rig.script.opened.get(), 3);
+}
