Rig of real processes for the five points: nine scenarios, as tests and as rounds

The rig crate could start, kill and wipe processes and not more.

Change: linenthread-demo is split by job (cluster, machine, log lines, operator, replica) and speaks of clusters and control nodes.

--- a/crates/linenthread-demo/src/main.rs
+++ b/crates/linenthread-demo/src/main.rs
@@ -1,10 +1,13 @@
-//! `linenthread-demo`: the system at work on this machine. Three hubs, two fronts and six stand-in replicas of three
-//! services on loopback; a merged answer; a hub that loses its disk, a replica and a front that are killed.
+//! `linenthread-demo`: the system at work on this machine. Three control nodes, two fronts and six stand-in replicas
+//! of three services on loopback; a merged answer; a control node that loses its disk, a replica and a front that are
+//! killed. `linenthread-demo rounds` plays the worst days of a deployment instead.
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use linenthread_demo::Rig;
+use linenthread_demo::Cluster;
+use linenthread_demo::rounds::{Scale, Scenario};
 
 const SOON: Duration = Duration::from_secs(20);
 const SERVICES: [&str; 3] = ["s1", "s2", "s3"];
@@ -17,6 +20,19 @@
         cmd linenthread-demo {
             /// The daemon to run; by default linenthread-node beside this program.
             optional --program path: PathBuf
+            /// The steps, one after another. This is what it does without any word.
+            default cmd show {}
+            /// Rounds of the worst days, with instants drawn at random; exit 1 at a breach.
+            cmd rounds {
+                /// How many rounds; 1 by default.
+                optional --rounds count: u64
+                /// The seed of the first round; the next ones follow.
+                optional --seed seed: u64
+                /// Only the scenarios of this point, 1 to 5.
+                optional --point point: u8
+                /// As short as the tests.
+                optional --brief
+            }
         }
     }
 }
@@ -28,10 +44,10 @@
 }
 
 /// Asks until the answer is whole, a bounded number of times, and prints it.
-fn ask(rig: &Rig, front: &str, attempt: &str) -> Step<()> {
+fn ask(cluster: &Cluster, front: &str, attempt: &str) -> Step<()> {
     for n in 0..500 {
         let attempt = format!("{attempt}-{n}");
-        let Ok(reply) = rig.ask(front, "/all/example", &attempt) else { continue };
+        let Ok(reply) = cluster.ask(front, "/all/example", &attempt) else { continue };
         if reply.status != 200 || reply.head.header("x-missing-parts") != Some("0") {
             continue;
         }
@@ -46,56 +62,104 @@
     Err(format!("{front} gave no whole answer").into())
 }
 
-fn show(program: &std::path::Path) -> Step<()> {
-    let mut rig = Rig::new(program)?;
-    println!("three hubs, two fronts, two stand-in replicas of each of {}", SERVICES.join(", "));
-    rig.start(3, 2)?;
-    for hub in ["hub-1", "hub-2", "hub-3"] {
-        reached(rig.wait_for(hub, &["event=control_open"], SOON), "a hub")?;
+fn show(program: &Path) -> Step<()> {
+    let mut cluster = Cluster::new(program)?;
+    println!("three control nodes, two fronts, two stand-in replicas of each of {}", SERVICES.join(", "));
+    cluster.start(3, 2)?;
+    for node in ["control-1", "control-2", "control-3"] {
+        reached(cluster.wait_for(node, &["event=control_open"], SOON), "a control node")?;
     }
     for service in SERVICES {
-        rig.serve(service, 2)?;
+        cluster.serve(service, 2)?;
     }
     println!("an operator sends the first configuration");
-    reached(rig.configure(0, 1, &SERVICES)?.status == 200, "the configuration")?;
+    reached(cluster.configure(0, 1, &SERVICES)?.status == 200, "the configuration")?;
     for front in ["front-1", "front-2"] {
-        reached(rig.wait_for(front, &["event=configuration", "revision=1"], SOON), "its news at a front")?;
-        reached(rig.wait_for(front, &["event=replicas", "here=6"], SOON), "news of replicas")?;
+        reached(
+            cluster.wait_for(front, &["event=configuration", "revision=1"], SOON),
+            "its news at a front",
+        )?;
+        reached(cluster.wait_for(front, &["event=replicas", "here=6"], SOON), "news of replicas")?;
     }
     println!("a lookup of all shards: the five greatest records of their parts");
-    ask(&rig, "front-1", "first")?;
+    ask(&cluster, "front-1", "first")?;
     println!("a replica crashes; the next lookup is whole all the same");
-    rig.replicas[0].crash();
-    ask(&rig, "front-1", "second")?;
-    println!("hub-1 is killed and loses its disk; a configuration is acknowledged by the others");
-    rig.kill("hub-1");
-    rig.wipe("hub-1")?;
-    reached(rig.configure(1, 4, &SERVICES)?.status == 200, "the configuration")?;
+    cluster.replicas[0].crash();
+    ask(&cluster, "front-1", "second")?;
+    println!("control-1 is killed and loses its disk; a configuration is acknowledged by the others");
+    cluster.kill("control-1");
+    cluster.wipe("control-1")?;
+    reached(cluster.configure(1, 4, &SERVICES)?.status == 200, "the configuration")?;
     println!("it comes back empty, is counted under a new name, and another may go");
-    rig.run("hub-1")?;
-    reached(rig.wait_for("hub-1", &["event=decided", "number=3", "revision=4"], SOON), "the swap")?;
-    rig.kill("hub-2");
-    reached(rig.configure(4, 6, &SERVICES)?.status == 200, "the configuration")?;
+    cluster.run("control-1")?;
+    reached(cluster.wait_for("control-1", &["event=decided", "number=3", "revision=4"], SOON), "the swap")?;
+    cluster.kill("control-2");
+    reached(cluster.configure(4, 6, &SERVICES)?.status == 200, "the configuration")?;
     println!("front-1 is killed; front-2 goes by the newest configuration and takes its work on");
-    rig.kill("front-1");
-    reached(rig.wait_for("front-2", &["event=configuration", "revision=6"], SOON), "its news")?;
-    ask(&rig, "front-2", "third")?;
-    let control: Vec<String> = rig.control().iter().map(ToString::to_string).collect();
+    cluster.kill("front-1");
+    reached(cluster.wait_for("front-2", &["event=configuration", "revision=6"], SOON), "its news")?;
+    ask(&cluster, "front-2", "third")?;
+    let control: Vec<String> = cluster.control().iter().map(ToString::to_string).collect();
     println!("done; such a system is looked at by: linenthread-ctl --control {} status", control.join(","));
     Ok(())
 }
 
+fn play_rounds(program: &Path, flags: &flags::Rounds) -> Step<()> {
+    let rounds = flags.rounds.unwrap_or(1);
+    let seed = flags.seed.unwrap_or(1);
+    let scale = if flags.brief { Scale::BRIEF } else { Scale::LONG };
+    let mut breaches = 0;
+    for round in 0..rounds {
+        for scenario in Scenario::ALL {
+            if flags.point.is_none_or(|point| point == scenario.point()) {
+                breaches += play(program, scenario, &scale, seed + round)?;
+            }
+        }
+    }
+    println!("{rounds} rounds checked, {breaches} breaches");
+    if breaches == 0 { Ok(()) } else { Err("there were breaches".into()) }
+}
+
+/// Plays one scenario, prints what it found and counts its breaches.
+fn play(program: &Path, scenario: Scenario, scale: &Scale, seed: u64) -> Step<usize> {
+    let began = Instant::now();
+    let mut random = oorandom::Rand64::new(u128::from(seed));
+    let found = scenario.play(program, scale, &mut random)?;
+    println!(
+        "seed {seed} point {} {scenario:?}: {} checks, {} breaches in {:.1} s",
+        scenario.point(),
+        found.checks,
+        found.breaches.len(),
+        began.elapsed().as_secs_f64()
+    );
+    for note in &found.notes {
+        println!("    {note}");
+    }
+    for breach in &found.breaches {
+        println!("    breach: {breach}");
+    }
+    Ok(found.breaches.len())
+}
+
+/// The daemon beside this program.
+fn beside() -> Option<PathBuf> {
+    Some(std::env::current_exe().ok()?.with_file_name("linenthread-node"))
+}
+
 fn main() -> ExitCode {
     let flags = match flags::LinenthreadDemo::from_env() {
         Ok(flags) => flags,
         Err(e) => e.exit(),
     };
-    let beside = || Some(std::env::current_exe().ok()?.with_file_name("linenthread-node"));
     let Some(program) = flags.program.or_else(beside) else {
         eprintln!("linenthread-demo: no program is named");
         return ExitCode::from(2);
     };
-    match show(&program) {
+    let done = match flags.subcommand {
+        flags::LinenthreadDemoCmd::Show(_) => show(&program),
+        flags::LinenthreadDemoCmd::Rounds(rounds) => play_rounds(&program, &rounds),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("linenthread-demo: {e} ({})", program.display());
--- a/crates/linenthread-demo/src/replica.rs
+++ b/crates/linenthread-demo/src/replica.rs
@@ -1,27 +1,49 @@
-use std::io::{Read, Write};
+//! Stand-in replicas: they answer with their service's records, note what they ran, beat at the control nodes, and
+//! misbehave on cue.
+
+mod connection;
+mod misbehaviour;
+
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{RecvTimeoutError, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::BytesMut;
-use linenthread_http::{Body, Head, request_framing};
+use linenthread_ctl::call;
 use serde_json::json;
 
-/// What one replica ran: the attempt, the path, who was meant.
+pub use misbehaviour::Misbehaviour;
+
+/// A replica beats so often.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// A control node that says nothing for so long is left for the next.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// What one replica ran: the attempt and the path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ran {
     pub attempt: String,
     pub path: String,
 }
 
+/// What the threads of one replica share.
+struct Shared {
+    service: String,
+    ident: String,
+    ran: Mutex<Vec<Ran>>,
+    /// How often it misbehaved in each way.
+    misbehaved: Mutex<BTreeMap<&'static str, usize>>,
+    down: AtomicBool,
+    how: Misbehaviour,
+}
+
 /// A stand-in replica: it answers each request with its service's records, and beats.
 pub struct Replica {
     pub ident: String,
     pub address: SocketAddr,
-    ran: Arc<Mutex<Vec<Ran>>>,
-    down: Arc<AtomicBool>,
+    shared: Arc<Shared>,
     beats: Option<Sender<()>>,
 }
 
@@ -45,48 +67,40 @@
         ident: &str,
         zone: &str,
         control: Vec<SocketAddr>,
+        how: Misbehaviour,
     ) -> std::io::Result<Replica> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let ran: Arc<Mutex<Vec<Ran>>> = Arc::default();
-        let down: Arc<AtomicBool> = Arc::default();
-        let (own, notes, stopped) = ((service.to_owned(), ident.to_owned()), ran.clone(), down.clone());
-        std::thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                if stopped.load(Ordering::Relaxed) {
-                    return;
-                }
-                let (own, notes, stopped) = (own.clone(), notes.clone(), stopped.clone());
-                std::thread::spawn(move || drop(serve(stream, &own, &notes, &stopped)));
-            }
+        let shared = Arc::new(Shared {
+            service: service.to_owned(),
+            ident: ident.to_owned(),
+            ran: Mutex::default(),
+            misbehaved: Mutex::default(),
+            down: AtomicBool::new(false),
+            how,
         });
+        let listening = shared.clone();
+        std::thread::spawn(move || listen(&listener, &listening));
         let (beats, stop) = channel::<()>();
-        let (path, service, zone) =
-            (format!("/Replicas.Heartbeat/{ident}"), service.to_owned(), zone.to_owned());
-        std::thread::spawn(move || {
-            let client = linenthread_ctl::Client { addresses: control, within: Duration::from_secs(1) };
-            for call_count in 1.. {
-                let beat = json!({"backend": service, "address": address.to_string(), "zone": zone,
-                    "revision": "v1", "capacity": 3, "phase": "available", "warmup_ms": 0,
-                    "call_count": call_count});
-                let _ = client.call("POST", &path, &[], beat.to_string().as_bytes(), 1);
-                if stop.recv_timeout(Duration::from_millis(300)) != Err(RecvTimeoutError::Timeout) {
-                    return;
-                }
-            }
-        });
-        Ok(Replica { ident: ident.to_owned(), address, ran, down, beats: Some(beats) })
+        let (beating, zone) = (shared.clone(), zone.to_owned());
+        std::thread::spawn(move || beat(&beating, address, &zone, &control, &stop));
+        Ok(Replica { ident: ident.to_owned(), address, shared, beats: Some(beats) })
     }
 
     /// All that it ran so far.
     pub fn ran(&self) -> Vec<Ran> {
-        self.ran.lock().map(|r| r.clone()).unwrap_or_default()
+        self.shared.ran.lock().map(|r| r.clone()).unwrap_or_default()
+    }
+
+    /// How often it misbehaved so far, by the way in which it did.
+    pub fn misbehaved(&self) -> BTreeMap<&'static str, usize> {
+        self.shared.misbehaved.lock().map(|m| m.clone()).unwrap_or_default()
     }
 
     /// It crashes: no more beats, its connections end, its port refuses.
     pub fn crash(&mut self) {
         self.beats = None;
-        self.down.store(true, Ordering::Relaxed);
+        self.shared.down.store(true, Ordering::Relaxed);
         let _ = TcpStream::connect(self.address);
     }
 }
@@ -97,49 +111,33 @@
     }
 }
 
-fn serve(
-    mut stream: TcpStream,
-    (service, ident): &(String, String),
-    ran: &Mutex<Vec<Ran>>,
-    down: &AtomicBool,
-) -> std::io::Result<()> {
-    let (mut buffer, mut piece) = (BytesMut::new(), [0; 4_096]);
-    let bad = |_| std::io::ErrorKind::InvalidData;
-    loop {
-        let head = loop {
-            if let Some(head) = Head::request(&mut buffer, 16_384).map_err(bad)? {
-                break head;
-            }
-            match stream.read(&mut piece)? {
-                0 => return Ok(()),
-                n => buffer.extend_from_slice(&piece[..n]),
-            }
-        };
-        let mut body = Body::new(request_framing(&head, 1 << 20).map_err(bad)?, 1 << 20);
-        while !body.take(&mut buffer).map_err(bad)? {
-            match stream.read(&mut piece)? {
-                0 => return Ok(()),
-                n => buffer.extend_from_slice(&piece[..n]),
-            }
-        }
-        if down.load(Ordering::Relaxed) {
-            return Ok(());
+fn listen(listener: &TcpListener, shared: &Arc<Shared>) {
+    for (number, stream) in (0u64..).zip(listener.incoming().map_while(Result::ok)) {
+        if shared.down.load(Ordering::Relaxed) {
+            return;
         }
-        let attempt = head.header("x-attempt-id").unwrap_or_default().to_owned();
-        let path = head.target().to_owned();
-        if head.header("x-target-replica").is_some_and(|t| t != ident) {
-            stream.write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")?;
-            continue;
+        let shared = shared.clone();
+        std::thread::spawn(move || drop(connection::serve(stream, &shared, number)));
+    }
+}
+
+/// Beats until it is stopped, at the control node that acknowledged last, else at the next.
+fn beat(shared: &Shared, address: SocketAddr, zone: &str, control: &[SocketAddr], stop: &Receiver<()>) {
+    let path = format!("/Replicas.Heartbeat/{}", shared.ident);
+    let mut at = 0;
+    for call_count in 1u64.. {
+        let beat = json!({"backend": shared.service, "address": address.to_string(), "zone": zone,
+            "revision": "v1", "capacity": 3, "phase": "available", "warmup_ms": 0,
+            "call_count": call_count});
+        for _ in control {
+            let reply = call(control[at], "POST", &path, &[], beat.to_string().as_bytes(), PATIENCE);
+            if reply.is_ok_and(|r| (200..300).contains(&r.status)) {
+                break;
+            }
+            at = (at + 1) % control.len();
         }
-        let records = records(service, &path);
-        if let Ok(mut ran) = ran.lock() {
-            ran.push(Ran { attempt: attempt.clone(), path });
+        if stop.recv_timeout(HEARTBEAT) != Err(RecvTimeoutError::Timeout) {
+            return;
         }
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Replica-Seal: {service}.{ident}.{attempt}\r\n\
-             Content-Length: {}\r\n\r\n",
-            records.len()
-        );
-        stream.write_all(&[answer.as_bytes(), &records].concat())?;
     }
 }
