--- a/crates/linenthread-demo/src/cluster.rs
+++ b/crates/linenthread-demo/src/cluster.rs
@@ -211,6 +211,11 @@
         self.lines.wait_for(machine, words, within)
     }
 
+    /// The lines of a process so far that hold one of these words.
+    pub fn lines_of(&mut self, machine: &str, words: &[&str]) -> Vec<String> {
+        self.lines.of(machine, words)
+    }
+
     /// Waits until the members as one control node knows them are as wanted; false when the time is up.
     pub fn wait_members(&self, name: &str, within: Duration, wanted: impl Fn(&Value) -> bool) -> bool {
         let Some(peer) = self.control_of(name) else { return false };
--- a/crates/linenthread-demo/src/log_lines.rs
+++ b/crates/linenthread-demo/src/log_lines.rs
@@ -41,6 +41,15 @@
         self.seen.retain(|line| line.machine != machine);
     }
 
+    /// The lines of a process so far that hold one of these words.
+    pub fn of(&mut self, machine: &str, words: &[&str]) -> Vec<String> {
+        while let Ok(line) = self.receiver.try_recv() {
+            self.seen.push(line);
+        }
+        let is = |line: &&Line| line.machine == machine && words.iter().any(|w| line.text.contains(w));
+        self.seen.iter().filter(is).map(|line| line.text.clone()).collect()
+    }
+
     /// Waits until a process has written a line that holds all of these words; false when the time is up.
     pub fn wait_for(&mut self, machine: &str, words: &[&str], within: Duration) -> bool {
         let by = Instant::now() + within;
--- a/crates/linenthread-demo/src/operator.rs
+++ b/crates/linenthread-demo/src/operator.rs
@@ -11,6 +11,8 @@
 
 /// One call at one address is waited for so long.
 pub const CALL: Duration = Duration::from_secs(2);
+/// A caller follows so many 307 one after another.
+const REDIRECTS: usize = 2;
 /// Between two calls without a clear answer.
 const AGAIN: Duration = Duration::from_millis(20);
 
@@ -56,6 +58,8 @@
     /// Absent if no answer came, or none that can be read.
     pub status: Option<u16>,
     pub body: Vec<u8>,
+    /// Where a 307 sends the caller.
+    pub location: Option<SocketAddr>,
     /// How long the caller waited.
     pub after: Duration,
 }
@@ -65,9 +69,9 @@
         self.status == Some(status)
     }
 
-    /// An answer that says what is the case; silence, 5xx, 408 and 429 say nothing of it.
+    /// An answer that says what is the case; silence, 307, 5xx, 408 and 429 say nothing of it.
     pub fn is_clear(&self) -> bool {
-        self.status.is_some_and(|s| s < 500 && !matches!(s, 408 | 429))
+        self.status.is_some_and(|s| s < 500 && !matches!(s, 307 | 408 | 429))
     }
 
     /// The revision that the body names.
@@ -89,11 +93,20 @@
     let reply = call(peer, method, path, &headers, body, within);
     let after = began.elapsed();
     match reply {
-        Ok(reply) => Observed { status: Some(reply.status), body: reply.body, after },
+        Ok(reply) => {
+            let location = reply.head.header("location").and_then(read_location);
+            Observed { status: Some(reply.status), body: reply.body, location, after }
+        }
         Err(_) => Observed { after, ..Observed::default() },
     }
 }
 
+/// The address in `http://ADDRESS/path`.
+fn read_location(location: &str) -> Option<SocketAddr> {
+    let rest = location.strip_prefix("http://")?;
+    rest.split('/').next()?.parse().ok()
+}
+
 /// Sends an order to one control node.
 pub fn replace_at(peer: SocketAddr, order: &Order, within: Duration) -> Observed {
     observe(peer, "POST", "/Configuration.Replace", Some(order.base), &order.document, within)
@@ -149,7 +162,7 @@
             if left.is_zero() {
                 return Observed { after: began.elapsed(), ..last };
             }
-            last = ask(*peer, left.min(CALL));
+            last = follow(*peer, left.min(CALL), &ask);
             if last.is_clear() {
                 return Observed { after: began.elapsed(), ..last };
             }
@@ -158,6 +171,16 @@
     }
 }
 
+/// Asks one address, and where a 307 sends, twice at most.
+fn follow(peer: SocketAddr, within: Duration, ask: &impl Fn(SocketAddr, Duration) -> Observed) -> Observed {
+    let mut seen = ask(peer, within);
+    for _ in 0..REDIRECTS {
+        let Some(next) = seen.location.filter(|_| seen.is(307)) else { break };
+        seen = ask(next, within);
+    }
+    seen
+}
+
 /// An operator who sends one order after another, each until it has a clear answer.
 pub struct Writer {
     addresses: Arc<Mutex<Vec<SocketAddr>>>,
--- a/crates/linenthread-demo/src/rounds/replacement.rs
+++ b/crates/linenthread-demo/src/rounds/replacement.rs
@@ -24,6 +24,9 @@
 const GRACE: Duration = Duration::from_secs(7);
 /// A loss at any instant comes up to so long after the old node was asked to end.
 const WINDOW: Duration = Duration::from_secs(3);
+/// What control nodes log of a replacement.
+const REPLACEMENT_EVENTS: [&str; 4] =
+    ["event=counted_change", "event=left", "event=stopping", "event=stopped"];
 /// Between two orders.
 const PAUSE: Duration = Duration::from_millis(30);
 
@@ -54,6 +57,12 @@
     let Some(written) = writer.stop() else { return Ok(findings) };
     check_written(&mut findings, &written, &survivors);
     let next = check_next_order(&mut findings, &written, &survivors);
+    findings.note(format!("{leaving} was replaced by {joined}, {lost} was lost"));
+    for name in [&leaving, &joined, &rest[0]] {
+        for line in cluster.lines_of(name, &REPLACEMENT_EVENTS) {
+            findings.note(format!("{name}: {line}"));
+        }
+    }
 
     cluster.run(&lost)?;
     let counted = is_counted(&cluster, &rest[0], &lost);
