--- a/crates/linenthread-control/src/state_log.rs
+++ b/crates/linenthread-control/src/state_log.rs
@@ -1,5 +1,5 @@
-//! The durable state of a core machine as a log on disk: records in pieces, compaction, and a new start of the
-//! log after the disk failed. Generic over the files, so that the daemon and the drill run the same code.
+//! The durable state of a core machine as a log on disk: records in pieces, compaction, and a new start of
+//! the log after the disk failed. Generic over the files, so that the daemon and the drill run the same code.
 
 use linenthread_consensus::DurableState;
 use linenthread_messages::Record;
@@ -57,8 +57,8 @@
         Ok(OpenedState { log, state, cut: opened.cut })
     }
 
-    /// Writes and syncs these records. After a failure the next call opens the log anew and writes all that is
-    /// known whole: records whose write failed may be on disk or not until then.
+    /// Writes and syncs these records. After a failure the next call opens the log anew and writes all that
+    /// is known whole: records whose write failed may be on disk or not until then.
     ///
     /// # Errors
     ///
--- a/crates/linenthread-drill/src/main.rs
+++ b/crates/linenthread-drill/src/main.rs
@@ -95,13 +95,19 @@
     let seed =
         long("seed").help("The first schedule's seed; the others count on from it").argument("S").fallback(1);
     let core = long("core").help("Machines with a disk that counts").argument("N").fallback(3);
-    let told = long("told").help("Say how much was acknowledged, too").switch();
-    let system = construct!(system::Drill { schedules, seed, core, told })
+    let changes = long("changes")
+        .help("Changes of each day, sent one after another; by chance where not given")
+        .argument("N")
+        .optional();
+    let jobs = long("jobs").help("Schedules played at once").argument("N").fallback(1);
+    let told = long("told").help("Say how much was acknowledged and which troubles came, too").switch();
+    let traced = long("traced").help("Say all that comes to pass, for one schedule").switch();
+    let system = construct!(system::Drill { schedules, seed, core, changes, jobs, told, traced })
         .map(Command::System)
         .to_options()
         .descr(
             "The system's hubs, fronts and operators in simulated time, through crashes with and without disk, \
-             replaced machines, cuts, pauses and slow disks, judged by what was acknowledged",
+             replaced and leaving machines, cuts, pauses, slow and full disks, judged by what was acknowledged",
         )
         .footer("Example: linenthread-drill system --core 5 --schedules 10000 --seed 7")
         .command("system")
--- /dev/null
+++ b/crates/linenthread-drill/src/system/budget.rs
@@ -0,0 +1,63 @@
+//! The budget of losses: what the troubles assume, all in one place.
+//!
+//! - `(core - 1) / 2` machines may be lost at once, of those that count: so many losses leave a majority.
+//! - A machine is lost while it is down, frozen, slowed, cut off or its disk is full, and for [`SYNC`] after
+//!   it is back: what it had missed is to be on its disk by then.
+//! - One whose disk is lost, and one that is removed for good, stops counting once its successor has had
+//!   [`SYNC`].
+//! - Disks are lost within the budget only. Crashes and losses of power that leave the disk, cuts, pauses and
+//!   full disks may take any number: they may hold the system up, but nothing may be lost or go wrong by
+//!   them.
+//! - Right after an acknowledgement slow or cut-off machines are no loss of their own ([`World::all_count`]
+//!   says when): what was acknowledged is on more than half of the disks, whoever has not yet heard of it.
+
+use super::machines::Node;
+use super::world::World;
+
+/// How long a machine that is back still counts as lost.
+pub(super) const SYNC: u64 = 4_000;
+
+impl World {
+    /// Lost until [`SYNC`] after `back`.
+    pub(super) fn count_lost(&mut self, n: usize, back: u64) {
+        let node = &mut self.nodes[n];
+        node.lost_until = node.lost_until.max(back + SYNC);
+    }
+
+    /// How many that count are lost now, or came back just now.
+    pub(super) fn lost(&self) -> usize {
+        let now = self.now;
+        let down = |n: &Node| !n.removed && (n.control.is_none() || n.frozen > now);
+        self.nodes.iter().filter(|n| down(n) || n.lost_until > now).count()
+    }
+
+    /// One more disk may be lost.
+    pub(super) fn may_lose_one(&self) -> bool {
+        self.lost() < self.budget
+    }
+
+    /// How many are down or without the disk that they had.
+    pub(super) fn gone(&self) -> usize {
+        let now = self.now;
+        let gone = |n: &&Node| !n.removed && (n.control.is_none() || n.wiped_until > now);
+        self.nodes.iter().filter(gone).count()
+    }
+
+    /// Each machine that is there counts, by its disk's name, and more than half have that on disk: the
+    /// budget holds from then on, however slow the others are.
+    pub(super) fn all_count(&self) -> bool {
+        let Some((_, newest)) = self.values.last_key_value() else { return false };
+        let live = || self.nodes.iter().filter(|n| !n.removed);
+        if newest.voters.len() != live().count() {
+            return false;
+        }
+        let disks: Vec<_> = live().map(|n| n.disk.durable()).collect();
+        let decided =
+            |d: &linenthread_consensus::DurableState| d.records().into_iter().find_map(|r| r.decided);
+        let has = |d: &&linenthread_consensus::DurableState| {
+            decided(d).is_some_and(|value| value.voters == newest.voters)
+        };
+        newest.voters.iter().all(|v| disks.iter().any(|d| d.id == Some(v.id)))
+            && disks.iter().filter(has).count() * 2 > disks.len()
+    }
+}
--- a/crates/linenthread-drill/src/system/clock.rs
+++ b/crates/linenthread-drill/src/system/clock.rs
@@ -1,4 +1,5 @@
-//! Simulated time and the steady clock of each machine.
+//! Simulated time and the steady clock of each machine. Control reads no time of day: jumps of it can't reach
+//! it, and `tests/no_wall_clock.rs` holds that.
 
 use super::world::{START, World};
 
--- /dev/null
+++ b/crates/linenthread-drill/src/system/contact.rs
@@ -0,0 +1,64 @@
+//! Who is in contact with whom, by what the drill knows: words that truly arrived, cuts, pauses and ends.
+
+use super::fronts::{FRONTS, front_number};
+use super::world::{Event, World};
+
+/// Nothing is confirmed by a machine that has exchanged no words with a majority for longer.
+const CONTACT_BOUND: u64 = 3_000;
+/// A front has a session elsewhere so long after its control node was cut off.
+const FRONT_LEAVES: u64 = 6_000;
+/// How often it is looked at who can reach whom.
+const LOOK: u64 = 100;
+
+impl World {
+    /// *a-cut-off-node-confirms-nothing*: an answer leaves only where, of more than half of those that count
+    /// by its own newest value, words have arrived that were sent within the bound, and they have had words
+    /// of ours.
+    pub(super) fn judge_contact(&mut self, n: usize, answer: &str) {
+        let since = self.now.saturating_sub(CONTACT_BOUND);
+        let node = &self.nodes[n];
+        let Some(register) = node.control.as_ref().map(|c| c.register()) else { return };
+        let recent = |disk: &u64| {
+            let sent = |times: &std::collections::BTreeMap<u64, u64>| times.get(disk).copied().unwrap_or(0);
+            sent(&node.heard).min(sent(&node.reached)) >= since
+        };
+        let own = register.id();
+        let voters = register.voters().iter().map(|v| v.id);
+        if !register.is_most(voters.filter(|id| *id == own || recent(id))) {
+            self.breach(format!("a-cut-off-node-confirms-nothing: {n} answers {answer}"));
+        }
+    }
+
+    /// Whether words get to and from more than half of those that count.
+    fn can_reach_majority(&self, n: usize) -> bool {
+        let Some((_, newest)) = self.values.last_key_value() else { return false };
+        let id = |m: usize| self.nodes[m].control.as_ref().map(|c| c.register().id());
+        let reaches = |m: usize| m == n || self.is_running(m) && !self.is_cut_either_way(n, m);
+        let reached = (0..self.nodes.len()).filter(|m| reaches(*m)).filter_map(id);
+        let counted = reached.filter(|id| newest.voters.iter().any(|v| v.id == *id)).count();
+        self.is_running(n) && counted * 2 > newest.voters.len()
+    }
+
+    /// *fronts-leave*: a front whose control node is cut off has a session elsewhere, if any can be had.
+    pub(super) fn look_at_fronts(&mut self) {
+        self.push(self.now + LOOK, Event::Look);
+        let good: Vec<bool> = (0..self.nodes.len()).map(|n| self.can_reach_majority(n)).collect();
+        for f in 0..FRONTS {
+            let me = front_number(f);
+            let usable = |n: usize| good[n] && !self.nodes[n].removed && !self.is_cut_either_way(me, n);
+            let any = (0..good.len()).any(usable);
+            let has = self.fronts[f].link.is_some() && usable(self.fronts[f].hub);
+            if has || !any {
+                self.fronts[f].without_since = None;
+                continue;
+            }
+            let since = *self.fronts[f].without_since.get_or_insert(self.now);
+            if self.now > since + FRONT_LEAVES {
+                self.fronts[f].without_since = None;
+                self.breach(format!(
+                    "fronts-leave: front {f} has no session with a node in contact since {since}"
+                ));
+            }
+        }
+    }
+}
--- a/crates/linenthread-drill/src/system/fronts.rs
+++ b/crates/linenthread-drill/src/system/fronts.rs
@@ -28,10 +28,18 @@
     pub(super) heard: u64,
     pub(super) outside: u32,
     pub(super) epoch: u64,
+    /// When it last tried each core machine in vain: the longest ago comes first.
+    pub(super) failed: BTreeMap<usize, u64>,
+    /// Without a session with a node in contact, though there is one.
+    pub(super) without_since: Option<u64>,
 }
 
-pub(super) fn hub_of_front(front: usize) -> usize {
-    1_000 + front
+/// Fronts are numbered from here on, behind all core machines.
+pub(super) const FIRST_FRONT: usize = 1_000;
+
+/// The number of a front among all machines.
+pub(super) fn front_number(front: usize) -> usize {
+    FIRST_FRONT + front
 }
 
 impl Front {
@@ -52,13 +60,15 @@
             heard: 0,
             outside: 0,
             epoch: 0,
+            failed: BTreeMap::new(),
+            without_since: None,
         }
     }
 }
 
 impl World {
     pub(super) fn front(&mut self, f: usize) {
-        let me = hub_of_front(f);
+        let me = front_number(f);
         let now = self.now;
         let again = now + 500;
         self.push(again, Event::Front { front: f });
@@ -67,7 +77,9 @@
             let silent = now > self.fronts[f].heard + 1_600 || self.fronts[f].outside >= 2;
             if silent || !self.wires.contains_key(&link) {
                 self.end_link(link, me);
-                self.fronts[f].link = None;
+                let front = &mut self.fronts[f];
+                front.failed.insert(front.hub, now);
+                front.link = None;
             }
         }
         match self.fronts[f].link {
@@ -79,9 +91,9 @@
                 self.send(me, link, PeerMessage::Heartbeat(tick));
             }
             None => {
-                let n = self.up_to(self.nodes.len() as u64) as usize;
-                let cut = self.is_cut(me, n) || self.is_cut(n, me);
-                if self.nodes[n].control.is_none() || cut || self.nodes[n].removed {
+                let n = self.next_to_try(f);
+                if !self.is_up(n) || self.is_cut_either_way(me, n) {
+                    self.fronts[f].failed.insert(n, now);
                     return;
                 }
                 let (life, to_life) = (self.fronts[f].life, self.nodes[n].life);
@@ -143,4 +155,13 @@
         }
         self.count_shares();
     }
+
+    /// The core machine whose last failure is the longest ago; of several, by chance.
+    fn next_to_try(&mut self, f: usize) -> usize {
+        let there: Vec<usize> = (0..self.nodes.len()).filter(|n| !self.nodes[*n].removed).collect();
+        let failed = |w: &World, n: usize| w.fronts[f].failed.get(&n).copied().unwrap_or(0);
+        let oldest = there.iter().map(|n| failed(self, *n)).min().unwrap_or(0);
+        let first: Vec<usize> = there.into_iter().filter(|n| failed(self, *n) == oldest).collect();
+        first[self.up_to(first.len() as u64) as usize]
+    }
 }
--- a/crates/linenthread-drill/src/system/network.rs
+++ b/crates/linenthread-drill/src/system/network.rs
@@ -12,8 +12,18 @@
 }
 
 impl World {
-    pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
-        self.cuts.contains(&(a, b))
+    /// Whether nothing gets from one to the other now.
+    pub(super) fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.cuts.get(&(from, to)).is_some_and(|until| *until > self.now)
+    }
+
+    pub(super) fn is_cut_either_way(&self, a: usize, b: usize) -> bool {
+        self.is_cut(a, b) || self.is_cut(b, a)
+    }
+
+    pub(super) fn cut(&mut self, from: usize, to: usize, until: u64) {
+        let cut = self.cuts.entry((from, to)).or_default();
+        *cut = until.max(*cut);
     }
 
     pub(super) fn delay(&mut self) -> u64 {
@@ -36,11 +46,10 @@
     pub(super) fn send(&mut self, from: usize, link: u64, word: PeerMessage) {
         let delay = self.delay();
         let now = self.now;
-        let cut = |w: &World, to: usize| w.is_cut(from, to);
         let Some(wire) = self.wires.get(&link) else { return };
         let side = usize::from(wire.ends[0].0 != from);
         let to = wire.ends[1 - side];
-        let lost = cut(self, to.0);
+        let lost = self.is_cut(from, to.0);
         let wire = self.wires.get_mut(&link).expect("is there");
         wire.stuck |= lost;
         if wire.stuck {
@@ -48,7 +57,7 @@
         }
         let at = wire.last[side].max(now + delay);
         wire.last[side] = at;
-        self.push(at, Event::PeerMessage { to: to.0, life: to.1, link, word });
+        self.push(at, Event::PeerMessage { from, sent: now, to: to.0, life: to.1, link, word });
     }
 
     pub(super) fn open(&mut self, from: usize, life: u64, to: usize, to_life: u64) -> u64 {
@@ -58,4 +67,15 @@
         self.wires.insert(link, Wire { ends, last: [self.now, self.now], stuck: false });
         link
     }
+
+    /// Links that hang are closed on both sides.
+    pub(super) fn close_stuck_links(&mut self) {
+        let stuck: Vec<u64> = self.wires.iter().filter(|(_, w)| w.stuck).map(|(l, _)| *l).collect();
+        for link in stuck {
+            let Some(wire) = self.wires.remove(&link) else { continue };
+            for (to, life) in wire.ends {
+                self.push(self.now + 1, Event::Closed { to, life, link });
+            }
+        }
+    }
 }
--- a/crates/linenthread-store/src/model.rs
+++ b/crates/linenthread-store/src/model.rs
@@ -65,6 +65,12 @@
         (self.room, self.syncs_left) = (None, None);
     }
 
+    /// Takes so many bytes more and is full then.
+    pub fn leave_room(&mut self, bytes: usize) {
+        let held: usize = self.files.values().map(|kept| kept.bytes.len()).sum();
+        self.room = Some(held + bytes);
+    }
+
     /// Turns one bit of what is there for good, and says where; `None` where there is nothing.
     pub fn spoil(&mut self, chance: &mut Rand64) -> Option<(String, usize)> {
         let name = self.files.iter().find(|(_, kept)| kept.synced > 0)?.0.clone();
