Leaving: the leader lease is released, and durable means value and ledger both synced

What a node announces as durable is the register's holds_all_durably: the newest value and the ledger of orders on its disk; the control node's own tracking of values and its second writing are gone, since the register has both. A leader that leaves releases its lease as the last thing, and the next asks at once instead of after the lease.

--- a/crates/linenthread-control/src/control.rs
+++ b/crates/linenthread-control/src/control.rs
@@ -3,7 +3,7 @@
 use linenthread_consensus::{Change, DurableState, Job, LeaderLease, Outcome, Register};
 use linenthread_messages::{
     Allotment, Allotments, ControlUpdate, Durable, FrontUpdate, Heard as Receipt, Heartbeat, Hello,
-    LeaseRequest, PeerMessage, Record, Replica, Session, VERSION, Value, Voter,
+    LeaseRelease, LeaseRequest, PeerMessage, Record, Replica, Session, VERSION, Value, Voter,
 };
 
 use crate::budget::LEASE;
@@ -20,8 +20,6 @@
 pub const CONTACT: u64 = 2_000;
 /// A process that ran nothing for so long was frozen: what it knew of its peers is stale.
 const PAUSE: u64 = SILENT;
-/// A decided value that its disk has not confirmed is written again after so long.
-const WRITE_AGAIN: u64 = 2_000;
 /// How long a call of the operator or a replica is worked on before it is told to go elsewhere.
 const CALL: u64 = 900;
 /// What waits for words that may be lost is looked at this often.
@@ -200,8 +198,6 @@
     leaving: Option<u64>,
     /// What its own disk has confirmed.
     durable: Durable,
-    /// When the newest value was last handed to the disk.
-    value_written: Option<u64>,
     /// Hubs that ended after they had said that they would, and the newest value that their disks held.
     departed: BTreeMap<u64, u64>,
     /// When it last ran anything.
@@ -211,8 +207,7 @@
 impl Control {
     pub fn new(local: Local, id: u64, mut kept: DurableState, genesis: Option<Value>, now: u64) -> Control {
         let replicas = std::mem::take(&mut kept.replicas);
-        let decided_on_disk = |r: &Record| r.decided.as_ref().map(|value| value.number);
-        let durable = Durable { value: kept.records().iter().find_map(decided_on_disk), epoch: kept.epoch };
+        let durable = Durable { value: None, epoch: kept.epoch };
         let budget = Budget::new(local.retry_allowance, local.retry_window);
         let mut control = Control {
             lease: LeaderLease::new(id, local.life, now, local.first_of_all, kept.epoch),
@@ -245,7 +240,6 @@
             settled: false,
             leaving: None,
             durable,
-            value_written: None,
             departed: BTreeMap::new(),
             active: now,
             local,
@@ -371,11 +365,22 @@
             unanswered: self.contacts(now).any(|p| p.reached < self.leaving),
             reconfiguring: self.reconfigures(now) || self.contacts(now).any(|p| p.reconfiguring),
             in_doubt: self.register.in_doubt(),
-            busy: calls || !self.drains.is_empty(),
+            busy: calls || self.voting || !self.drains.is_empty(),
             leads: self.lease.holds(now).is_some(),
         })
     }
 
+    /// Its voters may support another at once.
+    fn release_lease(&mut self, now: u64, out: &mut Vec<Effect>) {
+        let Some(release) = self.lease.release(now) else { return };
+        out.push(Effect::Note(format!("event=lease_released epoch={}", release.epoch)));
+        let voters: Vec<u64> = self.register.voters().iter().map(|v| v.id).collect();
+        for voter in voters {
+            self.post(voter, PeerMessage::LeaseRelease(release.clone()), out);
+        }
+        self.agree(now, |_, _| {}, out);
+    }
+
     fn drop_fronts(&mut self, now: u64, out: &mut Vec<Effect>) {
         let fronts: Vec<Link> = self.peers.iter().filter(|(_, p)| !p.hub).map(|(l, _)| *l).collect();
         for link in fronts {
@@ -467,14 +472,14 @@
 
     // --- durability ---
 
-    /// The own disk has confirmed what it was given.
-    fn on_own_durable(&mut self, now: u64, durable: &Durable, out: &mut Vec<Effect>) {
-        self.durable.epoch = self.durable.epoch.max(durable.epoch);
-        if durable.value <= self.durable.value {
+    /// Tells the others as soon as the own disk holds all that this node knows.
+    fn note_durable(&mut self, now: u64, out: &mut Vec<Effect>) {
+        let value = self.register.holds_all_durably().then(|| self.value_number());
+        if value <= self.durable.value {
             return;
         }
-        self.durable.value = durable.value;
-        let word = PeerMessage::Durable(Durable { value: durable.value, epoch: 0 });
+        self.durable.value = value;
+        let word = PeerMessage::Durable(Durable { value, epoch: 0 });
         for (link, _) in self.live_hubs() {
             out.push(Effect::Send { link: *link, word: word.clone() });
         }
@@ -494,25 +499,10 @@
         }
     }
 
-    /// The disk may have refused the newest value: it is handed over again.
-    fn write_value_again(&mut self, now: u64, out: &mut Vec<Effect>) {
-        let Some(value) = self.register.decided().cloned() else { return };
-        let waits = self.value_written.is_some_and(|at| now < at + WRITE_AGAIN);
-        if self.durable.value >= Some(value.number) || waits {
-            return;
-        }
-        let record = Record { decided: Some(value), ..Record::default() };
-        self.keep(now, record, Vec::new(), out);
-    }
-
-    /// Hands a record to the disk, and asks to be told when what it holds is synced.
-    fn keep(&mut self, now: u64, record: Record, mut then: Vec<(u64, PeerMessage)>, out: &mut Vec<Effect>) {
-        let value = record.decided.as_ref().map(|value| value.number);
-        if value.is_some() {
-            self.value_written = Some(now);
-        }
-        if value.is_some() || record.epoch > 0 {
-            let durable = Durable { value, epoch: record.epoch };
+    /// Hands a record to the disk, and asks to be told when a new epoch in it is synced.
+    fn keep(&mut self, record: Record, mut then: Vec<(u64, PeerMessage)>, out: &mut Vec<Effect>) {
+        if record.epoch > 0 {
+            let durable = Durable { value: None, epoch: record.epoch };
             then.push((self.register.id(), PeerMessage::Durable(durable)));
         }
         out.push(Effect::Keep { record, then });
@@ -621,6 +611,7 @@
             PeerMessage::Heard(receipt) if hub => self.on_receipt(disk, &receipt, out),
             PeerMessage::Allotments(grants) if hub => self.pass_grants(grants, out),
             PeerMessage::LeaseRequest(w) if hub => self.support(now, disk, &w, out),
+            PeerMessage::LeaseRelease(release) if hub => self.on_lease_release(disk, &release),
             PeerMessage::LeaseVote(w) if hub => self.on_lease_vote(now, disk, &w, out),
             word if hub => {
                 if let PeerMessage::Decided(value) = &word {
@@ -1115,7 +1106,9 @@
             for o in std::mem::take(&mut outs) {
                 match o {
                     linenthread_consensus::Effect::Send { to, word } => self.post(to, word, out),
-                    linenthread_consensus::Effect::Keep { record, then } => self.keep(now, record, then, out),
+                    linenthread_consensus::Effect::Keep { record, then } => {
+                        out.push(Effect::Keep { record, then })
+                    }
                     linenthread_consensus::Effect::Decided(value) => self.decided(now, &value, out),
                     linenthread_consensus::Effect::Reply { job, outcome } => {
                         self.reply(now, job, outcome, out)
@@ -1126,10 +1119,14 @@
             let id = self.register.id();
             match word {
                 PeerMessage::LeaseVote(say) => self.on_lease_vote(now, id, &say, out),
-                PeerMessage::Durable(durable) => self.on_own_durable(now, &durable, out),
+                PeerMessage::LeaseRelease(release) => drop(self.lease.on_release(id, &release)),
+                PeerMessage::Durable(durable) => {
+                    self.durable.epoch = self.durable.epoch.max(durable.epoch);
+                }
                 word => self.register.on_message(now, id, word, &mut outs),
             }
         }
+        self.note_durable(now, out);
     }
 
     fn decided(&mut self, now: u64, value: &Value, out: &mut Vec<Effect>) {
@@ -1186,13 +1183,20 @@
         let say = PeerMessage::LeaseVote(self.lease.on_lease_request(now, from, ask, number));
         let epoch = self.lease.epoch();
         if epoch > self.durable.epoch {
-            self.keep(now, Record { epoch, ..Record::default() }, vec![(from, say)], out);
+            self.keep(Record { epoch, ..Record::default() }, vec![(from, say)], out);
         } else {
             self.post(from, say, out);
             self.agree(now, |_, _| {}, out);
         }
     }
 
+    fn on_lease_release(&mut self, disk: u64, release: &LeaseRelease) {
+        if self.lease.on_release(disk, release) {
+            // Whoever is next need not wait for its tick.
+            (self.ticked, self.batched) = (0, 0);
+        }
+    }
+
     fn on_lease_vote(
         &mut self,
         now: u64,
@@ -1311,6 +1315,9 @@
         self.last = now;
         self.agree(now, |register, outs| register.tick(now, outs), out);
         self.settle_drains(now, out);
+        if self.leaving.is_some() && self.next_step_of_leaving(now) == Leave::Release {
+            self.release_lease(now, out);
+        }
         if now < self.began + STARTING && !self.in_contact(now) {
             self.dial(now, out);
         }
@@ -1325,7 +1332,6 @@
             out.push(Effect::Drop(link));
         }
         self.note_contact(now, out);
-        self.write_value_again(now, out);
         // Silence counts only where it could have been heard.
         let silence = 3 * self.local.heartbeat + 1_000;
         let settled = self.whole_since.is_some_and(|since| now > since + silence);
@@ -1370,10 +1376,7 @@
             self.agree(now, |register, outs| (register.complete(), register.tick(now, outs)).1, out);
         }
         let first = self.is_first(now);
-        // One that leaves asks for no more time once it has nothing left to do.
-        let releases = self.leaving.is_some() && self.next_step_of_leaving(now) == Leave::Release;
-        let ask = if releases { None } else { self.lease.tick(now, first, self.value_number()) };
-        if let Some(ask) = ask {
+        if let Some(ask) = self.lease.tick(now, first, self.value_number()) {
             for (link, _) in self.live_hubs() {
                 out.push(Effect::Send { link: *link, word: PeerMessage::LeaseRequest(ask.clone()) });
             }
--- a/crates/linenthread-control/tests/nodes/leaving.rs
+++ b/crates/linenthread-control/tests/nodes/leaving.rs
@@ -47,9 +47,12 @@
 fn a_leader_gives_its_vote_to_a_standby_and_its_lease_back_before_it_goes() {
     let mut cluster = Cluster::new(4, 3);
     let leader = cluster.leader().unwrap();
-    leave(&mut cluster, leader);
+    cluster.nodes[3].sync_ms = 300;
     cluster.start(3);
-    assert!(cluster.run_until(5_000, |c| c.may_leave(leader)));
+    assert!(cluster.run_until(2_000, |c| c.control(3).in_contact(c.now)));
+    cluster.run(10);
+    leave(&mut cluster, leader);
+    assert!(cluster.run_until(2_000, |c| c.may_leave(leader)));
     let other = (0..3).find(|n| *n != leader).unwrap();
     let voters = cluster.voters(other);
     assert!(voters.contains(&address(3)) && !voters.contains(&address(leader)) && voters.len() == 3);
@@ -64,8 +67,9 @@
     let mut cluster = Cluster::new(3, 3);
     let leader = cluster.leader().unwrap();
     leave(&mut cluster, leader);
-    assert!(cluster.run_until(2_500, |c| c.may_leave(leader)));
-    assert!(cluster.run_until(2_500, |c| c.leader().is_some_and(|n| n != leader)));
+    assert!(cluster.run_until(100, |c| c.may_leave(leader)));
+    // Much sooner than its lease of 2 s would have ended.
+    assert!(cluster.run_until(300, |c| c.leader().is_some_and(|n| n != leader)));
     assert_eq!(cluster.order_until_answered(1_000, 0, 1), Some(Answer::Taken(1)));
 }
 
