--- a/crates/linenthread-drill/src/system/judge.rs
+++ b/crates/linenthread-drill/src/system/judge.rs
@@ -1,6 +1,6 @@
 //! The named rules, each judged where it can be seen.
 
-use linenthread_consensus::Register;
+use linenthread_consensus::{Register, document_digest};
 use linenthread_control::{Answer, Control};
 use linenthread_messages::{OrderIdentity, Value, Voter};
 
@@ -216,23 +216,6 @@
 
     // --- at the end of a day ---
 
-    /// *acked-lasts*: each node that has got so far knows each acknowledged order, replaced disks too.
-    fn judge_ledgers(&mut self) {
-        let orders: Vec<OrderIdentity> = self.acked.values().map(Change::identity).collect();
-        let unknown: Vec<u64> = orders.iter().filter(|o| !self.is_known(o)).map(|o| o.revision).collect();
-        for revision in unknown {
-            self.breach(format!("acked-lasts: {revision} is not in each node's ledger"));
-        }
-    }
-
-    fn is_known(&self, order: &OrderIdentity) -> bool {
-        let registers = self.nodes.iter().filter(|n| !n.removed).filter_map(|n| n.control.as_ref());
-        registers.map(Control::register).all(|register| {
-            let behind = register.decided().is_none_or(|newest| newest.revision < order.revision);
-            behind || register.ledger().contains(order)
-        })
-    }
-
     /// *all-comes-back*, *acked-lasts*, *bounded-state*.
     pub(super) fn judge_end(&mut self, acks_before_calm: usize) {
         if self.told.acks == acks_before_calm {
@@ -244,11 +227,13 @@
         for revision in lost {
             self.breach(format!("acked-lasts: {revision} is not in the chain"));
         }
+        for (n, revision) in self.missing_in_ledgers() {
+            self.breach(format!("acked-lasts: {revision} is not in the ledger of {n}"));
+        }
         let (last_acked, last) = (self.acked.keys().last().copied().unwrap_or(0), newest.revision);
         if last < last_acked {
             self.breach(format!("acked-lasts: {last_acked} is acknowledged, {last} is the newest"));
         }
-        self.judge_ledgers();
         self.judge_fronts_at_the_end();
         let live = self.nodes.iter().filter(|n| !n.removed).count();
         let count = newest.voters.len();
@@ -259,6 +244,23 @@
         self.judge_state_bytes();
     }
 
+    /// Each machine that has got so far knows each acknowledged order, replaced disks too.
+    fn missing_in_ledgers(&self) -> Vec<(usize, u64)> {
+        let mut missing = Vec::new();
+        for (n, node) in self.nodes.iter().enumerate().filter(|(_, node)| !node.removed) {
+            let Some(register) = node.control.as_ref().map(Control::register) else { continue };
+            let newest = register.decided().map_or(0, |d| d.revision);
+            for change in self.acked.values().filter(|change| change.revision <= newest) {
+                let digest = document_digest(&change.document);
+                let order = OrderIdentity { revision: change.revision, base: change.base, digest };
+                if !register.ledger().contains(&order) {
+                    missing.push((n, change.revision));
+                }
+            }
+        }
+        missing
+    }
+
     /// The last changes may be on their way: what fronts have is one of the last moments' values.
     fn judge_fronts_at_the_end(&mut self) {
         let behind = self.acked.keys().rev().nth(3).copied().unwrap_or(0);
--- a/crates/linenthread-drill/src/system/operators.rs
+++ b/crates/linenthread-drill/src/system/operators.rs
@@ -1,9 +1,6 @@
 //! Operators that race: each sends a change until it has a clear answer, and reads back. Orders that were
 //! taken long ago are sent again, to any machine, and so are others under their numbers.
 
-use linenthread_consensus::document_digest;
-use linenthread_messages::OrderIdentity;
-
 use super::world::{Event, World};
 
 /// How many later orders have been taken when one is sent again.
@@ -17,13 +14,6 @@
     pub(super) document: Vec<u8>,
 }
 
-impl Change {
-    /// What a node's ledger keeps of it.
-    pub(super) fn identity(&self) -> OrderIdentity {
-        OrderIdentity { revision: self.revision, base: self.base, digest: document_digest(&self.document) }
-    }
-}
-
 /// What a call asks for.
 pub(super) enum Request {
     Replace {
