--- a/crates/linenthread-dataplane/src/pool.rs
+++ b/crates/linenthread-dataplane/src/pool.rs
@@ -46,13 +46,25 @@
     connector: C,
     idle: RefCell<Vec<IdleConnection<C>>>,
     open: Cell<usize>,
-    opened: Cell<u64>,
 }
 
-/// A connection's number, which no other of the same pool has.
+/// A connection's number, which no other of this thread has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ConnectionNumber(u64);
 
+impl ConnectionNumber {
+    fn next() -> ConnectionNumber {
+        thread_local! {
+            static GIVEN: Cell<u64> = const { Cell::new(0) };
+        }
+        GIVEN.set(GIVEN.get() + 1);
+        ConnectionNumber(GIVEN.get())
+    }
+}
+
+/// Sub-requests of one request for which no more memory is asked for.
+const USUAL_SUB_REQUESTS: usize = 12;
+
 /// A connection that carries nothing.
 struct IdleConnection<C: Connector> {
     http: HttpConnection<C::Transport>,
@@ -90,9 +102,9 @@
     pub attempt: String,
     pub to_head: bool,
     pub gathers: bool,
-    /// The connections that carried it, by replica. An answer too many to an earlier sub-request has the same
+    /// The connections that carried it. An answer too many to an earlier sub-request has the same
     /// id as the answer to the next one, so those two never share a connection.
-    carried: RefCell<SmallVec<[(SocketAddr, ConnectionNumber); 4]>>,
+    carried: RefCell<SmallVec<[ConnectionNumber; USUAL_SUB_REQUESTS]>>,
 }
 
 impl Request {
@@ -101,8 +113,8 @@
         Request { begin, end, attempt, to_head, gathers, carried: RefCell::default() }
     }
 
-    fn was_carried(&self, address: SocketAddr, by: ConnectionNumber) -> bool {
-        self.carried.borrow().contains(&(address, by))
+    fn was_carried(&self, by: ConnectionNumber) -> bool {
+        self.carried.borrow().contains(&by)
     }
 
     /// The bytes of one sub-request.
@@ -151,7 +163,6 @@
             connector,
             idle: RefCell::default(),
             open: Cell::new(0),
-            opened: Cell::new(0),
         }
     }
 
@@ -215,7 +226,7 @@
                 (http, number, Connection::Fresh)
             }
         };
-        request.carried.borrow_mut().push((self.address, number));
+        request.carried.borrow_mut().push(number);
         Ok(Lease { http, number, age, _open: OpenCount::new(&self.open) })
     }
 
@@ -237,7 +248,7 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         loop {
-            let fits = |connection: &IdleConnection<C>| !request.was_carried(self.address, connection.number);
+            let fits = |connection: &IdleConnection<C>| !request.was_carried(connection.number);
             let newest = idle.iter().rposition(fits)?;
             let connection = idle.remove(newest);
             if connection.is_good(now) {
@@ -252,10 +263,7 @@
     ) -> Result<(HttpConnection<C::Transport>, ConnectionNumber), WireEvent> {
         let within = time.min(Duration::from_micros(CONNECT as u64 * MICROS_A_TENTH));
         match timeout(within, self.connector.connect(self.address)).await {
-            Ok(Ok(stream)) => {
-                self.opened.set(self.opened.get() + 1);
-                Ok((HttpConnection::new(stream), ConnectionNumber(self.opened.get())))
-            }
+            Ok(Ok(stream)) => Ok((HttpConnection::new(stream), ConnectionNumber::next())),
             _ => Err(WireEvent::NotConnected),
         }
     }
