--- a/crates/linenthread-hollow/src/fit.rs
+++ b/crates/linenthread-hollow/src/fit.rs
@@ -48,7 +48,11 @@
     Some(PowerFit { exponent, factor: constant.exp(), worst_ratio: worst.exp(), points: logs.len() })
 }
 
-/// Fits every numeric column of a CSV against the column `size`, by the value of the column `role`.
+/// Columns that say what was run, not what was measured.
+const NOT_MEASURED: [&str; 8] =
+    ["fronts", "replicas", "control", "voters", "seconds", "seed", "document_bytes", "machines"];
+
+/// Fits every column of measurements of a CSV against the column `size`, by the value of the column `role`.
 ///
 /// # Errors
 /// A file without these columns, or with a line of another length.
@@ -69,7 +73,10 @@
         }
         // Files that were joined have the header more than once.
         let Ok(size) = fields[size_at].parse::<f64>() else { continue };
-        for (at, field) in fields.iter().enumerate().filter(|(at, _)| *at != size_at) {
+        for (at, field) in fields.iter().enumerate() {
+            if NOT_MEASURED.contains(&columns[at]) {
+                continue;
+            }
             if let Ok(value) = field.parse::<f64>() {
                 points.entry((fields[role_at], at)).or_default().push((size, value));
             }
--- a/crates/linenthread-hollow/src/main.rs
+++ b/crates/linenthread-hollow/src/main.rs
@@ -46,6 +46,8 @@
                 optional --at size: f64
                 /// Only these roles, as they begin.
                 optional --role name: String
+                /// Only this column.
+                optional --column name: String
             }
             /// From the loss of the leader to the next acknowledgement.
             cmd kill {
@@ -98,7 +100,9 @@
     let text = std::fs::read_to_string(path).map_err(|e| format!("reading {}: {e}", path.display()))?;
     let fitted = fit_csv(&text, flags.by.as_deref().unwrap_or("fronts")).map_err(|e| e.to_string())?;
     let wanted = |role: &str| flags.role.as_ref().is_none_or(|name| role.starts_with(name.as_str()));
-    for (role, column, power) in fitted.into_iter().filter(|(role, _, _)| wanted(role)) {
+    let asked = |column: &String| flags.column.as_ref().is_none_or(|name| name == column);
+    for (role, column, power) in fitted.into_iter().filter(|(role, column, _)| wanted(role) && asked(column))
+    {
         let at = flags.at.map_or(String::new(), |size| format!(", at {size}: {:.4}", power.at(size)));
         println!(
             "{role:<28} {column:<18} power {:>6.3}, worst {:.2} of the fit, {} points{at}",
