--- a/crates/linenthread-consensus/src/lease.rs
+++ b/crates/linenthread-consensus/src/lease.rs
@@ -114,7 +114,8 @@
     }
 
     /// A value is decided: nothing below its epoch is supported. A disk that counts only from now on has not been
-    /// asked so far, and supports nobody while others' earlier support may last.
+    /// asked so far, and supports nobody while others' earlier support may last: not even whom it supported when it
+    /// last counted, since another may have come to hold the lease without it.
     pub fn decided(&mut self, now: u64, epoch: u64, counts_anew: bool) {
         self.epoch = self.epoch.max(epoch);
         if counts_anew {
@@ -144,13 +145,16 @@
     /// Whom one supports may go on, under a new epoch as well: two that wait for each other's leases to end would
     /// else never end together. A new life of it needs an epoch of its own.
     fn may_support(&self, now: u64, from: u64, request: &LeaseRequest) -> bool {
+        if now < self.quiet_until {
+            return false;
+        }
         let same_life = |support: Support| (support.holder, support.life) == (from, request.life);
         if self.support.is_some_and(same_life) && request.epoch >= self.epoch {
             return true;
         }
         let same_holder = self.support.is_some_and(|support| support.holder == from);
         let lapsed = self.support.is_none_or(|support| now >= support.until);
-        request.epoch > self.epoch && (same_holder || lapsed && now >= self.quiet_until)
+        request.epoch > self.epoch && (same_holder || lapsed)
     }
 
     /// An answer; true if the lease is this node's from now on, or by the votes that this value asks for, and
--- a/crates/linenthread-consensus/src/proposer.rs
+++ b/crates/linenthread-consensus/src/proposer.rs
@@ -72,6 +72,15 @@
     fn hash<H: Hasher>(&self, _: &mut H) {}
 }
 
+/// How this node came to know of a decided value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LearnedFrom {
+    /// More than half of the voters acknowledged it to this node, just now.
+    OwnRound,
+    /// It was told, at some time and perhaps one way only.
+    AnotherNode,
+}
+
 /// Changes that wait, and the round that decides one of them.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Proposer {
@@ -248,12 +257,19 @@
         }
     }
 
-    /// A value was decided: rounds begin anew, and changes that it settles are answered.
-    pub(crate) fn on_decided(&mut self, decided: &DecidedState, effects: &mut Vec<Effect>) {
+    /// A value was decided: rounds begin anew, and changes that it settles are answered. An order that was taken by
+    /// another node's round waits for a round of its own: what is acknowledged here rests on contact with more
+    /// than half of the voters, *a-cut-off-node-confirms-nothing*.
+    pub(crate) fn on_decided(
+        &mut self,
+        decided: &DecidedState,
+        learned: LearnedFrom,
+        effects: &mut Vec<Effect>,
+    ) {
         (self.round, self.completion_wanted) = (None, false);
         (self.highest_round, self.rest_until) = (0, 0);
         self.waiting.retain(|change| {
-            let outcome = settled_by(&change.wanted, decided);
+            let outcome = settled_by(&change.wanted, decided, learned);
             let settled = outcome.is_some();
             effects.extend(outcome.map(|outcome| Effect::Reply { job: change.job, outcome }));
             !settled
@@ -280,9 +296,9 @@
 }
 
 /// How a change ends by what was just decided, if that needs no round.
-fn settled_by(wanted: &Wanted, decided: &DecidedState) -> Option<Outcome> {
+fn settled_by(wanted: &Wanted, decided: &DecidedState, learned: LearnedFrom) -> Option<Outcome> {
     match wanted {
-        Wanted::Order { identity, .. } => {
+        Wanted::Order { identity, .. } if learned == LearnedFrom::OwnRound => {
             decided.ledger().contains(identity).then_some(Outcome::Taken(identity.revision))
         }
         Wanted::Voters { on, .. } if *on < decided.number() => {
--- a/crates/linenthread-consensus/src/register.rs
+++ b/crates/linenthread-consensus/src/register.rs
@@ -11,7 +11,7 @@
 use crate::ledger::Ledger;
 use crate::ledger_catch_up::LedgerCatchUp;
 use crate::order::Change;
-use crate::proposer::Proposer;
+use crate::proposer::{LearnedFrom, Proposer};
 use crate::reader::{ReadStep, Reader};
 
 /// A message that got no answer is sent again after so long.
@@ -170,7 +170,7 @@
             }
             PeerMessage::Rejected(rejected) => self.on_rejected(now, &rejected),
             PeerMessage::CatchUpRequest(request) => self.on_catch_up_request(from, &request, effects),
-            PeerMessage::Decided(value) => self.adopt(now, value, effects),
+            PeerMessage::Decided(value) => self.adopt(now, value, LearnedFrom::AnotherNode, effects),
             PeerMessage::ReadRequest(request) => self.on_read_request(from, &request, effects),
             PeerMessage::ReadReply(reply) => self.on_read_reply(now, from, &reply, effects),
             PeerMessage::LedgerRequest(request) => self.on_ledger_request(from, &request, effects),
@@ -226,7 +226,7 @@
 
     fn on_accept_ack(&mut self, now: u64, from: u64, acknowledgement: &AcceptAck, effects: &mut Vec<Effect>) {
         if let Some(value) = self.proposer.on_accept_ack(from, acknowledgement, &self.decided) {
-            self.adopt(now, value, effects);
+            self.adopt(now, value, LearnedFrom::OwnRound, effects);
         }
     }
 
@@ -247,7 +247,7 @@
     }
 
     /// Learns a value that is decided.
-    fn adopt(&mut self, now: u64, value: Value, effects: &mut Vec<Effect>) {
+    fn adopt(&mut self, now: u64, value: Value, learned: LearnedFrom, effects: &mut Vec<Effect>) {
         if self.decided.value().is_some_and(|decided| value.number <= decided.number) {
             return;
         }
@@ -257,7 +257,7 @@
         effects.push(Effect::Decided(value));
         // What was asked before this is asked anew, and changes see whether they are done.
         self.reader.on_decided();
-        self.proposer.on_decided(&self.decided, effects);
+        self.proposer.on_decided(&self.decided, learned, effects);
         self.tick(now, effects);
     }
 
--- a/crates/linenthread-consensus/tests/lease_release.rs
+++ b/crates/linenthread-consensus/tests/lease_release.rs
@@ -39,6 +39,14 @@
     assert!(!voter.on_lease_request(5_100, HOLDER, &request(LIFE, 4, 2), Some(0)).yes);
 }
 
+#[test]
+fn a_voter_that_counts_anew_does_not_go_on_with_whom_it_supported_before() {
+    let mut voter = voter();
+    voter.decided(9_000, 0, true);
+    assert!(!voter.on_lease_request(10_900, HOLDER, &request(LIFE, 4, 2), Some(0)).yes);
+    assert!(voter.on_lease_request(11_000, HOLDER, &request(LIFE, 4, 3), Some(0)).yes);
+}
+
 #[test]
 fn a_release_does_not_shorten_the_quiet_time_of_a_voter_that_counts_anew() {
     let mut voter = voter();
--- a/crates/linenthread-control/src/reconfiguration.rs
+++ b/crates/linenthread-control/src/reconfiguration.rs
@@ -44,6 +44,15 @@
         self.standbys.iter().find(|standby| standby.address == address)
     }
 
+    /// Whether one more voter makes the set safer: up to the least set, from an even number to an odd one, or as the
+    /// first of two. One beside an odd number would only raise the majority, as it would beside a voter that may be
+    /// down: it stands by, for the place of the next one that leaves or is lost.
+    fn wants_one_more(&self) -> bool {
+        let count = self.voters.len();
+        let odd_or_least = count < self.least || count.is_multiple_of(2) || self.standbys.len() > 1;
+        odd_or_least && self.voters.iter().all(|v| v.in_contact)
+    }
+
     /// The voter whose place is to be given away: replaced, else lost, else leaving.
     fn outgoing(&self) -> Option<usize> {
         let replaced = |v: &VoterState| v.replaced && self.standby_at(&v.voter.address).is_some();
@@ -57,9 +66,7 @@
 pub fn next_voters(view: &VotersView) -> Option<Vec<Voter>> {
     let mut next: Vec<Voter> = view.voters.iter().map(|v| v.voter.clone()).collect();
     let Some(outgoing) = view.outgoing() else {
-        // Beside a voter that may be down one more would only raise the majority: it waits for that one's place.
-        let standby = view.standbys.first().filter(|_| view.voters.iter().all(|v| v.in_contact))?;
-        next.push(standby.clone());
+        next.push(view.standbys.first().filter(|_| view.wants_one_more())?.clone());
         return Some(next);
     };
     let state = &view.voters[outgoing];
