linenthread-control: control.rs split by job, each table with its own struct

Peers and fronts are two types and no longer one with a flag.

Names on the wire and in the interface stay for now.

--- /dev/null
+++ b/crates/linenthread-control/src/contact.rs
@@ -0,0 +1,163 @@
+//! Contact with a majority of the voters: what a node may say without it, and after a freeze.
+
+use linenthread_messages::{Durable, Heartbeat, PeerMessage};
+
+use crate::timing::{PAUSE, STARTING};
+use crate::{Answer, Control, Effect, Link};
+
+impl Control {
+    /// Disks in contact, this one too.
+    pub(crate) fn disks_in_contact(&self, now: u64) -> Vec<u64> {
+        let others = self.members.contacts(now).map(|peer| peer.hello.disk);
+        others.chain([self.register.id()]).collect()
+    }
+
+    /// More than half of the voters hear this node and are heard by it.
+    pub fn in_contact(&self, now: u64) -> bool {
+        self.register.is_most(self.disks_in_contact(now))
+    }
+
+    /// Runs before all that comes: after a pause everything that rests on contact is stale, so all sessions end
+    /// and what waited is answered as unclear before anything else is.
+    pub(crate) fn awake(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        let paused = now.saturating_sub(self.active);
+        self.active = now;
+        if paused <= PAUSE {
+            return;
+        }
+        effects.push(Effect::Note(format!("event=woken paused_ms={paused}")));
+        for link in self.members.links().into_iter().chain(self.fronts.links()) {
+            self.drop_session(now, link, effects);
+        }
+        self.contact_since = None;
+        self.settle_drains(now, effects);
+        self.agree(now, |register, agreed| register.tick(now, agreed), effects);
+    }
+
+    /// From no contact to contact fronts that came before are told; from contact to none all are let go.
+    pub(crate) fn note_contact(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        match (self.in_contact(now), self.contact_since) {
+            (true, None) => {
+                self.contact_since = Some(now);
+                for link in self.fronts.links() {
+                    self.confirm(now, link, effects);
+                    self.tell(now, link, effects);
+                }
+            }
+            (false, Some(_)) => {
+                self.contact_since = None;
+                effects.push(Effect::Note("event=contact_lost".into()));
+                self.drop_fronts(now, effects);
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn drop_fronts(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        for link in self.fronts.links() {
+            self.drop_session(now, link, effects);
+        }
+    }
+
+    // --- calls ---
+
+    /// Why a call is not taken at all, if so: this node leaves, or is out of contact with a majority.
+    pub(crate) fn refusal(&self, now: u64) -> Option<Answer> {
+        if self.leaving.is_some() {
+            return Some(self.sent_on(now));
+        }
+        (!self.in_contact(now)).then_some(Answer::NotNow("no contact with more than half of the voters"))
+    }
+
+    /// The same for calls that a round of the voters settles: while the node starts that may come in time.
+    pub(crate) fn refusal_of_round(&self, now: u64) -> Option<Answer> {
+        self.refusal(now).filter(|_| self.leaving.is_some() || now >= self.began + STARTING)
+    }
+
+    /// Calls that come while it leaves go to another control node.
+    fn sent_on(&self, now: u64) -> Answer {
+        let other = self.members.contacts(now).find(|peer| peer.takes_calls(now));
+        other.map_or(Answer::NotNow("about to end"), |peer| Answer::Elsewhere(peer.hello.control.clone()))
+    }
+
+    // --- heartbeats ---
+
+    fn heartbeat(&self, now: u64) -> Heartbeat {
+        Heartbeat {
+            asked: self.value_number(),
+            whole: self.in_contact(now) && self.leaving.is_none(),
+            digest: self.registry.digest(),
+            revision: 0,
+            durable: self.durable.value,
+            sent: now,
+            echo: None,
+            leaving: self.leaving.is_some(),
+            reconfiguring: self.reconfigures(now),
+        }
+    }
+
+    pub(crate) fn send_heartbeat(&self, now: u64, link: Link, echo: Option<u64>, effects: &mut Vec<Effect>) {
+        let word = PeerMessage::Heartbeat(Heartbeat { echo, ..self.heartbeat(now) });
+        effects.push(Effect::Send { link, word });
+    }
+
+    pub(crate) fn send_heartbeats(&self, now: u64, effects: &mut Vec<Effect>) {
+        let heartbeat = self.heartbeat(now);
+        for (link, peer) in self.members.iter() {
+            let word = PeerMessage::Heartbeat(Heartbeat { echo: peer.echo, ..heartbeat.clone() });
+            effects.push(Effect::Send { link, word });
+        }
+        for link in self.fronts.links() {
+            effects.push(Effect::Send { link, word: PeerMessage::Heartbeat(heartbeat.clone()) });
+        }
+    }
+
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        now: u64,
+        link: Link,
+        heartbeat: &Heartbeat,
+        effects: &mut Vec<Effect>,
+    ) {
+        let digest = self.registry.digest();
+        let Some(news) = self.members.on_heartbeat(now, link, heartbeat, digest) else { return };
+        if news.answer {
+            self.send_heartbeat(now, link, Some(heartbeat.sent), effects);
+        }
+        self.note_contact(now, effects);
+        if news.synchronise {
+            self.synchronise(now, link, effects);
+        }
+        self.send_value(link, effects);
+    }
+
+    // --- durability ---
+
+    /// Tells the others as soon as the own disk holds all that this node knows.
+    pub(crate) fn note_durable(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        let value = self.register.holds_all_durably().then(|| self.value_number());
+        if value <= self.durable.value {
+            return;
+        }
+        self.durable.value = value;
+        let message = PeerMessage::Durable(Durable { value, epoch: 0 });
+        for (link, _) in self.members.iter() {
+            effects.push(Effect::Send { link, word: message.clone() });
+        }
+        self.voters_may_change(now);
+    }
+
+    pub(crate) fn on_durable(&mut self, now: u64, link: Link, durable: &Durable) {
+        if let Some(peer) = self.members.get_mut(link) {
+            peer.durable = peer.durable.max(durable.value);
+        }
+        self.voters_may_change(now);
+    }
+
+    /// A standby that has become ready need not wait for the next tick.
+    fn voters_may_change(&mut self, now: u64) {
+        if self.lease.holds(now).is_some() && !self.standbys(now, Some(self.value_number())).is_empty() {
+            self.hurry();
+        }
+    }
+}
--- /dev/null
+++ b/crates/linenthread-control/src/leader.rs
@@ -0,0 +1,82 @@
+//! The leader lease of this node, and its vote for another's.
+
+use linenthread_messages::{LeaseRelease, LeaseRequest, LeaseVote, PeerMessage, Record};
+
+use crate::reconfiguration::Leave;
+use crate::{Control, Effect};
+
+impl Control {
+    pub(crate) fn ask_for_lease(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        let first = self.is_first(now);
+        let Some(request) = self.lease.tick(now, first, self.value_number()) else { return };
+        for (link, _) in self.members.iter() {
+            effects.push(Effect::Send { link, word: PeerMessage::LeaseRequest(request.clone()) });
+        }
+        self.on_lease_request(now, self.register.id(), &request, effects);
+    }
+
+    /// Whether no voter before this one, in the order of the newest value, is in contact and stays.
+    fn is_first(&self, now: u64) -> bool {
+        if self.leaving.is_some() {
+            return false;
+        }
+        let disks = self.disks_in_contact(now);
+        let there = |disk: u64| disks.contains(&disk) && !self.members.leaves(disk);
+        let first = self.register.voters().iter().find(|voter| there(voter.id));
+        first.is_some_and(|voter| voter.id == self.register.id())
+    }
+
+    /// Votes for who asks, or not. A vote under a new epoch is said only once that epoch is on disk.
+    pub(crate) fn on_lease_request(
+        &mut self,
+        now: u64,
+        from: u64,
+        request: &LeaseRequest,
+        effects: &mut Vec<Effect>,
+    ) {
+        let number = Some(self.value_number()).filter(|_| !self.register.in_doubt());
+        let vote = PeerMessage::LeaseVote(self.lease.on_lease_request(now, from, request, number));
+        let epoch = self.lease.epoch();
+        if epoch > self.durable.epoch {
+            self.keep(Record { epoch, ..Record::default() }, vec![(from, vote)], effects);
+        } else {
+            self.post(from, vote, effects);
+            self.agree(now, |_, _| {}, effects);
+        }
+    }
+
+    pub(crate) fn on_lease_vote(&mut self, now: u64, from: u64, vote: &LeaseVote, effects: &mut Vec<Effect>) {
+        let (register, number) = (&self.register, self.value_number());
+        let held = self.lease.holds(now).is_some();
+        if !self.lease.on_lease_vote(now, from, vote, number, |disks| register.is_most(disks)) {
+            return;
+        }
+        // What it has to do does not wait for the next tick.
+        self.hurry();
+        // Held already, or the votes came so late that it has ended.
+        let Some(epoch) = self.lease.holds(now).filter(|_| !held) else { return };
+        self.allotter.on_lease(now, epoch);
+        effects.push(Effect::Note(format!("event=duty_taken epoch={epoch}")));
+    }
+
+    pub(crate) fn on_lease_release(&mut self, from: u64, release: &LeaseRelease) {
+        if self.lease.on_release(from, release) {
+            // Whoever is next need not wait for its tick.
+            self.hurry();
+        }
+    }
+
+    /// One that leaves, and has nothing left to do as the leader, lets another lead at once.
+    pub(crate) fn release_when_free(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        if self.leaving.is_none() || self.next_step_of_leaving(now) != Leave::Release {
+            return;
+        }
+        let Some(release) = self.lease.release(now) else { return };
+        effects.push(Effect::Note(format!("event=lease_released epoch={}", release.epoch)));
+        let voters: Vec<u64> = self.register.voters().iter().map(|voter| voter.id).collect();
+        for voter in voters {
+            self.post(voter, PeerMessage::LeaseRelease(release.clone()), effects);
+        }
+        self.agree(now, |_, _| {}, effects);
+    }
+}
--- /dev/null
+++ b/crates/linenthread-control/src/sessions.rs
@@ -0,0 +1,127 @@
+//! Sessions with peers: how they begin and end, and where each message goes.
+
+use linenthread_messages::{Hello, PeerMessage, VERSION};
+
+use crate::{Control, Effect, Link};
+
+impl Control {
+    /// A connection with a peer stands, whoever opened it.
+    pub fn opened(&mut self, link: Link, effects: &mut Vec<Effect>) {
+        let hello = Hello {
+            version: VERSION,
+            name: self.local.name.clone(),
+            zone: self.local.zone.clone(),
+            life: self.local.life,
+            control: self.local.control.clone(),
+            disk: self.register.id(),
+            counts: self.local.counts,
+            log: self.local.life,
+            place: self.fronts.changes.place(),
+            value: self.value_number(),
+        };
+        effects.push(Effect::Send { link, word: PeerMessage::Hello(hello) });
+    }
+
+    /// A connection has ended.
+    pub fn closed(&mut self, now: u64, link: Link, effects: &mut Vec<Effect>) {
+        if let Some(front) = self.fronts.close(link) {
+            effects.push(Effect::Note(format!("event=session_ended peer={} hub=false", front.hello.name)));
+        }
+        if let Some(peer) = self.members.close(now, link) {
+            effects.push(Effect::Note(format!("event=session_ended peer={} hub=true", peer.hello.name)));
+            self.drains.disk_gone(peer.hello.disk);
+        }
+    }
+
+    pub(crate) fn drop_session(&mut self, now: u64, link: Link, effects: &mut Vec<Effect>) {
+        self.closed(now, link, effects);
+        effects.push(Effect::Drop(link));
+    }
+
+    /// An address could not be reached.
+    pub fn unreached(&mut self, now: u64, address: &str) {
+        self.addresses.unreached(now, address);
+    }
+
+    /// A message of a peer.
+    pub fn on_message(&mut self, now: u64, link: Link, message: PeerMessage, effects: &mut Vec<Effect>) {
+        self.awake(now, effects);
+        if let PeerMessage::Hello(hello) = message {
+            self.on_hello(now, link, hello, effects);
+        } else if let Some(front) = self.fronts.get_mut(link) {
+            front.heard = now;
+            if let PeerMessage::Heartbeat(heartbeat) = message {
+                (front.asked, front.revision) = (heartbeat.asked, heartbeat.revision);
+            }
+        } else if let Some(peer) = self.members.get_mut(link) {
+            peer.heard = now;
+            let disk = peer.hello.disk;
+            self.on_control_message(now, link, disk, message, effects);
+        } else {
+            effects.push(Effect::Drop(link));
+        }
+    }
+
+    fn on_hello(&mut self, now: u64, link: Link, hello: Hello, effects: &mut Vec<Effect>) {
+        let known = self.members.get(link).is_some() || self.fronts.get(link).is_some();
+        let is_front = hello.control.is_empty();
+        let refused = hello.version != VERSION || hello.life == self.local.life || known;
+        if refused || is_front && self.leaving.is_some() {
+            effects.push(Effect::Drop(link));
+            return;
+        }
+        let superseded =
+            if is_front { self.fronts.superseded(&hello) } else { self.members.superseded(&hello) };
+        for old in superseded {
+            self.drop_session(now, old, effects);
+        }
+        let (name, zone) = (&hello.name, &hello.zone);
+        effects.push(Effect::Note(format!("event=session peer={name} zone={zone} hub={}", !is_front)));
+        if is_front {
+            self.fronts.open(now, link, hello);
+            self.confirm(now, link, effects);
+            self.tell(now, link, effects);
+        } else {
+            self.addresses.learn(now, &hello.control);
+            self.members.open(now, link, hello);
+            self.send_heartbeat(now, link, None, effects);
+            self.synchronise(now, link, effects);
+            self.send_value(link, effects);
+        }
+    }
+
+    fn on_control_message(
+        &mut self,
+        now: u64,
+        link: Link,
+        disk: u64,
+        message: PeerMessage,
+        effects: &mut Vec<Effect>,
+    ) {
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, link, &heartbeat, effects),
+            PeerMessage::ControlUpdate(update) => self.on_control_update(now, link, update, effects),
+            PeerMessage::Durable(durable) => self.on_durable(now, link, &durable),
+            PeerMessage::Heard(receipt) => self.on_receipt(now, disk, &receipt, effects),
+            PeerMessage::Allotments(allotments) => self.pass_allotments(allotments, effects),
+            PeerMessage::LeaseRequest(request) => self.on_lease_request(now, disk, &request, effects),
+            PeerMessage::LeaseRelease(release) => self.on_lease_release(disk, &release),
+            PeerMessage::LeaseVote(vote) => self.on_lease_vote(now, disk, &vote, effects),
+            message => {
+                if let (PeerMessage::Decided(value), Some(peer)) = (&message, self.members.get_mut(link)) {
+                    peer.value = peer.value.max(value.number);
+                }
+                self.agree(now, |register, agreed| register.on_message(now, disk, message, agreed), effects);
+            }
+        }
+    }
+
+    /// A value goes to a control node that is not known to have it.
+    pub(crate) fn send_value(&mut self, link: Link, effects: &mut Vec<Effect>) {
+        let Some(value) = self.register.decided().cloned() else { return };
+        if let Some(peer) = self.members.get_mut(link).filter(|peer| peer.lacks(value.number)) {
+            peer.value = value.number;
+            effects.push(Effect::Send { link, word: PeerMessage::Decided(value) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/linenthread-control/src/status.rs
@@ -0,0 +1,49 @@
+//! What a control node tells operators of machines and replicas: its own view, not confirmed by others.
+
+use linenthread_messages::{Replica, Session};
+use serde_json::{Value as Json, json};
+
+use crate::Control;
+use crate::membership::ControlPeer;
+
+impl Control {
+    /// What this node knows of machines.
+    pub fn members(&self, now: u64) -> Json {
+        let front = |s: &Session| json!({"name": s.name, "zone": s.zone, "revision": s.revision});
+        let decided = self.register.decided();
+        json!({
+            "name": self.local.name,
+            "zone": self.local.zone,
+            "whole": self.in_contact(now),
+            "leaving": self.leaving.is_some(),
+            "duty_epoch": self.lease.holds(now),
+            "value": self.value_number(),
+            "revision": decided.map_or(0, |value| value.revision),
+            "counted": self.register.voters().iter().map(|voter| &voter.address).collect::<Vec<_>>(),
+            "hubs": self.members.iter().map(|(_, peer)| control_node(now, peer)).collect::<Vec<_>>(),
+            "fronts": self.fronts.all().values().map(front).collect::<Vec<_>>(),
+        })
+    }
+
+    /// What this node knows of replicas.
+    pub fn replicas(&self, now: u64) -> Json {
+        Json::Array(self.registry.iter().map(|known| replica(known.tell(now))).collect())
+    }
+}
+
+fn control_node(now: u64, peer: &ControlPeer) -> Json {
+    json!({"name": peer.hello.name, "zone": peer.hello.zone, "control": peer.hello.control,
+        "whole": peer.has_quorum, "value": peer.value, "leaving": peer.leaving,
+        "heard_ms": now.saturating_sub(peer.heard)})
+}
+
+fn replica(told: Replica) -> Json {
+    let phase = match (told.ended, told.gone, told.draining) {
+        (true, _, _) => "ended",
+        (_, true, _) => "silent",
+        (_, _, true) => "draining",
+        _ => "available",
+    };
+    json!({"ident": told.ident, "backend": told.backend, "address": told.address, "zone": told.zone,
+        "phase": phase, "heard_ms": told.age_ms})
+}
