--- a/crates/linenthread-control/src/node.rs
+++ b/crates/linenthread-control/src/node.rs
@@ -223,7 +223,10 @@
         }
     }
 
+    /// A job has ended. What one peer has told may be true and the newest there is; but out of contact with a
+    /// majority nothing is confirmed, and nothing refused.
     fn on_outcome(&mut self, now: u64, job: Job, outcome: Outcome, effects: &mut Vec<Effect>) {
+        let outcome = if self.in_contact(now) { outcome } else { Outcome::Unclear };
         match self.requests.take(job) {
             Some(Purpose::Call(token)) => {
                 effects.push(Effect::Answer { token, answer: answer(outcome) });
--- a/crates/linenthread-control/src/sessions.rs
+++ b/crates/linenthread-control/src/sessions.rs
@@ -2,6 +2,7 @@
 
 use linenthread_messages::{Hello, PeerMessage, VERSION};
 
+use crate::timing::STARTING;
 use crate::{Control, Effect, Link};
 
 impl Control {
@@ -66,7 +67,7 @@
         let known = self.members.get(link).is_some() || self.fronts.get(link).is_some();
         let is_front = hello.control.is_empty();
         let refused = hello.version != VERSION || hello.life == self.local.life || known;
-        if refused || is_front && self.leaving.is_some() {
+        if refused || is_front && !self.takes_fronts(now) {
             effects.push(Effect::Drop(link));
             return;
         }
@@ -90,6 +91,11 @@
         }
     }
 
+    /// A front that would have to wait for contact goes elsewhere at once; while this node starts it waits.
+    fn takes_fronts(&self, now: u64) -> bool {
+        self.leaving.is_none() && (self.in_contact(now) || now < self.began + STARTING)
+    }
+
     fn on_control_message(
         &mut self,
         now: u64,
