--- a/crates/linenthread-drill/src/system/world.rs
+++ b/crates/linenthread-drill/src/system/world.rs
@@ -264,7 +264,11 @@
                 _ => {}
             },
             Event::Closed { to, link, .. } => match to.checked_sub(FIRST_FRONT) {
-                Some(front) if self.fronts[front].link == Some(link) => self.fronts[front].link = None,
+                Some(front) if self.fronts[front].link == Some(link) => {
+                    let front = &mut self.fronts[front];
+                    front.failed.insert(front.hub, self.now);
+                    front.link = None;
+                }
                 Some(_) => {}
                 None => self.at(to, |c, now, out| c.closed(now, link, out)),
             },
