Consensus: a dropped record of the ledger is handed over again although new values keep coming

Two times now, and 1.5 to 3 s in place of 5 to 40 s, so that a machine holds all within the 4 s that a loss counts.

--- a/crates/linenthread-consensus/src/durability.rs
+++ b/crates/linenthread-consensus/src/durability.rs
@@ -2,10 +2,10 @@
 
 use crate::effects::Effect;
 
-/// What was handed over and is not synced after so long is handed over again, then after twice as long and so on:
-/// the disk drops records when too many wait.
-const REWRITE: u64 = 5_000;
-const REWRITE_MOST: u64 = 40_000;
+/// What was handed over and is not synced after so long is handed over again, then after twice as long: the disk
+/// drops records when too many wait, or when it is full. It holds all again so long after there is room at most.
+const REWRITE: u64 = 1_500;
+const REWRITE_MOST: u64 = 3_000;
 
 /// Which of the decided values and of the ledger's records are on this node's disk.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -18,7 +18,9 @@
     ledger_synced: u64,
     /// The last record that holds the whole ledger: all before it may be missing.
     ledger_whole: u64,
-    last_at: u64,
+    /// When a value, and when a record of the ledger, was last handed over.
+    value_at: u64,
+    ledger_at: u64,
     wait: u64,
 }
 
@@ -30,7 +32,8 @@
             ledger_handed_over: 0,
             ledger_synced: 0,
             ledger_whole: 0,
-            last_at: 0,
+            value_at: 0,
+            ledger_at: 0,
             wait: REWRITE,
         }
     }
@@ -52,14 +55,14 @@
 
     /// Hands a decided value over to the disk.
     pub(crate) fn keep_value(&mut self, now: u64, value: &Value, effects: &mut Vec<Effect>) {
-        self.last_at = now;
+        self.value_at = now;
         let record = Record { decided: Some(value.clone()), ..Record::default() };
         self.keep(record, Synced { number: value.number, ledger_record: 0 }, effects);
     }
 
     /// Hands orders that were fetched over to the disk.
     pub(crate) fn keep_orders(&mut self, now: u64, orders: Vec<OrderIdentity>, effects: &mut Vec<Effect>) {
-        self.last_at = now;
+        self.ledger_at = now;
         self.ledger_handed_over += 1;
         let record = Record { ledger: orders, ..Record::default() };
         self.keep(record, Synced { number: 0, ledger_record: self.ledger_handed_over }, effects);
@@ -85,7 +88,10 @@
             self.wait = REWRITE;
             return false;
         }
-        let overdue = now >= self.last_at + self.wait;
+        // New values come again and again, and say nothing of a record of the ledger that was dropped.
+        let value_overdue = self.number < number && now >= self.value_at + self.wait;
+        let ledger_overdue = !self.holds_ledger() && now >= self.ledger_at + self.wait;
+        let overdue = value_overdue || ledger_overdue;
         if overdue {
             self.wait = (self.wait * 2).min(REWRITE_MOST);
         }
