Drill: requests at once and in pieces, and a rule for connections in doubt

Clients send a tenth of their batches in two pieces and a tenth as two requests at once. no-doubt: a stand-in replica notes where it is written to on a connection that owes an answer, or on which something waits; that a connection was used after a time-out, or with no check of quiet, was found by no rule before, since ids catch what follows from it.

--- a/crates/linenthread-dataplane-sim/src/client.rs
+++ b/crates/linenthread-dataplane-sim/src/client.rs
@@ -23,6 +23,11 @@
 /// Nothing is waited for longer.
 const FOREVER: Duration = Duration::from_secs(60);
 
+/// So many of a thousand batches are two requests at once, are sent in two pieces, and are not waited for.
+const PIPELINED: u64 = 100;
+const CUT: u64 = 100;
+const IMPATIENT: u64 = 30;
+
 /// What all sessions of a world share.
 #[derive(Clone)]
 pub struct Shared {
@@ -47,10 +52,12 @@
     let peer = std::net::SocketAddr::from(([10, 9, 0, 1], 1));
     spawn_local(serve(far, peer, shared.plane.clone()));
     let mut http = HttpConnection::new(near);
-    let requests = 2 + shared.chance.below(6);
-    for number in 0..requests {
-        let asked = draw(&shared.chance, &format!("{name}-{number}"));
-        if ask(&shared, &mut http, &asked).await == Next::Ends {
+    let batches = 2 + shared.chance.below(5);
+    for number in 0..batches {
+        let count = if shared.chance.per_mille(PIPELINED) { 2 } else { 1 };
+        let batch: Vec<Asked> =
+            (0..count).map(|n| draw(&shared.chance, &format!("{name}-{number}-{n}"))).collect();
+        if ask(&shared, &mut http, &batch).await == Next::Ends {
             return;
         }
         tokio::time::sleep(shared.chance.ms(0, 150)).await;
@@ -71,15 +78,44 @@
     Asked { attempt: attempt.to_owned(), path: format!("{prefix}{}", chance.below(50)), repeatable, gathers }
 }
 
-/// One request, and its answer if the client waits for it.
-async fn ask(shared: &Shared, http: &mut HttpConnection<DuplexStream>, asked: &Asked) -> Next {
+/// Some requests at once, and their answers in the same order if the client waits for them.
+async fn ask(shared: &Shared, http: &mut HttpConnection<DuplexStream>, batch: &[Asked]) -> Next {
     let chance = &shared.chance;
     let limit = if chance.per_mille(700) { LIMIT_MS } else { 50 + chance.below(LIMIT_MS) };
-    shared.judge.borrow_mut().ask(asked);
-    shared.runs.log(&["asked", &asked.attempt, &asked.path]);
+    for asked in batch {
+        shared.judge.borrow_mut().ask(asked);
+        shared.runs.log(&["asked", &asked.attempt, &asked.path]);
+    }
+    send(chance, http, batch.iter().flat_map(|asked| bytes(asked, limit)).collect()).await;
+    for asked in batch {
+        if receive(shared, http, asked, limit).await == Next::Ends {
+            return Next::Ends;
+        }
+    }
+    Next::GoesOn
+}
+
+/// Writes it, in two pieces at times.
+async fn send(chance: &Chance, http: &mut HttpConnection<DuplexStream>, bytes: Vec<u8>) {
+    let by = Instant::now() + FOREVER;
+    let cut = if chance.per_mille(CUT) { chance.below(bytes.len() as u64) as usize } else { 0 };
+    if cut > 0 {
+        let _ = http.write(&bytes[..cut], by).await;
+        tokio::time::sleep(chance.ms(0, 50)).await;
+    }
+    let _ = http.write(&bytes[cut..], by).await;
+}
+
+/// One answer. A request's time begins when it has been sent, and the one before it is answered.
+async fn receive(
+    shared: &Shared,
+    http: &mut HttpConnection<DuplexStream>,
+    asked: &Asked,
+    limit: u64,
+) -> Next {
+    let chance = &shared.chance;
     let (began, frozen) = (Instant::now(), shared.frozen.get());
-    let _ = http.write(&bytes(asked, limit), began + FOREVER).await;
-    let patience = if chance.per_mille(30) { chance.ms(1, 200) } else { FOREVER };
+    let patience = if chance.per_mille(IMPATIENT) { chance.ms(1, 200) } else { FOREVER };
     let Ok(answer) = timeout(patience, answer(http)).await else {
         return leave(shared, asked, patience);
     };
--- a/crates/linenthread-dataplane-sim/src/judge.rs
+++ b/crates/linenthread-dataplane-sim/src/judge.rs
@@ -5,6 +5,7 @@
 //! | *mine-only* | an answer with a seal is of a run of this very request, with that run's body |
 //! | *once-if-not-repeatable* | what may not be repeated ran once at most |
 //! | *rejected-never-ran* | where a client was told 503 with no seal, nothing of its request ran |
+//! | *no-doubt* | nothing is written on a connection that owes an answer, or on which something waits |
 //! | *complete-or-told* | an answer is whole, or says how many parts are missing; one in time, and no more |
 
 use std::cell::RefCell;
@@ -31,6 +32,7 @@
 struct Notes {
     runs: Vec<Run>,
     by_attempt: BTreeMap<String, usize>,
+    doubts: Vec<String>,
     digest: u64,
 }
 
@@ -48,6 +50,11 @@
         notes.runs.len() - 1
     }
 
+    /// Notes that a connection was used which should not have been.
+    pub fn doubt(&self, cause: &str) {
+        self.0.borrow_mut().doubts.push(cause.to_owned());
+    }
+
     /// Adds what happened to the digest, with its time.
     pub fn log(&self, words: &[&str]) {
         let mut notes = self.0.borrow_mut();
@@ -79,6 +86,7 @@
     MineOnly,
     OnceIfNotRepeatable,
     RejectedNeverRan,
+    NoDoubt,
     CompleteOrTold,
 }
 
@@ -95,6 +103,7 @@
             Rule::MineOnly => "mine-only",
             Rule::OnceIfNotRepeatable => "once-if-not-repeatable",
             Rule::RejectedNeverRan => "rejected-never-ran",
+            Rule::NoDoubt => "no-doubt",
             Rule::CompleteOrTold => "complete-or-told",
         };
         write!(to, "{name}: {}", self.cause)
@@ -220,6 +229,9 @@
                 self.breach(Rule::RejectedNeverRan, format!("{attempt} was refused and ran {ran} times"));
             }
         }
+        for cause in std::mem::take(&mut runs.0.borrow_mut().doubts) {
+            self.breach(Rule::NoDoubt, format!("unanswered, quiet: {cause}"));
+        }
         for asked in std::mem::take(&mut self.asked) {
             let ran = runs.of(&asked.attempt);
             if !asked.repeatable && ran > 1 {
--- a/crates/linenthread-dataplane-sim/src/network.rs
+++ b/crates/linenthread-dataplane-sim/src/network.rs
@@ -52,7 +52,8 @@
         }
     }
 
-    fn is_quiet(&self) -> bool {
+    /// Nothing is there to be read at this moment.
+    pub fn is_quiet(&self) -> bool {
         self.events.front().is_none_or(|(at, _)| *at > Instant::now())
     }
 }
--- a/crates/linenthread-dataplane-sim/src/replica.rs
+++ b/crates/linenthread-dataplane-sim/src/replica.rs
@@ -121,6 +121,7 @@
             stray: None,
             forgets,
             used: Instant::now(),
+            answer_due: Instant::now(),
             state: State::Open,
         };
         Some((slow, Box::new(connection)))
@@ -144,6 +145,8 @@
     /// It lets go of a connection that rests for so long, and the front does not hear of it.
     forgets: Option<Duration>,
     used: Instant,
+    /// When its last answer has arrived, at the earliest.
+    answer_due: Instant,
     state: State,
 }
 
@@ -160,6 +163,10 @@
     }
 
     fn receive(&mut self, bytes: &[u8], inbound: &mut Inbound) {
+        let unanswered = self.state == State::Silent || self.answer_due > Instant::now();
+        if unanswered || !inbound.is_quiet() {
+            self.replica.runs.doubt(&format!("{}: {unanswered}, {}", self.replica.ident, inbound.is_quiet()));
+        }
         let rested = Instant::now().saturating_duration_since(self.used);
         self.used = Instant::now();
         if self.forgets.is_some_and(|after| rested > after) {
@@ -207,6 +214,7 @@
             inbound.push(Duration::from_millis(1), Event::Bytes(stray));
         }
         let mut after = replica.frozen() + chance.ms(2, 30);
+        self.answer_due = Instant::now() + after;
         if replica.checks_target && request.target != replica.ident {
             return inbound.push(after, Event::Bytes(misdirected(&replica.ident)));
         }
@@ -217,6 +225,7 @@
             }
             RequestFate::AnswerLate => {
                 after += chance.ms(200, 2_500);
+                self.answer_due = Instant::now() + after;
                 let answer = self.run(request, &request.attempt);
                 inbound.push(after, Event::Bytes(answer));
             }
