--- a/crates/linenthread-dataplane-sim/src/fate.rs
+++ b/crates/linenthread-dataplane-sim/src/fate.rs
@@ -13,6 +13,7 @@
 pub struct Chance(Rc<RefCell<Rand64>>);
 
 impl Chance {
+    /// All chance that follows from a seed.
     pub fn new(seed: u64) -> Chance {
         Chance(Rc::new(RefCell::new(Rand64::new(u128::from(seed)))))
     }
@@ -127,6 +128,7 @@
         }
     }
 
+    /// The fate of a request that was read whole.
     pub fn request(&self, chance: &Chance) -> RequestFate {
         if !chance.per_mille(self.requests) {
             return RequestFate::Answer;
@@ -146,6 +148,7 @@
         }
     }
 
+    /// The fate of a write of so many bytes.
     pub fn write(&self, chance: &Chance, length: usize) -> WriteFate {
         if !chance.per_mille(self.writes) {
             return WriteFate::Taken;
--- a/crates/linenthread-dataplane-sim/src/judge.rs
+++ b/crates/linenthread-dataplane-sim/src/judge.rs
@@ -61,6 +61,7 @@
         notes.digest = digest(words, notes.digest.rotate_left(7) ^ clock::tenths() as u64);
     }
 
+    /// The digest of all that happened.
     pub fn digest(&self) -> u64 {
         self.0.borrow().digest
     }
@@ -70,6 +71,7 @@
         self.0.borrow().by_attempt.get(attempt).copied().unwrap_or(0)
     }
 
+    /// How many runs there were.
     pub fn count(&self) -> usize {
         self.0.borrow().runs.len()
     }
@@ -140,10 +142,12 @@
 }
 
 impl Judge {
+    /// Notes a breach.
     pub fn breach(&mut self, rule: Rule, cause: String) {
         self.breaches.push(Breach { rule, cause });
     }
 
+    /// A client has sent a request.
     pub fn ask(&mut self, asked: &Asked) {
         self.counts.asked += 1;
         self.asked.push(asked.clone());
--- a/crates/linenthread-dataplane-sim/src/replica.rs
+++ b/crates/linenthread-dataplane-sim/src/replica.rs
@@ -57,6 +57,7 @@
 }
 
 impl Replica {
+    /// A replica that runs from now on.
     pub fn new(
         (ident, service, address): (String, &str, SocketAddr),
         checks_target: bool,
--- a/crates/linenthread-dataplane-sim/src/world.rs
+++ b/crates/linenthread-dataplane-sim/src/world.rs
@@ -15,13 +15,16 @@
 use crate::network::Network;
 use crate::replica::{Listening, Replica};
 
+/// The host of all routes.
 pub const HOST: &str = "index.example";
 /// The services of the route that gathers.
 pub const GATHERED_SERVICES: [&str; 3] = ["s1", "s2", "s3"];
 /// The service of what may not be repeated.
 const ONCE_SERVICE: &str = "s4";
 const REPLICAS_A_SERVICE: u8 = 2;
+/// Records in a merged answer.
 pub const LIMIT_OF_RECORDS: usize = 7;
+/// The time that all routes have.
 pub const LIMIT_MS: u64 = 1_000;
 /// Sessions of one world: they share its replicas and the connections to them.
 pub const SESSIONS: usize = 20;
--- a/crates/linenthread-dataplane/src/connection.rs
+++ b/crates/linenthread-dataplane/src/connection.rs
@@ -29,19 +29,23 @@
     Closed,
     /// The same, in the middle.
     Cut,
+    /// It did not come in time.
     Late,
+    /// It is not in the protocol, or over its bounds.
     Refused(Refusal),
 }
 
 /// A message was not written whole.
 #[derive(Debug, PartialEq, Eq)]
 pub struct WriteFailed {
+    /// Why.
     pub stop: Stop,
     /// Bytes that this side has let go of.
     pub written: usize,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> HttpConnection<S> {
+    /// A connection on which nothing has been read yet.
     pub fn new(stream: S) -> HttpConnection<S> {
         HttpConnection { stream, buffer: BytesMut::new() }
     }
--- a/crates/linenthread-dataplane/src/data_plane.rs
+++ b/crates/linenthread-dataplane/src/data_plane.rs
@@ -19,10 +19,15 @@
 /// What of the budget is this front's, and until when.
 #[derive(Clone, Copy, Default, PartialEq)]
 pub struct Share {
+    /// Further tries in each window.
     pub free: f64,
+    /// Milliseconds of the steady clock.
     pub until: u64,
+    /// This front's number among them.
     pub own: usize,
+    /// How many fronts there are.
     pub fronts: usize,
+    /// Under which lease of the duty it was given.
     pub epoch: u64,
 }
 
@@ -33,6 +38,7 @@
 
 /// What a front knows and where its traffic goes.
 pub struct DataPlane<C: Connector = TcpConnector> {
+    /// Of this process.
     pub settings: Rc<Settings>,
     seed: u64,
     plan: RefCell<Option<Rc<Plan>>>,
@@ -40,10 +46,12 @@
     pools: RefCell<BTreeMap<String, Rc<ReplicaPool<C>>>>,
     services: RefCell<HashMap<Rc<str>, Pools<C>>>,
     dispatchers: RefCell<BTreeMap<DispatcherKey, Rc<Dispatcher<C>>>>,
+    /// By number.
     pub zones: Zones,
     share: Cell<Share>,
     /// The newest configuration was in hand at some moment of this life.
     pub confirmed: Cell<bool>,
+    /// The end was asked for.
     pub ending: Cell<bool>,
     /// Nothing new is read any more.
     pub closing: watch::Sender<bool>,
@@ -86,6 +94,7 @@
 }
 
 impl<C: Connector> DataPlane<C> {
+    /// A front that knows nothing yet.
     pub fn new(settings: Rc<Settings>, seed: u64, connector: C) -> Rc<DataPlane<C>> {
         let zones = Zones::default();
         zones.number_of(&settings.zone);
@@ -107,14 +116,17 @@
         })
     }
 
+    /// The configuration in force, if there is one.
     pub fn plan(&self) -> Option<Rc<Plan>> {
         self.plan.borrow().clone()
     }
 
+    /// Its version; 0 for none.
     pub fn revision(&self) -> u64 {
         self.plan.borrow().as_ref().map_or(0, |p| p.revision)
     }
 
+    /// Whether the platform may send traffic here.
     pub fn is_ready(&self) -> bool {
         self.confirmed.get() && !self.ending.get() && self.plan.borrow().is_some()
     }
@@ -194,6 +206,7 @@
         }
     }
 
+    /// This front's share of the budget from now on.
     pub fn allot(&self, share: Share) {
         if share != self.share.get() {
             self.share.set(share);
@@ -202,6 +215,7 @@
         }
     }
 
+    /// The share in force.
     pub fn share(&self) -> Share {
         self.share.get()
     }
--- a/crates/linenthread-dataplane/src/dispatcher.rs
+++ b/crates/linenthread-dataplane/src/dispatcher.rs
@@ -93,6 +93,7 @@
 
 /// Hands requests to the decision module and its decisions to the replicas' pools.
 pub struct Dispatcher<C: Connector = TcpConnector> {
+    /// What is asked together, by name.
     pub services: Rc<[Rc<str>]>,
     state: RefCell<State<C>>,
     notify: Notify,
@@ -101,6 +102,7 @@
 }
 
 impl<C: Connector> Dispatcher<C> {
+    /// Starts the task that runs the module; within a `LocalSet`.
     pub fn new(services: Rc<[Rc<str>]>, tries: usize, settings: &Settings, seed: u64) -> Rc<Dispatcher<C>> {
         let deployment = terms::deployment(services.len(), tries, settings);
         let dispatcher = Rc::new(Dispatcher {
@@ -126,6 +128,7 @@
         dispatcher
     }
 
+    /// So many further tries are free, and this front is one of so many.
     pub fn allot(&self, free: f64, own: usize, fronts: usize) {
         self.state.borrow_mut().coordinator.allot(free, own, fronts);
     }
--- a/crates/linenthread-dataplane/src/pool.rs
+++ b/crates/linenthread-dataplane/src/pool.rs
@@ -34,11 +34,17 @@
 
 /// One life of a replica, as this front meets it, and the connections to it.
 pub struct ReplicaPool<C: Connector = TcpConnector> {
+    /// The replica's own id.
     pub ident: String,
+    /// The service that it is of.
     pub backend: Rc<str>,
+    /// Where it listens.
     pub address: SocketAddr,
+    /// Where it stands.
     pub zone: String,
+    /// It has said that it will end.
     pub draining: Cell<bool>,
+    /// It is not there any more, as far as is known.
     pub gone: Cell<bool>,
     /// How many connections it may have from this front.
     pub most: Cell<usize>,
@@ -99,8 +105,11 @@
 pub struct Request {
     begin: Vec<u8>,
     end: Vec<u8>,
+    /// The client's id for it.
     pub attempt: String,
+    /// Answers have no body.
     pub to_head: bool,
+    /// Its answer is made of several services' answers.
     pub gathers: bool,
     /// The connections that carried it. An answer too many to an earlier sub-request has the same
     /// id as the answer to the next one, so those two never share a connection.
@@ -133,18 +142,24 @@
 
 /// A replica's whole answer.
 pub struct Answer {
+    /// Status and headers.
     pub head: Head,
+    /// The whole body.
     pub body: Vec<u8>,
 }
 
 /// How a sub-request ended, and the replica's answer where it gave one that may be passed on.
 pub struct SubRequestOutcome {
+    /// For the decision module.
     pub ending: Ending,
+    /// For the rules of repeating.
     pub sent: SendState,
+    /// Only one that a client may get.
     pub answer: Option<Answer>,
 }
 
 impl<C: Connector> ReplicaPool<C> {
+    /// A pool with no connection yet.
     pub fn new(
         replica: &linenthread_messages::Replica,
         backend: Rc<str>,
@@ -166,6 +181,7 @@
         }
     }
 
+    /// Notes that it has gone, or is back.
     pub fn set_gone(&self, gone: bool) {
         self.gone.set(gone);
         self.gone_at.set(clock::ms());
--- a/crates/linenthread-dataplane/src/reply.rs
+++ b/crates/linenthread-dataplane/src/reply.rs
@@ -8,8 +8,11 @@
 
 /// A status, headers and a body.
 pub struct Reply {
+    /// The status code.
     pub status: u16,
+    /// Whole lines, but for those of the connection and the length.
     pub headers: Vec<u8>,
+    /// The body.
     pub body: Vec<u8>,
 }
 
--- a/crates/linenthread-dataplane/src/transport.rs
+++ b/crates/linenthread-dataplane/src/transport.rs
@@ -16,6 +16,7 @@
 
 /// Opens connections to replicas.
 pub trait Connector: Clone + 'static {
+    /// Its connections.
     type Transport: ReplicaTransport;
 
     /// Connects; the caller bounds the time.
