--- a/crates/linenthread-hollow/src/main.rs
+++ b/crates/linenthread-hollow/src/main.rs
@@ -1,5 +1,6 @@
 //! `linenthread-hollow`: what control costs each role, by size.
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use linenthread_hollow::{CSV_HEADER, Loss, Scale, fit_csv, kill_timeline, measure};
@@ -83,12 +84,17 @@
     }
 }
 
+/// Whoever reads may stop before the end.
+fn show(text: &str) {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
 fn run(flags: &flags::Run) -> Result<(), String> {
     let measured = measure(&scale(flags));
-    print!("{}", measured.table());
+    show(&measured.table());
     let csv = measured.csv();
     let Some(path) = &flags.csv else {
-        print!("{CSV_HEADER}\n{csv}");
+        show(&format!("{CSV_HEADER}\n{csv}"));
         return Ok(());
     };
     let before = std::fs::read_to_string(path).unwrap_or_else(|_| format!("{CSV_HEADER}\n"));
@@ -99,16 +105,18 @@
     let path = &flags.file;
     let text = std::fs::read_to_string(path).map_err(|e| format!("reading {}: {e}", path.display()))?;
     let fitted = fit_csv(&text, flags.by.as_deref().unwrap_or("fronts")).map_err(|e| e.to_string())?;
+    let mut lines = Vec::new();
     let wanted = |role: &str| flags.role.as_ref().is_none_or(|name| role.starts_with(name.as_str()));
     let asked = |column: &String| flags.column.as_ref().is_none_or(|name| name == column);
     for (role, column, power) in fitted.into_iter().filter(|(role, column, _)| wanted(role) && asked(column))
     {
         let at = flags.at.map_or(String::new(), |size| format!(", at {size}: {:.4}", power.at(size)));
-        println!(
+        lines.push(format!(
             "{role:<28} {column:<18} power {:>6.3}, worst {:.2} of the fit, {} points{at}",
             power.exponent, power.worst_ratio, power.points
-        );
+        ));
     }
+    show(&(lines.join("\n") + "\n"));
     Ok(())
 }
 
@@ -124,12 +132,13 @@
         ..default
     };
     let timeline = kill_timeline(&scale, if flags.dark { Loss::Dark } else { Loss::Killed });
-    for (at, line) in &timeline.lines {
-        println!("{at:>6} ms  {line}");
-    }
-    let shown = |ms: Option<u64>| ms.map_or("none".to_owned(), |ms| format!("{ms} ms"));
-    println!("first acknowledgement by a survivor after {}", shown(timeline.first_acknowledgement_ms));
-    println!("next leader after {}", shown(timeline.next_leader_ms));
+    let after = |ms: Option<u64>| ms.map_or("none".to_owned(), |ms| format!("{ms} ms"));
+    let mut lines: Vec<String> =
+        timeline.lines.iter().map(|(at, line)| format!("{at:>6} ms  {line}\n")).collect();
+    let first = after(timeline.first_acknowledgement_ms);
+    lines.push(format!("first acknowledgement by a survivor after {first}\n"));
+    lines.push(format!("next leader after {}\n", after(timeline.next_leader_ms)));
+    show(&lines.concat());
 }
 
 fn main() -> ExitCode {
