--- a/crates/linenthread-demo/src/rounds/minority.rs
+++ b/crates/linenthread-demo/src/rounds/minority.rs
@@ -8,11 +8,11 @@
 
 use oorandom::Rand64;
 
-use crate::Signal;
 use crate::cluster::ask_at;
-use crate::operator::{Observed, Order, drain_at, read_at, replace_anywhere, replace_at};
+use crate::operator::{Observed, Order, drain_at, members_at, read_at, replace_anywhere, replace_at};
 use crate::rounds::setup::{SERVICES, draw_one, started, words};
 use crate::rounds::{BOUND, Findings, Scale};
+use crate::{Cluster, Signal};
 
 /// A call without the others is refused, or left without an answer, within this time.
 const REFUSAL: Duration = Duration::from_secs(2);
@@ -37,6 +37,7 @@
         let until = Instant::now() + scale.pause;
         while Instant::now() < until {
             check_refusals(&mut findings, peer, &first, &second);
+            std::thread::sleep(BETWEEN);
         }
         let alone_known = cluster.wait_members(&alone, REFUSAL, |m| m["whole"] == false);
         findings.check(alone_known, "it knows that it is without the others", || alone.clone());
@@ -47,6 +48,9 @@
         findings.check(seen.is(200), "the order is taken within the bound when the others are back", || {
             words(&seen)
         });
+        if !seen.is(200) {
+            note_state(&mut findings, &cluster, &second);
+        }
         let told = cluster.wait_for("front-1", &["event=configuration", "revision=2"], BOUND);
         findings.check(told, "the front has it within the bound", || "no news of revision 2".into());
         done.store(true, Ordering::Relaxed);
@@ -60,6 +64,14 @@
     Ok(findings)
 }
 
+/// What each node knows and says after an order had no clear answer.
+fn note_state(findings: &mut Findings, cluster: &Cluster, order: &Order) {
+    for peer in cluster.control() {
+        let seen = replace_at(peer, order, BOUND);
+        findings.note(format!("{peer}: {}; members {:?}", words(&seen), members_at(peer)));
+    }
+}
+
 /// Each kind of call, all at once.
 fn check_refusals(findings: &mut Findings, peer: SocketAddr, first: &Order, second: &Order) {
     let rival = Order::new(0, 1, &SERVICES, 3);
