--- a/crates/linenthread-demo/src/rounds/catch_up.rs
+++ b/crates/linenthread-demo/src/rounds/catch_up.rs
@@ -6,7 +6,7 @@
 
 use oorandom::Rand64;
 
-use crate::operator::{Order, read_anywhere, read_at, replace_anywhere};
+use crate::operator::{Order, read_anywhere, read_at, replace_anywhere, replace_at};
 use crate::rounds::setup::{SERVICES, draw_one, started, words};
 use crate::rounds::{BOUND, Findings, Scale};
 
@@ -73,8 +73,22 @@
             || words(&seen),
         );
     }
+    for missed in missed_orders(&last, random) {
+        let seen = replace_at(peer, &missed, BOUND);
+        let fair = seen.is(200) || !seen.is_clear();
+        findings.check(fair, "an order that it missed is not refused when sent again", || {
+            format!("revision {}: {}", missed.revision, words(&seen))
+        });
+    }
     let next = Order::new(last.revision, last.revision + 1, &SERVICES, 0);
     let seen = replace_anywhere(&survivors, &next, BOUND);
     findings.check(seen.is(200), "a new order is acknowledged within the bound", || words(&seen));
     Ok(findings)
 }
+
+/// Some of the orders up to the last one.
+fn missed_orders(last: &Order, random: &mut Rand64) -> Vec<Order> {
+    let drawn = random.rand_range(2..last.revision);
+    let order = |revision| Order::new(revision - 1, revision, &SERVICES, 0);
+    [2, drawn, last.revision].map(order).to_vec()
+}
