--- /dev/null
+++ b/crates/linenthread-checker/src/instance.rs
@@ -0,0 +1,100 @@
+use linenthread_consensus::{Change, document_digest};
+use linenthread_messages::{OrderIdentity, Voter};
+use snafu::Snafu;
+
+/// The disks of the first value; the node at place i has the disk i at first.
+pub(crate) const VOTERS: [u64; 3] = [1, 2, 3];
+/// The name of the empty disk that comes in place of a lost one.
+pub(crate) const NEW_DISK: u64 = 4;
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Call {
+    /// Revision 1 on base 0.
+    OrderA,
+    /// Revision 1 on base 0, with another document.
+    OrderB,
+    /// Revision 2 on base 1.
+    OrderC,
+    /// Disk 4 counts in place of the lost one, or of disk 3.
+    Replace,
+    /// The newest value.
+    Read,
+}
+
+/// A call that is not understood.
+#[derive(Debug, Snafu)]
+#[snafu(display("{word} is no call: NODE:CALL with node 1 to 3 and call a, b, c, replace or read is"))]
+pub struct CallFault {
+    word: String,
+}
+
+impl Call {
+    /// The order that it brings, if any.
+    pub(crate) fn order(self) -> Option<(OrderIdentity, &'static str)> {
+        let (base, revision, document) = match self {
+            Call::OrderA => (0, 1, "a"),
+            Call::OrderB => (0, 1, "b"),
+            Call::OrderC => (1, 2, "c"),
+            Call::Replace | Call::Read => return None,
+        };
+        let digest = document_digest(document.as_bytes());
+        Some((OrderIdentity { revision, base, digest }, document))
+    }
+
+    /// The change that it wants, if it is an order.
+    pub(crate) fn change(self) -> Option<Change> {
+        let (order, document) = self.order()?;
+        Some(Change::Document { base: order.base, revision: order.revision, document: document.into() })
+    }
+}
+
+/// What is explored.
+#[derive(Clone, Debug)]
+pub struct Instance {
+    /// Each call comes once, at any time, to the node at this place.
+    pub calls: Vec<(usize, Call)>,
+    /// So many ticks, of any nodes.
+    pub ticks: u8,
+    /// So many messages are delivered twice.
+    pub duplicates: u8,
+    /// So many nodes start anew from their disk.
+    pub crashes: u8,
+    /// So many nodes lose their disk and start anew with an empty one; at most 1.
+    pub lost_disks: u8,
+    /// Records are synced some time after they were handed over, or never if the node starts anew before.
+    pub slow_disks: bool,
+    /// The search ends when so many states were seen.
+    pub most_states: usize,
+}
+
+impl Instance {
+    /// Calls as on the command line: `1:a,2:b,3:a`.
+    ///
+    /// # Errors
+    /// A word is no call.
+    pub fn parse_calls(words: &str) -> Result<Vec<(usize, Call)>, CallFault> {
+        words
+            .split(',')
+            .map(|word| parse_call(word).ok_or_else(|| CallFault { word: word.to_owned() }))
+            .collect()
+    }
+}
+
+fn parse_call(word: &str) -> Option<(usize, Call)> {
+    let (node, call) = word.split_once(':')?;
+    let place = node.parse::<usize>().ok()?.checked_sub(1).filter(|place| *place < VOTERS.len())?;
+    let call = match call {
+        "a" => Call::OrderA,
+        "b" => Call::OrderB,
+        "c" => Call::OrderC,
+        "replace" => Call::Replace,
+        "read" => Call::Read,
+        _ => return None,
+    };
+    Some((place, call))
+}
+
+pub(crate) fn voter(id: u64) -> Voter {
+    Voter { id, address: String::new() }
+}
--- /dev/null
+++ b/crates/linenthread-checker/src/lib.rs
@@ -0,0 +1,23 @@
+//! Exhaustive checking of the agreement in the small: every interleaving of a bounded instance, over the very state
+//! machine that the daemons run ([`linenthread_consensus::Register`]).
+//!
+//! | module | job |
+//! | --- | --- |
+//! | `instance` | what is explored: calls, and how often what may happen |
+//! | `world` | one state of all nodes, their disks, the network, and what was answered so far |
+//! | `step` | what can happen next, and what the world is then |
+//! | `invariants` | what must hold in each state |
+//! | `search` | breadth-first search with a set of the states that were seen |
+//!
+//! A message in flight may be delivered at any time or never, which covers loss and any order. Time is abstract: a
+//! tick of a node moves its clock past each time-out. A set of 128-bit fingerprints stands for the states that were
+//! seen.
+
+mod instance;
+mod invariants;
+mod search;
+mod step;
+mod world;
+
+pub use instance::{Call, CallFault, Instance};
+pub use search::{Breach, Report, explore};
--- /dev/null
+++ b/crates/linenthread-checker/src/main.rs
@@ -0,0 +1,77 @@
+//! Explores a small instance of the agreement and prints what it found; ends with 1 if an invariant was broken.
+
+use std::process::ExitCode;
+use std::time::Instant;
+
+use linenthread_checker::{Instance, Report, explore};
+
+/// Two proposers race for one base, one order comes twice, a disk is replaced, a node starts anew.
+const CALLS: &str = "1:a,2:b,3:a,2:replace";
+
+mod flags {
+    xflags::xflags! {
+        /// Explores every interleaving of a small instance of the agreement
+        cmd linenthread-checker {
+            /// Calls as NODE:CALL,...; call is a, b, c, replace or read
+            optional --calls calls: String
+            /// How many ticks there are, of any nodes
+            optional --ticks count: u8
+            /// How many messages are delivered twice
+            optional --duplicates count: u8
+            /// How many nodes start anew from their disk
+            optional --crashes count: u8
+            /// How many nodes lose their disk, 0 or 1
+            optional --lost-disks count: u8
+            /// Records are synced some time after they were handed over
+            optional --slow-disks
+            /// The search ends when so many states were seen
+            optional --most-states count: usize
+        }
+    }
+}
+
+fn instance(flags: &flags::LinenthreadChecker) -> Result<Instance, String> {
+    let calls = Instance::parse_calls(flags.calls.as_deref().unwrap_or(CALLS)).map_err(|e| e.to_string())?;
+    Ok(Instance {
+        calls,
+        ticks: flags.ticks.unwrap_or(0),
+        duplicates: flags.duplicates.unwrap_or(0),
+        crashes: flags.crashes.unwrap_or(0),
+        lost_disks: flags.lost_disks.unwrap_or(0).min(1),
+        slow_disks: flags.slow_disks,
+        most_states: flags.most_states.unwrap_or(20_000_000),
+    })
+}
+
+fn print(report: &Report) {
+    println!("depth {}, transitions {}", report.depth, report.transitions);
+    println!(
+        "states with an acknowledged order {}, a refused one {}, a replaced disk {}, an answered read {}",
+        report.acknowledged, report.refused, report.replaced, report.read
+    );
+    for breach in &report.breaches {
+        println!("{} is broken after {} states:", breach.invariant, breach.states);
+        breach.trace.iter().for_each(|line| println!("  {line}"));
+    }
+    if !report.complete {
+        println!("not complete: the search ended before all states were seen");
+    }
+    println!("{} states, {} breaches", report.states, report.breaches.len());
+}
+
+fn main() -> ExitCode {
+    let flags = flags::LinenthreadChecker::from_env_or_exit();
+    let instance = match instance(&flags) {
+        Ok(instance) => instance,
+        Err(fault) => {
+            eprintln!("{fault}");
+            return ExitCode::from(2);
+        }
+    };
+    println!("{instance:?}");
+    let began = Instant::now();
+    let report = explore(&instance);
+    println!("{:.1} s", began.elapsed().as_secs_f64());
+    print(&report);
+    ExitCode::from(u8::from(!report.breaches.is_empty()))
+}
--- a/crates/linenthread-consensus/src/durable_state.rs
+++ b/crates/linenthread-consensus/src/durable_state.rs
@@ -4,7 +4,7 @@
 use crate::ledger::Ledger;
 
 /// What a disk holds, record by record.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct DurableState {
     /// The disk's name.
     pub id: Option<u64>,
--- a/crates/linenthread-messages/src/words.rs
+++ b/crates/linenthread-messages/src/words.rs
@@ -77,7 +77,7 @@
 }
 
 /// One record on disk.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Record {
     /// The disk's name.
     #[prost(fixed64, optional, tag = "1")]
@@ -239,7 +239,7 @@
 }
 
 /// A replica as one hub knows it.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Replica {
     #[prost(string, tag = "1")]
     pub ident: String,
