--- a/crates/linenthread-checker/src/instance.rs
+++ b/crates/linenthread-checker/src/instance.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use linenthread_consensus::{Change, document_digest};
 use linenthread_messages::{OrderIdentity, Voter};
 use snafu::Snafu;
@@ -68,7 +70,33 @@
     pub most_states: usize,
 }
 
+/// Without any fault; the base of those of the suite.
+const PLAIN: Instance = Instance {
+    calls: Vec::new(),
+    ticks: 0,
+    duplicates: 0,
+    crashes: 0,
+    lost_disks: 0,
+    slow_disks: false,
+    most_states: 2_000_000,
+};
+
 impl Instance {
+    /// The instances that are explored by default, each whole.
+    pub fn suite() -> Vec<Instance> {
+        use Call::{OrderA, OrderB, OrderC, Read, Replace};
+        vec![
+            Instance { calls: vec![(0, OrderA), (1, OrderB), (1, OrderA)], ..PLAIN },
+            Instance { calls: vec![(0, OrderA), (1, OrderB)], crashes: 1, ..PLAIN },
+            Instance { calls: vec![(0, OrderA)], crashes: 1, slow_disks: true, ..PLAIN },
+            Instance { calls: vec![(0, OrderA), (1, OrderB)], lost_disks: 1, ..PLAIN },
+            Instance { calls: vec![(0, OrderA), (1, Replace)], lost_disks: 1, ..PLAIN },
+            Instance { calls: vec![(0, OrderA), (0, OrderC), (1, OrderA)], ..PLAIN },
+            Instance { calls: vec![(0, OrderA), (2, Read)], ..PLAIN },
+            Instance { calls: vec![(0, OrderA), (1, OrderA)], duplicates: 1, ..PLAIN },
+        ]
+    }
+
     /// Calls as on the command line: `1:a,2:b,3:a`.
     ///
     /// # Errors
@@ -81,6 +109,15 @@
     }
 }
 
+impl fmt::Display for Instance {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let calls: Vec<String> =
+            self.calls.iter().map(|(place, call)| format!("{}:{call:?}", place + 1)).collect();
+        write!(f, "calls {}, ticks {}, duplicates {}, ", calls.join(" "), self.ticks, self.duplicates)?;
+        write!(f, "crashes {}, lost disks {}, slow disks {}", self.crashes, self.lost_disks, self.slow_disks)
+    }
+}
+
 fn parse_call(word: &str) -> Option<(usize, Call)> {
     let (node, call) = word.split_once(':')?;
     let place = node.parse::<usize>().ok()?.checked_sub(1).filter(|place| *place < VOTERS.len())?;
