Voters change under a stream of orders: first in line, carried lease, rest that ends

Causes and mends:

- the lease was held on a value's number, and asked for anew with each order: a value with the same voters carries it;
- the change waited behind orders, and for the next tick: it goes first, and again at once when an order came before;
- a proposer's rest after a clash doubled over the whole life, up to 1.6 s, but for its own successes: a decided value ends it;
- a round had 450 ms in all: each half has, or disks that take a quarter of it end no round.

Where one node alone gets orders with no pause at all a successor may still never count: it is asked to hold the newest value, and there is always a newer one.

--- a/crates/linenthread-consensus/src/lease.rs
+++ b/crates/linenthread-consensus/src/lease.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use linenthread_messages::{LeaseRelease, LeaseRequest, LeaseVote};
+use linenthread_messages::{LeaseRelease, LeaseRequest, LeaseVote, Value, Voter};
 
 /// A vote supports the holder for so long, from when the voter hears the request; the holder counts from
 /// when it asked.
@@ -46,6 +46,8 @@
     held: Option<Held>,
     /// The last epoch that it held and lost, or asked for and released.
     past_epoch: u64,
+    /// The newest value's number, and whom it names.
+    newest: (u64, Vec<Voter>),
 }
 
 impl LeaderLease {
@@ -63,6 +65,7 @@
             votes: BTreeSet::new(),
             held: None,
             past_epoch: 0,
+            newest: (0, Vec::new()),
         }
     }
 
@@ -113,6 +116,17 @@
         self.epoch
     }
 
+    /// This value follows the one before: a lease that was given by the same voters holds on it as well, so that
+    /// orders which come without a pause do not keep the holder from changing who votes.
+    pub fn follow(&mut self, value: &Value) {
+        let (number, voters) = &self.newest;
+        let same = number + 1 == value.number && *voters == value.voters;
+        if let Some(held) = self.held.as_mut().filter(|held| same && held.on == *number) {
+            held.on = value.number;
+        }
+        self.newest = (value.number, value.voters.clone());
+    }
+
     /// A value is decided: nothing below its epoch is supported. A disk that counts only from now on has not been
     /// asked so far, and supports nobody while others' earlier support may last.
     pub fn decided(&mut self, now: u64, epoch: u64, counts_anew: bool) {
--- a/crates/linenthread-consensus/src/proposer.rs
+++ b/crates/linenthread-consensus/src/proposer.rs
@@ -102,13 +102,20 @@
         }
     }
 
-    /// Takes a change; false if too many wait.
+    /// Takes a change; false if too many wait. Other voters come before all orders: each value that is decided
+    /// first makes them void.
     pub(crate) fn add(&mut self, job: Job, change: Change, until: u64) -> bool {
-        let room = self.waiting.len() < WAITING_JOBS;
-        if room {
-            self.waiting.push_back(WaitingChange { job, wanted: change.into(), until });
+        let goes_first = matches!(change, Change::Voters { .. });
+        if self.waiting.len() >= WAITING_JOBS && !goes_first {
+            return false;
         }
-        room
+        let waiting = WaitingChange { job, wanted: change.into(), until };
+        if goes_first {
+            self.waiting.push_front(waiting);
+        } else {
+            self.waiting.push_back(waiting);
+        }
+        true
     }
 
     /// Something half done is to be decided.
@@ -200,7 +207,8 @@
     fn propose(&mut self, now: u64, value: Value, decided: &DecidedState, effects: &mut Vec<Effect>) {
         let Some(round) = &mut self.round else { return };
         round.phase = Phase::Accepting { value, accepted_by: BTreeSet::new() };
-        round.last_sent = now;
+        // Each half of a round has its time, or disks that take a quarter of it would end no round.
+        (round.began, round.last_sent) = (now, now);
         send_to_voters(decided, &round.request(), effects);
     }
 
@@ -251,7 +259,8 @@
     /// A value was decided: rounds begin anew, and changes that it settles are answered.
     pub(crate) fn on_decided(&mut self, decided: &DecidedState, effects: &mut Vec<Effect>) {
         (self.round, self.completion_wanted) = (None, false);
-        (self.highest_round, self.rest_until) = (0, 0);
+        // Those who clashed have one less to settle: who lost most often would else wait longest, each time anew.
+        (self.highest_round, self.rest_until, self.clashes) = (0, 0, 0);
         self.waiting.retain(|change| {
             let outcome = settled_by(&change.wanted, decided);
             let settled = outcome.is_some();
--- a/crates/linenthread-control/src/control.rs
+++ b/crates/linenthread-control/src/control.rs
@@ -1142,6 +1142,7 @@
         // The duty is asked for anew, of those who count now.
         self.ticked = 0;
         let counts = value.voters.iter().any(|v| v.id == self.register.id());
+        self.lease.follow(value);
         self.lease.decided(now, value.epoch, counts && !self.counted);
         self.counted = counts;
         let links: Vec<(Link, bool)> = self.peers.iter().map(|(l, p)| (*l, p.hub)).collect();
@@ -1172,6 +1173,10 @@
                 self.voting = false;
                 // Who leaves waits to hear of it.
                 (self.ticked, self.batched) = (0, 0);
+                // An order was decided first: at once again, before the next one.
+                if let Some(epoch) = self.lease.holds(now) {
+                    self.keep_voters(now, epoch, out);
+                }
             }
             None => {}
         }
