--- a/crates/linenthread-control/tests/nodes/busy.rs
+++ b/crates/linenthread-control/tests/nodes/busy.rs
@@ -8,8 +8,8 @@
 /// So long after its start a successor counts.
 const SYNC: u64 = 4_000;
 
-/// Orders at both of these nodes, the next ones as soon as the last are settled, until the time is over; the last
-/// one that was taken.
+/// Orders at both of these nodes, the next ones as soon as the last are settled, until the time is over; the
+/// last one that was taken.
 fn keep_ordering(cluster: &mut Cluster, nodes: [usize; 2], until: u64) -> u64 {
     let mut revision = 0;
     while cluster.now < until {
@@ -26,7 +26,12 @@
     revision
 }
 
-#[parameterized(fast_disks = { 2 }, disks_of_20_ms = { 20 }, disks_of_60_ms = { 60 }, disks_of_110_ms = { 110 })]
+#[parameterized(
+    disks_of_2_ms = { 2 },
+    disks_of_20_ms = { 20 },
+    disks_of_60_ms = { 60 },
+    disks_of_110_ms = { 110 },
+)]
 fn orders_without_a_pause_do_not_hold_up_a_successor(sync_ms: u64) {
     let mut cluster = Cluster::new(4, 3);
     let leader = cluster.leader().expect("one leads");
