--- a/crates/linenthread-control/src/node.rs
+++ b/crates/linenthread-control/src/node.rs
@@ -213,6 +213,7 @@
         // The lease is asked for anew, of those who vote now.
         self.last_tick = 0;
         let votes = value.voters.iter().any(|voter| voter.id == self.register.id());
+        self.lease.follow(value);
         self.lease.decided(now, value.epoch, votes && !self.votes);
         self.votes = votes;
         for link in self.members.links() {
@@ -242,6 +243,10 @@
                 self.changes_voters = false;
                 // Who leaves waits to hear of it.
                 self.hurry();
+                // An order was decided first: at once again, before the next one.
+                if let Some(epoch) = self.lease.holds(now) {
+                    self.keep_voters(now, epoch, effects);
+                }
             }
             None => {}
         }
