--- a/crates/linenthread-control/src/node.rs
+++ b/crates/linenthread-control/src/node.rs
@@ -210,8 +210,8 @@
         for voter in &value.voters {
             self.addresses.learn(now, &voter.address);
         }
-        // The lease is asked for anew, of those who vote now.
-        self.last_tick = 0;
+        // The lease is asked for anew, of those who vote now, before another value is in doubt.
+        self.hurry();
         let votes = value.voters.iter().any(|voter| voter.id == self.register.id());
         self.lease.follow(value);
         self.lease.decided(now, value.epoch, votes && !self.votes);
--- a/crates/linenthread-control/src/voters.rs
+++ b/crates/linenthread-control/src/voters.rs
@@ -29,11 +29,16 @@
 
     /// It leads, and changes the voters, or will as soon as a standby holds all.
     pub(crate) fn reconfigures(&self, now: u64) -> bool {
-        let changes = |number| next_voters(&self.voters_view(now, number)).is_some();
-        let wants = || !self.standbys(now, None).is_empty() || changes(self.value_number());
+        let wants = || !self.standbys(now, None).is_empty() || self.wants_other_voters(now);
         self.lease.holds(now).is_some() && (self.changes_voters || wants())
     }
 
+    /// It leads, and others should vote: the change can be made at once.
+    pub(crate) fn wants_other_voters(&self, now: u64) -> bool {
+        let view = || self.voters_view(now, self.value_number());
+        self.lease.holds(now).is_some() && next_voters(&view()).is_some()
+    }
+
     /// Machines in contact that may vote, do not yet, and stay; with a number only those that may take a vote at
     /// once, since they hold the value of this number on their disks.
     pub(crate) fn standbys(&self, now: u64, number: Option<u64>) -> Vec<Voter> {
