--- a/crates/linenthread-control/src/reconfiguration.rs
+++ b/crates/linenthread-control/src/reconfiguration.rs
@@ -171,8 +171,10 @@
     if view.unanswered {
         return Leave::Wait("not all others know that it leaves");
     }
-    let changes = view.standby || view.reconfiguring;
-    let taken_off = changes || takes_leaver_off(view.voters.len(), view.least);
+    if view.reconfiguring {
+        return Leave::Wait("the voters are being changed");
+    }
+    let taken_off = view.standby || takes_leaver_off(view.voters.len(), view.least);
     if taken_off && view.own_position().is_some() {
         return Leave::Wait("its vote is to be taken off");
     }
--- a/crates/linenthread-control/src/voters.rs
+++ b/crates/linenthread-control/src/voters.rs
@@ -3,6 +3,7 @@
 use linenthread_consensus::Change;
 use linenthread_messages::Voter;
 
+use crate::membership::ControlPeer;
 use crate::reconfiguration::{
     Holder, Leave, LeaveView, Presence, VoterState, VotersView, next_step_of_leaving, next_voters,
 };
@@ -69,11 +70,15 @@
             true => self.leaving.is_some(),
             false => self.members.leaves(voter.id),
         };
+        let replaced = sighting.is_some_and(|sighting| sighting.disk != voter.id && sighting.counts);
+        // Another disk at its address: the old one does not come back, unless its successor is about to vote.
+        let joins = |peer: &ControlPeer| peer.hello.control == voter.address && !peer.leaving;
+        let given_up = replaced && !self.members.contacts(now).any(joins);
         VoterState {
             voter: voter.clone(),
             in_contact,
-            replaced: sighting.is_some_and(|sighting| sighting.disk != voter.id && sighting.counts),
-            lost: !in_contact && now > since + LOST,
+            replaced,
+            lost: !in_contact && (given_up || now > since + LOST),
             leaving: leaves,
         }
     }
