--- a/crates/linenthread-drill/src/system/budget.rs
+++ b/crates/linenthread-drill/src/system/budget.rs
@@ -5,6 +5,8 @@
 //!   it is back: what it had missed is to be on its disk by then.
 //! - One whose disk is lost, and one that is removed for good, stops counting once its successor has had
 //!   [`SYNC`].
+//! - One that is removed before control lets it go, at the end of its grace, may hold what no other has: it
+//!   is a loss like any other, comes within the budget only, and counts for [`SYNC`] from then on.
 //! - Disks are lost within the budget only. Crashes and losses of power that leave the disk, cuts, pauses and
 //!   full disks may take any number: they may hold the system up, but nothing may be lost or go wrong by
 //!   them.
--- a/crates/linenthread-drill/src/system/leaving.rs
+++ b/crates/linenthread-drill/src/system/leaving.rs
@@ -48,12 +48,21 @@
             self.push(self.now + LOOK, Event::MayEnd { node: n, life });
             return;
         }
-        if !may {
-            self.count("left by the end of the grace");
-        }
         match leaving.then {
             AfterLeaving::StartAgain { after } => self.crash(n, End::Kill, Some(after)),
-            AfterLeaving::Removed { successor } => self.remove(n, successor),
+            AfterLeaving::Removed { .. } if !may && !self.may_lose_one() => {
+                self.push(self.now + LOOK, Event::MayEnd { node: n, life });
+                return;
+            }
+            AfterLeaving::Removed { successor } => {
+                self.remove(n, successor);
+                if !may {
+                    self.count_lost(n, self.now);
+                }
+            }
+        }
+        if !may {
+            self.count("left by the end of the grace");
         }
     }
 
