--- a/crates/linenthread-checker/src/step.rs
+++ b/crates/linenthread-checker/src/step.rs
@@ -15,7 +15,7 @@
 
 /// One thing that may happen next. Nodes are named by place, messages and calls by their index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Action {
+pub enum Action {
     Deliver(u16),
     DeliverAndKeep(u16),
     Make(u8),
