--- a/crates/linenthread-demo/src/rounds/replacement.rs
+++ b/crates/linenthread-demo/src/rounds/replacement.rs
@@ -18,7 +18,7 @@
     AnyTime,
 }
 
-/// A new node is counted within this time.
+/// A new node is in touch, or counted, within this time.
 const JOIN: Duration = Duration::from_secs(10);
 /// A node that was asked to end has ended within its grace (`limits_table.grace_s`) and a second.
 const GRACE: Duration = Duration::from_secs(7);
@@ -38,8 +38,8 @@
     let writer = Writer::start(cluster.control(), first, &SERVICES, PAUSE);
     let joined = cluster.add_control_node()?;
     writer.know(cluster.control());
-    let counted = is_counted(&cluster, &rest[0], &joined);
-    findings.check(counted, "the new node is counted", || joined.clone());
+    let ready = is_in_touch(&cluster, &rest[0], &joined);
+    findings.check(ready, "the new node is in touch and serves reads", || joined.clone());
 
     cluster.signal(&leaving, Signal::Terminate);
     if loss == Loss::AfterEnd {
@@ -57,6 +57,10 @@
     let Some(written) = writer.stop() else { return Ok(findings) };
     check_written(&mut findings, &written, &survivors);
     let next = check_next_order(&mut findings, &written, &survivors);
+    let counted = is_counted(&cluster, &rest[0], &joined, true);
+    findings.check(counted, "the new node is counted once the old one has left", || joined.clone());
+    let off = is_counted(&cluster, &rest[0], &leaving, false);
+    findings.check(off, "the old node is not counted any more", || leaving.clone());
     findings.note(format!("{leaving} was replaced by {joined}, {lost} was lost"));
     for name in [&leaving, &joined, &rest[0]] {
         for line in cluster.lines_of(name, &REPLACEMENT_EVENTS) {
@@ -65,7 +69,7 @@
     }
 
     cluster.run(&lost)?;
-    let counted = is_counted(&cluster, &rest[0], &lost);
+    let counted = is_counted(&cluster, &rest[0], &lost, true);
     findings.check(counted, "the node that lost its disk is counted again", || lost.clone());
     let back: Vec<_> = cluster.control_of(&lost).into_iter().collect();
     let seen = read_anywhere(&back, BOUND);
@@ -74,12 +78,22 @@
     Ok(findings)
 }
 
-/// Whether a node's address is among the counted ones, as another one knows them, in time.
-fn is_counted(cluster: &Cluster, asked: &str, name: &str) -> bool {
+/// Whether a new node has a session with another one, is in contact, and answers a read, in time.
+fn is_in_touch(cluster: &Cluster, asked: &str, name: &str) -> bool {
+    let Some(peer) = cluster.control_of(name) else { return false };
+    let address = peer.to_string();
+    let known = cluster.wait_members(asked, JOIN, |members| {
+        members["hubs"].as_array().is_some_and(|all| all.iter().any(|peer| peer["control"] == *address))
+    });
+    known && cluster.wait_members(name, JOIN, |m| m["whole"] == true) && read_anywhere(&[peer], BOUND).is(200)
+}
+
+/// Whether a node's address is among the counted ones, or is not, as another one knows them, in time.
+fn is_counted(cluster: &Cluster, asked: &str, name: &str, wanted: bool) -> bool {
     let Some(address) = cluster.control_of(name) else { return false };
     let address = address.to_string();
     cluster.wait_members(asked, JOIN, |members| {
-        members["counted"].as_array().is_some_and(|all| all.iter().any(|a| *a == *address))
+        members["counted"].as_array().is_some_and(|all| all.iter().any(|a| *a == *address) == wanted)
     })
 }
 
