--- a/crates/linenthread-control/src/configuration.rs
+++ b/crates/linenthread-control/src/configuration.rs
@@ -6,7 +6,7 @@
 use crate::fronts::Source;
 use crate::requests::Purpose;
 use crate::timing::CALL;
-use crate::{Answer, Control, Effect, Link, Token};
+use crate::{Control, Effect, Link, Token};
 
 /// A document may take a millisecond more for so many bytes.
 const BYTES_A_MS: u64 = 1_000;
@@ -23,7 +23,7 @@
         effects: &mut Vec<Effect>,
     ) {
         self.awake(now, effects);
-        if let Some(answer) = self.refusal_of_round(now).or_else(|| self.way_for_voters(now)) {
+        if let Some(answer) = self.refusal_of_round(now) {
             effects.push(Effect::Answer { token, answer });
             return;
         }
@@ -33,16 +33,6 @@
         self.agree(now, |register, agreed| register.propose(now, job, change, until, agreed), effects);
     }
 
-    /// Orders make way for a change of the voters, which would else lose against one after another of them: while
-    /// the leader is about to change the voters it alone takes orders, and none while the change is on its way.
-    fn way_for_voters(&self, now: u64) -> Option<Answer> {
-        if self.changes_voters || self.wants_other_voters(now) {
-            return Some(Answer::NotNow("the voters are being changed"));
-        }
-        let leader = self.members.contacts(now).find(|peer| peer.reconfiguring && peer.takes_calls(now))?;
-        Some(Answer::Elsewhere(leader.hello.control.clone()))
-    }
-
     /// An operator reads the newest configuration.
     pub fn read(&mut self, now: u64, token: Token, effects: &mut Vec<Effect>) {
         self.awake(now, effects);
