Proposer: a rest after a clash goes by how long the voters take

The rest is drawn from the time that the voters took for the last half of a round, where that is longer, and doubles as before up to the same 1.6 s.

Test: contention.rs, a_rest_goes_by_how_long_the_voters_take.

--- a/crates/linenthread-consensus/src/proposer.rs
+++ b/crates/linenthread-consensus/src/proposer.rs
@@ -14,6 +14,8 @@
 /// Two proposers that clash wait up to so long, more with each clash.
 const BACK_OFF: u64 = 25;
 const MOST_DOUBLINGS: u32 = 6;
+/// No rest is longer, in milliseconds.
+const LONGEST_REST: u64 = BACK_OFF << MOST_DOUBLINGS;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct WaitingChange {
@@ -91,6 +93,8 @@
     /// No round before this.
     rest_until: u64,
     clashes: u32,
+    /// How long the voters took for the last half of a round: who rests for less clashes again.
+    pace: u64,
     highest_round: u64,
     /// Something was seen to be half done.
     completion_wanted: bool,
@@ -105,6 +109,7 @@
             round: None,
             rest_until: 0,
             clashes: 0,
+            pace: 0,
             highest_round: 0,
             completion_wanted: false,
             back_off: BackOff(Rand64::new(u128::from(life))),
@@ -205,6 +210,7 @@
         if !decided.is_most(promised_by.iter().copied()) {
             return;
         }
+        self.pace = now.saturating_sub(round.began);
         let half_done = newest_accepted.take().map(|accepted| accepted.value);
         match half_done.or_else(|| self.next_value(decided, effects)) {
             Some(value) => self.propose(now, value, decided, effects),
@@ -260,7 +266,7 @@
         if self.round.as_ref().is_some_and(|round| round.ballot < rejected.promised) {
             self.round = None;
             self.clashes = (self.clashes + 1).min(MOST_DOUBLINGS);
-            let most = BACK_OFF << self.clashes;
+            let most = (self.pace.max(BACK_OFF) << self.clashes).min(LONGEST_REST);
             self.rest_until = now + 1 + self.back_off.0.rand_range(0..most);
         }
     }
--- a/crates/linenthread-consensus/tests/contention.rs
+++ b/crates/linenthread-consensus/tests/contention.rs
@@ -72,3 +72,20 @@
     let (again, _) = next_round(&mut register, 1_401);
     assert!(again >= 1_850, "given up after {} ms", again - 1_400);
 }
+
+/// Voters that take 240 ms for half a round: the next ones that clash come apart by more than the least rest.
+#[test]
+fn a_rest_goes_by_how_long_the_voters_take() {
+    let rest = |seed| {
+        let mut register = Register::new(1, DurableState::default(), Some(value(0)), seed);
+        let ballot = begun(&wants_other_voters(&mut register, 1_000)).expect("a round begins");
+        for from in [2, 3] {
+            let promise = Promise { number: 1, ballot, accepted: None };
+            register.on_message(1_240, from, PeerMessage::Promise(promise), &mut Vec::new());
+        }
+        reject(&mut register, 1_300, 1, ballot);
+        next_round(&mut register, 1_301).0 - 1_300
+    };
+    let longest = (1..50).map(rest).max().expect("some");
+    assert!((100..=481).contains(&longest), "{longest} ms");
+}
