--- a/crates/linenthread-ci/src/bin/linenthread-known-red.rs
+++ b/crates/linenthread-ci/src/bin/linenthread-known-red.rs
@@ -1,5 +1,5 @@
-//! `linenthread-known-red`: judges a run of `cargo test` against `KNOWN-RED.txt`. Exit codes: 0 only listed tests
-//! failed, and all of them; 1 anything else; 2 a file can't be read.
+//! `linenthread-known-red`: judges a run of `cargo test` against `KNOWN-RED.txt`. Exit codes: 0 only listed
+//! tests failed, and all of them; 1 anything else; 2 a file can't be read.
 
 use std::path::Path;
 use std::process::ExitCode;
--- a/crates/linenthread-ci/tests/known_red.rs
+++ b/crates/linenthread-ci/tests/known_red.rs
@@ -3,11 +3,22 @@
 use linenthread_ci::{Fault, KnownFault, Report, judge, read_known, read_output, read_programs};
 use yare::parameterized;
 
-/// Two packages with a target of the same name, and a library.
-const PROGRAMS: &str = r#"{"reason":"compiler-artifact","package_id":"path+file:///r/crates/left#0.1.0","target":{"name":"system"},"profile":{"test":true},"executable":"/r/target/debug/deps/system-1"}
-{"reason":"compiler-artifact","package_id":"path+file:///r/crates/r#right@0.1.0","target":{"name":"system"},"profile":{"test":true},"executable":"/r/target/debug/deps/system-2"}
-{"reason":"compiler-artifact","package_id":"path+file:///r/crates/left#0.1.0","target":{"name":"left"},"profile":{"test":false},"executable":"/r/target/debug/left"}
-{"reason":"build-finished","success":true}"#;
+/// Cargo's message of one program that it built.
+fn artifact(id: &str, target: &str, is_test: bool, executable: &str) -> String {
+    format!(r#"{{"reason":"compiler-artifact","package_id":"{id}","target":{{"name":"{target}"}},"#)
+        + &format!(r#""profile":{{"test":{is_test}}},"executable":"/r/target/debug/{executable}"}}"#)
+        + "\n"
+}
+
+/// Two packages with a target of the same name, and a program that is no test.
+fn programs() -> String {
+    let left = "path+file:///r/crates/left#0.1.0";
+    let right = "path+file:///r/crates/r#right@0.1.0";
+    artifact(left, "system", true, "deps/system-1")
+        + &artifact(right, "system", true, "deps/system-2")
+        + &artifact(left, "left", false, "left")
+        + r#"{"reason":"build-finished","success":true}"#
+}
 
 fn program(file: &str, tests: &[(&str, &str)]) -> String {
     let failed = tests.iter().filter(|t| t.1 == "FAILED").count();
@@ -34,7 +45,7 @@
 }
 
 fn verdict_of(known: &str, text: &str, status: i32) -> Report {
-    judge(&read_known(known).unwrap(), &read_programs(PROGRAMS).unwrap(), &read_output(text), status)
+    judge(&read_known(known).unwrap(), &read_programs(&programs()).unwrap(), &read_output(text), status)
 }
 
 const RED: &str = "left::system::a | the fault | 43\n";
--- a/crates/linenthread-demo/src/cluster.rs
+++ b/crates/linenthread-demo/src/cluster.rs
@@ -252,8 +252,8 @@
         Ok(())
     }
 
-    /// Sends a configuration until a control node has taken it: routes of one index over some services, and of
-    /// single ones.
+    /// Sends a configuration until a control node has taken it: routes of one index over some services,
+    /// and of single ones.
     ///
     /// # Errors
     /// No control node could be asked.
--- a/crates/linenthread-demo/src/lib.rs
+++ b/crates/linenthread-demo/src/lib.rs
@@ -1,6 +1,6 @@
-//! The system at work on loopback: control nodes and fronts as real processes, each at an address of its own in
-//! 127.0.0.0/8, stand-in replicas that note what they ran and misbehave on cue, calls as clients and operators
-//! make them, and rounds that bring about the worst days of a deployment.
+//! The system at work on loopback: control nodes and fronts as real processes, each at an address of its own
+//! in 127.0.0.0/8, stand-in replicas that note what they ran and misbehave on cue, calls as clients and
+//! operators make them, and rounds that bring about the worst days of a deployment.
 
 mod cluster;
 mod log_lines;
--- a/crates/linenthread-demo/src/machine.rs
+++ b/crates/linenthread-demo/src/machine.rs
@@ -86,7 +86,8 @@
                 self.state().display()
             ),
             Role::Front => format!(
-                "bind.ingress={ip}:{INGRESS_PORT}\nbind.readiness={ip}:{READINESS_PORT}\nquorum_member=false\n"
+                "bind.ingress={ip}:{INGRESS_PORT}\nbind.readiness={ip}:{READINESS_PORT}\n\
+                 quorum_member=false\n"
             ),
         };
         format!(
--- a/crates/linenthread-demo/src/main.rs
+++ b/crates/linenthread-demo/src/main.rs
@@ -1,6 +1,6 @@
-//! `linenthread-demo`: the system at work on this machine. Three control nodes, two fronts and six stand-in replicas
-//! of three services on loopback; a merged answer; a control node that loses its disk, a replica and a front that are
-//! killed. `linenthread-demo rounds` plays the worst days of a deployment instead.
+//! `linenthread-demo`: the system at work on this machine. Three control nodes, two fronts and six stand-in
+//! replicas of three services on loopback; a merged answer; a control node that loses its disk, a replica and
+//! a front that are killed. `linenthread-demo rounds` plays the worst days of a deployment instead.
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
--- a/crates/linenthread-demo/src/replica.rs
+++ b/crates/linenthread-demo/src/replica.rs
@@ -1,5 +1,5 @@
-//! Stand-in replicas: they answer with their service's records, note what they ran, beat at the control nodes, and
-//! misbehave on cue.
+//! Stand-in replicas: they answer with their service's records, note what they ran, beat at the control
+//! nodes, and misbehave on cue.
 
 mod connection;
 mod misbehaviour;
--- a/crates/linenthread-demo/src/rounds.rs
+++ b/crates/linenthread-demo/src/rounds.rs
@@ -1,5 +1,5 @@
-//! Rounds of the worst days: each scenario starts a cluster of its own, brings one kind of trouble about, with
-//! instants drawn at random, and judges what callers have seen.
+//! Rounds of the worst days: each scenario starts a cluster of its own, brings one kind of trouble about,
+//! with instants drawn at random, and judges what callers have seen.
 
 mod catch_up;
 mod frozen;
@@ -22,7 +22,7 @@
 /// One kind of trouble.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scenario {
-    /// Point 1: a control node is stopped for longer than every lease and goes on with calls that wait for it.
+    /// Point 1: a control node is stopped for longer than every lease, and wakes with calls waiting.
     FrozenNode,
     /// Point 1: two of three control nodes are stopped.
     Minority,
@@ -78,7 +78,7 @@
             Scenario::LateRepeat => operators::play_late_repeat(program, scale, random),
             Scenario::LossAfterReplacement => replacement::play(program, replacement::Loss::AfterEnd, random),
             Scenario::LossDuringReplacement => replacement::play(program, replacement::Loss::AnyTime, random),
-            Scenario::RollingRestart => restarts::play(program),
+            Scenario::RollingRestart => restarts::play(program, random),
             Scenario::CatchUp => catch_up::play(program, scale, random),
             Scenario::WrongAnswers => wrong_answers::play(program, scale, random),
         }
--- a/crates/linenthread-demo/src/rounds/catch_up.rs
+++ b/crates/linenthread-demo/src/rounds/catch_up.rs
@@ -1,5 +1,5 @@
-//! Point 4: a control node that was down for many changes comes back: it catches up soon, reads are never old, its
-//! disk stays small, and with it and one other the system goes on.
+//! Point 4: a control node that was down for many changes comes back: it catches up soon, reads are never
+//! old, its disk stays small, and with it and one other the system goes on.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
--- a/crates/linenthread-demo/src/rounds/frozen.rs
+++ b/crates/linenthread-demo/src/rounds/frozen.rs
@@ -1,5 +1,5 @@
-//! Point 1: a control node is stopped for longer than every lease while the others acknowledge a new configuration.
-//! When it goes on, calls wait on its sockets: it answers none of them by what it held before.
+//! Point 1: a control node is stopped for longer than every lease while the others acknowledge a new
+//! configuration. When it goes on, calls wait on its sockets: it answers none of them by what it held before.
 
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/linenthread-demo/src/rounds/minority.rs
+++ b/crates/linenthread-demo/src/rounds/minority.rs
@@ -1,5 +1,5 @@
-//! Point 1: two of three control nodes are stopped. The third can know nothing for sure: it confirms nothing, refuses
-//! nothing as settled, and says so soon; traffic goes on by the last table.
+//! Point 1: two of three control nodes are stopped. The third can know nothing for sure: it confirms nothing,
+//! refuses nothing as settled, and says so soon; traffic goes on by the last table.
 
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/linenthread-demo/src/rounds/replacement.rs
+++ b/crates/linenthread-demo/src/rounds/replacement.rs
@@ -1,5 +1,5 @@
-//! Point 3: a control node is replaced as planned: a new one joins with an empty disk, the old one is asked to end.
-//! Right after its end, or at any instant of it, another one is killed and its disk lost.
+//! Point 3: a control node is replaced as planned: a new one joins with an empty disk, the old one is asked
+//! to end. Right after its end, or at any instant of it, another one is killed and its disk lost.
 
 use std::path::Path;
 use std::time::Duration;
--- a/crates/linenthread-demo/src/rounds/wrong_answers.rs
+++ b/crates/linenthread-demo/src/rounds/wrong_answers.rs
@@ -1,5 +1,5 @@
-//! Point 5: replicas answer twice, late, without id, as another, cut, or not at all. A caller gets its own answer
-//! or is told that there is none; a request that must not be repeated runs at most once.
+//! Point 5: replicas answer twice, late, without id, as another, cut, or not at all. A caller gets its own
+//! answer or is told that there is none; a request that must not be repeated runs at most once.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/linenthread-node/tests/worst_days.rs
+++ b/crates/linenthread-node/tests/worst_days.rs
@@ -1,5 +1,6 @@
-//! The worst days that users have met with systems of this kind, on real processes: a few rounds each. What each
-//! scenario does and judges stands in `linenthread-demo`; `linenthread-demo rounds` plays them for longer.
+//! The worst days that users have met with systems of this kind, on real processes: a few rounds each. What
+//! each scenario does and judges stands in `linenthread-demo`; `linenthread-demo rounds` plays them for
+//! longer.
 
 use std::path::Path;
 
@@ -28,7 +29,8 @@
     holds(Scenario::Minority, 2);
 }
 
-/// Point 2: of two orders under one number one is taken and the other refused, by every node, after restarts too.
+/// Point 2: of two orders under one number one is taken and the other refused, by every node, also after
+/// restarts.
 #[test]
 fn of_two_orders_under_one_number_one_is_taken() {
     holds(Scenario::TwoOperators, 3);
