--- a/crates/linenthread-dataplane-sim/src/fate.rs
+++ b/crates/linenthread-dataplane-sim/src/fate.rs
@@ -91,6 +91,8 @@
         with_id: bool,
         closes: bool,
     },
+    /// It says so, and once more when the next request is due there.
+    RejectedTwice,
     /// The connection goes silent.
     Silent {
         ran: bool,
@@ -134,7 +136,7 @@
             return RequestFate::Answer;
         }
         let ran = chance.per_mille(500);
-        match chance.below(14) {
+        match chance.below(15) {
             0..=4 => RequestFate::AnswerTwice(stray(chance), stray_time(chance)),
             5 => RequestFate::AnswerWithoutId,
             6 => RequestFate::AnswerOfAnother,
@@ -144,6 +146,7 @@
             10 => RequestFate::Silent { ran },
             11 => RequestFate::Reset { ran },
             12 => RequestFate::Closed { ran },
+            13 => RequestFate::RejectedTwice,
             _ => RequestFate::Half { per_mille: chance.below(1_000), end: half_end(chance) },
         }
     }
--- a/crates/linenthread-dataplane-sim/src/replica.rs
+++ b/crates/linenthread-dataplane-sim/src/replica.rs
@@ -256,6 +256,10 @@
                     self.state = State::Forgotten;
                 }
             }
+            RequestFate::RejectedTwice => {
+                inbound.push(after, Event::Bytes(rejection(&request.attempt)));
+                self.stray = Some(rejection(&request.attempt));
+            }
             RequestFate::Silent { ran } => {
                 if ran {
                     self.run(request, "");
