--- a/crates/linenthread-control/src/allotments.rs
+++ b/crates/linenthread-control/src/allotments.rs
@@ -22,8 +22,8 @@
         Allotter { budget, first_of_all, last_epoch: None, answered: BTreeMap::new() }
     }
 
-    /// The lease is this node's from now on. Under the very next epoch nobody can have held it in between: what
-    /// this node allotted is all there is.
+    /// The lease is this node's from now on. Under the very next epoch nobody can have held it in between:
+    /// what this node allotted is all there is.
     pub(crate) fn on_lease(&mut self, now: u64, epoch: u64) {
         if self.last_epoch != Some(epoch - 1) {
             self.budget.begin(now, self.first_of_all && epoch == 1);
--- a/crates/linenthread-control/src/contact.rs
+++ b/crates/linenthread-control/src/contact.rs
@@ -17,8 +17,8 @@
         self.register.is_most(self.disks_in_contact(now))
     }
 
-    /// Runs before all that comes: after a pause everything that rests on contact is stale, so all sessions end
-    /// and what waited is answered as unclear before anything else is.
+    /// Runs before all that comes: after a pause everything that rests on contact is stale, so all sessions
+    /// end and what waited is answered as unclear before anything else is.
     pub(crate) fn awake(&mut self, now: u64, effects: &mut Vec<Effect>) {
         let paused = now.saturating_sub(self.active);
         self.active = now;
--- a/crates/linenthread-control/src/drains.rs
+++ b/crates/linenthread-control/src/drains.rs
@@ -1,4 +1,5 @@
-//! Calls of replicas that drain or depart, each acknowledged when a majority of the voters' machines know of it.
+//! Calls of replicas that drain or depart, each acknowledged when a majority of the voters' machines know of
+//! it.
 
 use std::collections::BTreeSet;
 
--- a/crates/linenthread-control/src/lib.rs
+++ b/crates/linenthread-control/src/lib.rs
@@ -11,8 +11,8 @@
 //!
 //! What it does with them: `node` (agreement, time), `sessions`
 //! (routing), `contact` (what may be said without a majority,
-//! or after a freeze), `replica_calls`, `configuration` (orders, reads, updates of fronts), `leader` (the lease),
-//! `voters` (who votes, leaving) by the pure decisions of [`reconfiguration`].
+//! or after a freeze), `replica_calls`, `configuration` (orders, reads, updates of fronts), `leader` (the
+//! lease), `voters` (who votes, leaving) by the pure decisions of [`reconfiguration`].
 
 mod allotments;
 mod budget;
--- a/crates/linenthread-control/src/node.rs
+++ b/crates/linenthread-control/src/node.rs
@@ -1,5 +1,5 @@
-//! A control node as one state machine: it owns the tables, routes each message to one of them, and drives the
-//! register and the leader lease.
+//! A control node as one state machine: it owns the tables, routes each message to one of them, and drives
+//! the register and the leader lease.
 
 use std::collections::VecDeque;
 
--- a/crates/linenthread-control/src/reconfiguration.rs
+++ b/crates/linenthread-control/src/reconfiguration.rs
@@ -25,16 +25,16 @@
     pub least: usize,
 }
 
-/// Whether one voter of so many may be down for good with the fault budget left whole: a majority is there after
-/// as many more losses as the least set of voters bears.
+/// Whether one voter of so many may be down for good with the fault budget left whole: a majority is there
+/// after as many more losses as the least set of voters bears.
 fn bears_one_down(voters: usize, least: usize) -> bool {
     let majority = voters / 2 + 1;
     let budget = least.saturating_sub(1) / 2;
     voters > majority + budget
 }
 
-/// Whether a voter that leaves is first taken off, with no standby there: the set is large enough without it, and
-/// would not bear what it should with it counted and down.
+/// Whether a voter that leaves is first taken off, with no standby there: the set is large enough without it,
+/// and would not bear what it should with it counted and down.
 pub fn takes_leaver_off(voters: usize, least: usize) -> bool {
     voters > least && !bears_one_down(voters, least)
 }
@@ -44,9 +44,9 @@
         self.standbys.iter().find(|standby| standby.address == address)
     }
 
-    /// Whether one more voter makes the set safer: up to the least set, from an even number to an odd one, or as the
-    /// first of two. One beside an odd number would only raise the majority, as it would beside a voter that may be
-    /// down: it stands by, for the place of the next one that leaves or is lost.
+    /// Whether one more voter makes the set safer: up to the least set, from an even number to an odd one, or
+    /// as the first of two. One beside an odd number would only raise the majority, as it would beside a
+    /// voter that may be down: it stands by, for the place of the next one that leaves or is lost.
     fn wants_one_more(&self) -> bool {
         let count = self.voters.len();
         let odd_or_least = count < self.least || count.is_multiple_of(2) || self.standbys.len() > 1;
@@ -61,8 +61,8 @@
     }
 }
 
-/// The next value's voters, at most one machine away from the present ones; none where they are as they should
-/// be. A leaving voter is swapped for a standby, or taken off where [`takes_leaver_off`] says so.
+/// The next value's voters, at most one machine away from the present ones; none where they are as they
+/// should be. A leaving voter is swapped for a standby, or taken off where [`takes_leaver_off`] says so.
 pub fn next_voters(view: &VotersView) -> Option<Vec<Voter>> {
     let mut next: Vec<Voter> = view.voters.iter().map(|v| v.voter.clone()).collect();
     let Some(outgoing) = view.outgoing() else {
@@ -135,8 +135,8 @@
     }
 
     /// Whether the voter at this position will go on holding what this machine leaves behind. Of several that
-    /// leave at once the first in order goes first, and the later ones wait for its return. Where nobody stays,
-    /// what the disks hold is all that can be had.
+    /// leave at once the first in order goes first, and the later ones wait for its return. Where nobody
+    /// stays, what the disks hold is all that can be had.
     fn stays(&self, position: usize, nobody_stays: bool) -> bool {
         match self.voters[position].presence {
             Presence::InContact => true,
--- a/crates/linenthread-control/src/voters.rs
+++ b/crates/linenthread-control/src/voters.rs
@@ -40,8 +40,8 @@
         self.lease.holds(now).is_some() && next_voters(&view()).is_some()
     }
 
-    /// Machines in contact that may vote, do not yet, and stay; with a number only those that may take a vote at
-    /// once, since they hold the value of this number on their disks.
+    /// Machines in contact that may vote, do not yet, and stay; with a number only those that may take a vote
+    /// at once, since they hold the value of this number on their disks.
     pub(crate) fn standbys(&self, now: u64, number: Option<u64>) -> Vec<Voter> {
         let own = Voter { id: self.register.id(), address: self.local.control.clone() };
         let own_ready = self.local.counts && self.leaving.is_none() && self.durable.value >= number;
@@ -99,8 +99,8 @@
         self.hurry();
     }
 
-    /// Whether this control node may end now: others hold durably what it holds, and it leads no more. Who has
-    /// been told so must end without a further message: others may go because this node was still to go.
+    /// Whether this control node may end now: others hold durably what it holds, and it leads no more. Who
+    /// has been told so must end without a further message: others may go because this node was still to go.
     pub fn may_leave(&self, now: u64) -> bool {
         self.leaving.is_some() && self.next_step_of_leaving(now) == Leave::Go
     }
--- a/crates/linenthread-control/tests/nodes/cluster.rs
+++ b/crates/linenthread-control/tests/nodes/cluster.rs
@@ -1,5 +1,5 @@
-//! A few control nodes stepped by hand in one clock: messages take a millisecond, disks forget what they have not
-//! synced, links can be cut in one direction, nodes can be frozen.
+//! A few control nodes stepped by hand in one clock: messages take a millisecond, disks forget what they have
+//! not synced, links can be cut in one direction, nodes can be frozen.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/linenthread-control/tests/nodes/leaving.rs
+++ b/crates/linenthread-control/tests/nodes/leaving.rs
@@ -144,9 +144,9 @@
     assert!(cluster.voters(leader).len() == 3 && !cluster.voters(leader).contains(&address(lost)));
 }
 
-/// A voter leaves for good while its successor joins; at some moment of it, or after it, as many others as the
-/// core bears are lost with their disks and all others lose power. What was acknowledged is there, and changes are
-/// acknowledged again.
+/// A voter leaves for good while its successor joins; at some moment of it, or after it, as many others as
+/// the core bears are lost with their disks and all others lose power. What was acknowledged is there, and
+/// changes are acknowledged again.
 #[parameterized(fast = { 2, 2 }, slow_voter = { 300, 2 }, slow_joiner = { 2, 300 }, all_slow = { 100, 100 })]
 fn a_second_loss_at_any_moment_of_a_planned_replacement_costs_nothing(voter_sync: u64, joiner_sync: u64) {
     for moment in (0..3_000).step_by(60) {
--- a/crates/linenthread-control/tests/reconfiguration.rs
+++ b/crates/linenthread-control/tests/reconfiguration.rs
@@ -10,7 +10,8 @@
     Voter { id, address: format!("address {id}") }
 }
 
-/// Voters 1, 2, 3 and so on: `+` as they should be, `s` silent for a moment, `l` lost, `g` leaving, `r` replaced at their address.
+/// Voters 1, 2, 3 and so on: `+` as they should be, `s` silent for a moment, `l` lost, `g` leaving, `r`
+/// replaced at their address.
 fn view(states: &str, standbys: &[u64], least: usize) -> VotersView {
     let state = |(i, c): (usize, char)| VoterState {
         voter: voter(i as u64 + 1),
