--- a/crates/linenthread-consensus/src/durability.rs
+++ b/crates/linenthread-consensus/src/durability.rs
@@ -16,6 +16,8 @@
     /// Records of the ledger in this life: handed over, and synced without one missing in between.
     ledger_handed_over: u64,
     ledger_synced: u64,
+    /// The last record that told of new orders: those behind it say the same once more, and each of them is whole.
+    ledger_needed: u64,
     /// The last record that holds the whole ledger: all before it may be missing.
     ledger_whole: u64,
     /// When a value, and when a record of the ledger, was last handed over.
@@ -31,6 +33,7 @@
             number,
             ledger_handed_over: 0,
             ledger_synced: 0,
+            ledger_needed: 0,
             ledger_whole: 0,
             value_at: 0,
             ledger_at: 0,
@@ -45,7 +48,7 @@
 
     /// Whether all records of the ledger are synced.
     pub(crate) fn holds_ledger(&self) -> bool {
-        self.ledger_synced == self.ledger_handed_over
+        self.ledger_synced >= self.ledger_needed
     }
 
     /// Whether the value of this number and all records of the ledger are synced.
@@ -62,6 +65,11 @@
 
     /// Hands orders that were fetched over to the disk.
     pub(crate) fn keep_orders(&mut self, now: u64, orders: Vec<OrderIdentity>, effects: &mut Vec<Effect>) {
+        self.ledger_needed = self.ledger_handed_over + 1;
+        self.keep_ledger(now, orders, effects);
+    }
+
+    fn keep_ledger(&mut self, now: u64, orders: Vec<OrderIdentity>, effects: &mut Vec<Effect>) {
         self.ledger_at = now;
         self.ledger_handed_over += 1;
         let record = Record { ledger: orders, ..Record::default() };
@@ -77,7 +85,8 @@
     pub(crate) fn on_synced(&mut self, synced: &Synced) {
         self.number = self.number.max(synced.number);
         let next = self.ledger_synced + 1;
-        if synced.ledger_record == next || synced.ledger_record == self.ledger_whole {
+        let is_whole = synced.ledger_record > self.ledger_needed || synced.ledger_record == self.ledger_whole;
+        if synced.ledger_record == next || is_whole {
             self.ledger_synced = self.ledger_synced.max(synced.ledger_record);
         }
     }
@@ -106,6 +115,6 @@
         effects: &mut Vec<Effect>,
     ) {
         self.ledger_whole = self.ledger_handed_over + 1;
-        self.keep_orders(now, orders, effects);
+        self.keep_ledger(now, orders, effects);
     }
 }
--- a/crates/linenthread-control/tests/nodes/leaving.rs
+++ b/crates/linenthread-control/tests/nodes/leaving.rs
@@ -117,7 +117,7 @@
 fn a_machine_votes_only_once_its_disk_holds_the_newest_value() {
     let mut cluster = Cluster::new(4, 3);
     assert_eq!(cluster.order_until_answered(1_000, 0, 1), Some(Answer::Taken(1)));
-    cluster.nodes[3].sync_ms = 2_000;
+    cluster.nodes[3].sync_ms = 4_000;
     cluster.start(3);
     cluster.run(1_500);
     let newest = |c: &Cluster, n: usize| c.control(n).register().decided().map(|v| v.number);
@@ -126,8 +126,8 @@
     let leaver = (leader + 1) % 3;
     leave(&mut cluster, leaver);
     let joined = |c: &Cluster| c.voters(leader).contains(&address(3));
-    assert!(!cluster.run_until(300, joined), "its disk does not hold it yet");
-    assert!(cluster.run_until(8_000, joined));
+    assert!(!cluster.run_until(1_500, joined), "its disk does not hold it yet");
+    assert!(cluster.run_until(12_000, joined));
     assert_eq!(cluster.voters(leader).len(), 3);
 }
 
