--- a/crates/linenthread-drill/src/system/budget.rs
+++ b/crates/linenthread-drill/src/system/budget.rs
@@ -1,6 +1,7 @@
 //! The budget of losses: what the troubles assume, all in one place.
 //!
-//! - `(core - 1) / 2` machines may be lost at once, of those that count: so many losses leave a majority.
+//! - `(core - 1) / 2` machines may be lost at once, of those that count: so many losses leave a majority. Until the
+//!   whole core counts for the first time, three of it at the very start, fewer may: as many as those bear.
 //! - A machine is lost while it is down, frozen, slowed, cut off or its disk is full, and for [`SYNC`] after
 //!   it is back: what it had missed is to be on its disk by then.
 //! - One whose disk is lost, and one that is removed for good, stops counting once its successor has had
@@ -38,7 +39,9 @@
 
     /// One more disk may be lost.
     pub(super) fn may_lose_one(&self) -> bool {
-        self.lost() < self.budget
+        let most_voters = self.values.values().map(|value| value.voters.len()).max().unwrap_or(0);
+        let borne = most_voters.saturating_sub(1) / 2;
+        self.lost() < self.budget.min(borne)
     }
 
     /// How many are down or without the disk that they had.
