--- a/crates/linenthread-consensus/src/decided_state.rs
+++ b/crates/linenthread-consensus/src/decided_state.rs
@@ -124,6 +124,7 @@
     /// The value that other voters make of the newest one.
     pub(crate) fn with_voters(&self, voters: &[Voter], epoch: u64) -> Option<Value> {
         let value = self.value.as_ref()?;
-        Some(Value { number: value.number + 1, voters: voters.to_vec(), epoch, ..value.clone() })
+        let number = value.number + 1;
+        Some(Value { number, voters: voters.to_vec(), voters_since: number, epoch, ..value.clone() })
     }
 }
--- a/crates/linenthread-consensus/src/lease.rs
+++ b/crates/linenthread-consensus/src/lease.rs
@@ -127,6 +127,13 @@
         self.newest = (value.number, value.voters.clone());
     }
 
+    /// Whether the voters changed between the newest value here and this one, in values that this node passes over: it
+    /// may have been taken off and counted again without knowing, and others may have come to hold the lease.
+    pub fn misses_change_of_voters(&self, value: &Value) -> bool {
+        let (number, _) = &self.newest;
+        value.number > number + 1 && value.voters_since > *number
+    }
+
     /// A value is decided: nothing below its epoch is supported. A disk that counts only from now on has not been
     /// asked so far, and supports nobody while others' earlier support may last: not even whom it supported when it
     /// last counted, since another may have come to hold the lease without it.
--- a/crates/linenthread-consensus/tests/lease_release.rs
+++ b/crates/linenthread-consensus/tests/lease_release.rs
@@ -1,7 +1,7 @@
 //! A holder that leaves: it holds nothing from then on, and its voters need not wait for the lease to end.
 
 use linenthread_consensus::LeaderLease;
-use linenthread_messages::{LeaseRelease, LeaseRequest, LeaseVote};
+use linenthread_messages::{LeaseRelease, LeaseRequest, LeaseVote, Value};
 use yare::parameterized;
 
 const HOLDER: u64 = 1;
@@ -47,6 +47,19 @@
     assert!(voter.on_lease_request(11_000, HOLDER, &request(LIFE, 4, 3), Some(0)).yes);
 }
 
+#[parameterized(
+    the_next_value = { 8, 8, false },
+    values_without_a_change = { 12, 7, false },
+    a_change_that_is_passed_over = { 12, 9, true },
+    a_change_by_the_value_itself = { 12, 12, true },
+)]
+fn a_change_of_the_voters_may_be_passed_over(number: u64, voters_since: u64, misses: bool) {
+    let mut voter = voter();
+    voter.follow(&Value { number: 7, ..Value::default() });
+    let value = Value { number, voters_since, ..Value::default() };
+    assert_eq!(voter.misses_change_of_voters(&value), misses);
+}
+
 #[test]
 fn a_release_does_not_shorten_the_quiet_time_of_a_voter_that_counts_anew() {
     let mut voter = voter();
--- a/crates/linenthread-control/src/node.rs
+++ b/crates/linenthread-control/src/node.rs
@@ -88,8 +88,10 @@
             control.addresses.learn(now, &voter.address);
         }
         control.votes = control.register.voters().iter().any(|voter| voter.id == id);
-        let floor = control.register.decided().map_or(0, |value| value.epoch);
-        control.lease.decided(now, floor, false);
+        if let Some(value) = control.register.decided() {
+            control.lease.follow(value);
+            control.lease.decided(now, value.epoch, false);
+        }
         // Replicas of before may be there still: they have as long as any to say so.
         for replica in &replicas {
             control.registry.observe(now, replica, &mut Vec::new());
@@ -213,8 +215,9 @@
         // The lease is asked for anew, of those who vote now, before another value is in doubt.
         self.hurry();
         let votes = value.voters.iter().any(|voter| voter.id == self.register.id());
+        let counts_anew = votes && (!self.votes || self.lease.misses_change_of_voters(value));
         self.lease.follow(value);
-        self.lease.decided(now, value.epoch, votes && !self.votes);
+        self.lease.decided(now, value.epoch, counts_anew);
         self.votes = votes;
         for link in self.members.links() {
             self.send_value(link, effects);
--- a/crates/linenthread-control/src/reconfiguration.rs
+++ b/crates/linenthread-control/src/reconfiguration.rs
@@ -25,18 +25,18 @@
     pub least: usize,
 }
 
-/// Whether one voter of so many may be down for good with the fault budget left whole: a majority is there
-/// after as many more losses as the least set of voters bears.
-fn bears_one_down(voters: usize, least: usize) -> bool {
+/// Whether so many of the voters may be down for good with the fault budget left whole: a majority is there after
+/// as many more losses as the least set of voters bears.
+fn bears_down(voters: usize, down: usize, least: usize) -> bool {
     let majority = voters / 2 + 1;
     let budget = least.saturating_sub(1) / 2;
-    voters > majority + budget
+    voters >= majority + budget + down
 }
 
-/// Whether a voter that leaves is first taken off, with no standby there: the set is large enough without it,
-/// and would not bear what it should with it counted and down.
-pub fn takes_leaver_off(voters: usize, least: usize) -> bool {
-    voters > least && !bears_one_down(voters, least)
+/// Whether a voter that leaves is first taken off, with no standby there: the set is large enough without it, and
+/// would not bear what it should with all that leave, or have left, counted and down.
+pub fn takes_leaver_off(voters: usize, leaving: usize, least: usize) -> bool {
+    voters > least && !bears_down(voters, leaving, least)
 }
 
 impl VotersView {
@@ -44,6 +44,10 @@
         self.standbys.iter().find(|standby| standby.address == address)
     }
 
+    fn leaving(&self) -> usize {
+        self.voters.iter().filter(|v| v.leaving).count()
+    }
+
     /// Whether one more voter makes the set safer: up to the least set, from an even number to an odd one, or
     /// as the first of two. One beside an odd number would only raise the majority, as it would beside a
     /// voter that may be down: it stands by, for the place of the next one that leaves or is lost.
@@ -73,7 +77,7 @@
     match view.standby_at(&state.voter.address).or(view.standbys.first()) {
         Some(standby) => next[outgoing] = standby.clone(),
         None if state.lost && next.len() > view.least => drop(next.remove(outgoing)),
-        None if takes_leaver_off(next.len(), view.least) => drop(next.remove(outgoing)),
+        None if takes_leaver_off(next.len(), view.leaving(), view.least) => drop(next.remove(outgoing)),
         None => return None,
     }
     Some(next)
@@ -134,6 +138,14 @@
         self.voters.iter().position(|holder| holder.disk == self.disk)
     }
 
+    /// How many of the voters leave, or have left, this machine among them.
+    fn leaving(&self) -> usize {
+        let leaves = |holder: &&Holder| {
+            holder.disk == self.disk || matches!(holder.presence, Presence::Leaving | Presence::Departed)
+        };
+        self.voters.iter().filter(leaves).count()
+    }
+
     /// Whether the voter at this position will go on holding what this machine leaves behind. Of several that
     /// leave at once the first in order goes first, and the later ones wait for its return. Where nobody
     /// stays, what the disks hold is all that can be had.
@@ -174,7 +186,7 @@
     if view.reconfiguring {
         return Leave::Wait("the voters are being changed");
     }
-    let taken_off = view.standby || takes_leaver_off(view.voters.len(), view.least);
+    let taken_off = view.standby || takes_leaver_off(view.voters.len(), view.leaving(), view.least);
     if taken_off && view.own_position().is_some() {
         return Leave::Wait("its vote is to be taken off");
     }
--- a/crates/linenthread-control/tests/reconfiguration.rs
+++ b/crates/linenthread-control/tests/reconfiguration.rs
@@ -41,6 +41,9 @@
     leaving_of_five_that_bear_one_down = { "++g++", &[], 3, None },
     leaving_of_five_that_must_bear_two = { "++g++", &[], 5, None },
     leaving_of_six_that_must_bear_two = { "++g+++", &[], 5, Some(&[1, 2, 4, 5, 6]) },
+    two_leaving_of_five_that_bear_one_down = { "++gg+", &[], 3, Some(&[1, 2, 4, 5]) },
+    two_leaving_of_nine_that_must_bear_three = { "++gg+++++", &[], 7, Some(&[1, 2, 4, 5, 6, 7, 8, 9]) },
+    one_leaving_of_nine_that_must_bear_three = { "++g++++++", &[], 7, None },
     lost_before_leaving = { "+gl", &[7], 3, Some(&[1, 2, 7]) },
     replaced_with_no_standby_there = { "+r+", &[], 3, None },
 )]
@@ -116,6 +119,9 @@
     others_change = { LeaveView { reconfiguring: true, ..leave_view(9, "+++") }, false },
     a_standby_for_others = { LeaveView { standby: true, ..leave_view(9, "+++") }, true },
     one_too_many = { leave_view(3, "++++"), false },
+    five_that_bear_one_down = { leave_view(3, "+++++"), true },
+    five_with_two_that_go = { leave_view(3, "++++l"), false },
+    five_with_one_that_went = { leave_view(3, "++++d"), false },
 )]
 fn what_else_it_waits_for(view: LeaveView, goes: bool) {
     assert_eq!(next_step_of_leaving(&view) == Leave::Go, goes);
--- a/crates/linenthread-messages/src/words.rs
+++ b/crates/linenthread-messages/src/words.rs
@@ -57,6 +57,9 @@
     /// The last orders that were taken, oldest first; earlier ones are in each node's ledger.
     #[prost(message, repeated, tag = "8")]
     pub recent: Vec<OrderIdentity>,
+    /// The number of the value that last changed the voters, 0 where they are the first ones.
+    #[prost(uint64, tag = "12")]
+    pub voters_since: u64,
 }
 
 /// Greater rounds win; the proposer tells equal ones apart.
