Proposers leave another's round its time, a change of the voters rests for nobody, leavers may lead

Orders rest for a round's time after a clash and while another's round is under way; a change of the voters does not. -: all but a machine with a new disk were leaving, nobody led, and it was not counted.

--- a/crates/linenthread-consensus/src/proposer.rs
+++ b/crates/linenthread-consensus/src/proposer.rs
@@ -126,6 +126,8 @@
         let waiting = WaitingChange { job, wanted: change.into(), until };
         if goes_first {
             self.waiting.push_front(waiting);
+            // The rest of an order is none of its own.
+            self.rest_until = 0;
         } else {
             self.waiting.push_back(waiting);
         }
@@ -266,11 +268,34 @@
         if self.round.as_ref().is_some_and(|round| round.ballot < rejected.promised) {
             self.round = None;
             self.clashes = (self.clashes + 1).min(MOST_DOUBLINGS);
-            let most = (self.pace.max(BACK_OFF) << self.clashes).min(LONGEST_REST);
-            self.rest_until = now + 1 + self.back_off.0.rand_range(0..most);
+            self.rest_until = now + self.rest();
         }
     }
 
+    /// Another node begins or goes on with a round, in which this one takes part as a voter: it is left the time of
+    /// both halves before a round of this node is begun.
+    pub(crate) fn on_round_of_another(&mut self, now: u64) {
+        if self.round.is_none() && !self.changes_voters() {
+            let both_halves = 2 * self.pace.clamp(BACK_OFF, LONGEST_REST);
+            self.rest_until = self.rest_until.max(now + both_halves);
+        }
+    }
+
+    /// What waits first is a change of the voters.
+    fn changes_voters(&self) -> bool {
+        self.waiting.front().is_some_and(|change| matches!(change.wanted, Wanted::Voters { .. }))
+    }
+
+    /// How long to rest after a clash. Who overtook is left the time of one round at least; a change of the voters
+    /// leaves none, since a second loss may come before the successor of the first one counts.
+    fn rest(&mut self) -> u64 {
+        if self.changes_voters() {
+            return 1 + self.back_off.0.rand_range(0..BACK_OFF);
+        }
+        let most = (self.pace.max(BACK_OFF) << self.clashes).min(LONGEST_REST);
+        1 + self.pace.min(LONGEST_REST) + self.back_off.0.rand_range(0..most)
+    }
+
     /// A value was decided: rounds begin anew, and changes that it settles are answered. An order that was taken by
     /// another node's round waits for a round of its own: what is acknowledged here rests on contact with more
     /// than half of the voters, *a-cut-off-node-confirms-nothing*.
--- a/crates/linenthread-consensus/src/register.rs
+++ b/crates/linenthread-consensus/src/register.rs
@@ -162,7 +162,7 @@
     pub fn on_message(&mut self, now: u64, from: u64, message: PeerMessage, effects: &mut Vec<Effect>) {
         self.expire(now, effects);
         match message {
-            PeerMessage::Prepare(request) => self.on_prepare(from, &request, effects),
+            PeerMessage::Prepare(request) => self.on_prepare(now, from, &request, effects),
             PeerMessage::Accept(request) => self.on_accept(from, request, effects),
             PeerMessage::Promise(promise) => self.on_promise(now, from, promise, effects),
             PeerMessage::AcceptAck(acknowledgement) => {
@@ -201,11 +201,14 @@
         number >= self.acceptor.number() && self.decided.counts(self.id)
     }
 
-    fn on_prepare(&mut self, from: u64, request: &Prepare, effects: &mut Vec<Effect>) {
+    fn on_prepare(&mut self, now: u64, from: u64, request: &Prepare, effects: &mut Vec<Effect>) {
         if !self.takes_part(from, request.number, effects) {
             return;
         }
         let result = self.acceptor.on_prepare(request);
+        if from != self.id && result.is_ok() {
+            self.proposer.on_round_of_another(now);
+        }
         answer(from, result.map(|(record, promise)| (record, PeerMessage::Promise(promise))), effects);
     }
 
--- a/crates/linenthread-consensus/tests/register.rs
+++ b/crates/linenthread-consensus/tests/register.rs
@@ -62,6 +62,10 @@
         let change = Change::Document { base, revision, document: format!("{revision}").into() };
         self.all[at as usize - 1].propose(0, job, change, 900, &mut outs);
         self.settle(at, outs);
+        // It may have waited for the round of another node.
+        let mut outs = Vec::new();
+        self.all[at as usize - 1].tick(60, &mut outs);
+        self.settle(at, outs);
     }
 
     fn read(&mut self, at: u64, job: u64) {
--- a/crates/linenthread-control/src/leader.rs
+++ b/crates/linenthread-control/src/leader.rs
@@ -7,6 +7,9 @@
 
 impl Control {
     pub(crate) fn ask_for_lease(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        if !self.may_lead(now) {
+            return;
+        }
         let first = self.is_first(now);
         let Some(request) = self.lease.tick(now, first, self.value_number()) else { return };
         for (link, _) in self.members.iter() {
@@ -15,15 +18,20 @@
         self.on_lease_request(now, self.register.id(), &request, effects);
     }
 
-    /// Whether no voter before this one, in the order of the newest value, is in contact and stays.
+    /// Whether this voter is the first in contact, in the order of the newest value, of those that stay; where all
+    /// leave, of all: without a leader no standby could take the place of any of them.
     fn is_first(&self, now: u64) -> bool {
-        if self.leaving.is_some() {
-            return false;
-        }
+        let own = self.register.id();
         let disks = self.disks_in_contact(now);
-        let there = |disk: u64| disks.contains(&disk) && !self.members.leaves(disk);
-        let first = self.register.voters().iter().find(|voter| there(voter.id));
-        first.is_some_and(|voter| voter.id == self.register.id())
+        let leaves = |disk: u64| if disk == own { self.leaving.is_some() } else { self.members.leaves(disk) };
+        let in_contact =
+            || self.register.voters().iter().map(|voter| voter.id).filter(|id| disks.contains(id));
+        in_contact().find(|disk| !leaves(*disk)).or_else(|| in_contact().next()) == Some(own)
+    }
+
+    /// One that leaves asks for no more time once it has nothing left to do.
+    fn may_lead(&self, now: u64) -> bool {
+        self.leaving.is_none() || matches!(self.next_step_of_leaving(now), Leave::Wait(_))
     }
 
     /// Votes for who asks, or not. A vote under a new epoch is said only once that epoch is on disk.
