--- a/crates/linenthread-control/src/replicas.rs
+++ b/crates/linenthread-control/src/replicas.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 use linenthread_messages::Replica;
@@ -63,6 +64,8 @@
 #[derive(Default)]
 pub struct ReplicaRegistry {
     known: BTreeMap<String, Known>,
+    /// The last digest; none once what it sums up has changed.
+    digest: Cell<Option<u64>>,
 }
 
 impl ReplicaRegistry {
@@ -84,6 +87,14 @@
 
     /// Takes what a replica, or another hub, says of it; the idents that changed beside it go to `also`.
     pub fn observe(&mut self, now: u64, said: &Replica, also: &mut Vec<String>) -> Heard {
+        let heard = self.take_in(now, said, also);
+        if heard == Heard::Changed {
+            self.digest.set(None);
+        }
+        heard
+    }
+
+    fn take_in(&mut self, now: u64, said: &Replica, also: &mut Vec<String>) -> Heard {
         let heard = now.saturating_sub(u64::from(said.age_ms));
         let warm_at = now + u64::from(said.warmup_ms);
         if let Some(known) = self.known.get_mut(&said.ident) {
@@ -137,6 +148,7 @@
         match self.known.get_mut(ident) {
             Some(known) if !known.told.ended => {
                 (known.told.ended, known.told.gone, known.ended_at) = (true, true, now);
+                self.digest.set(None);
                 true
             }
             _ => false,
@@ -163,6 +175,15 @@
 
     /// A sum that is the same where the same is known, in any order.
     pub fn digest(&self) -> u64 {
+        if let Some(digest) = self.digest.get() {
+            return digest;
+        }
+        let digest = self.sum();
+        self.digest.set(Some(digest));
+        digest
+    }
+
+    fn sum(&self) -> u64 {
         let one = |k: &Known| {
             let r = &k.told;
             linenthread_consensus::digest(
--- a/crates/linenthread-control/tests/control.rs
+++ b/crates/linenthread-control/tests/control.rs
@@ -26,6 +26,35 @@
     assert_eq!(registry.get("a").unwrap().told.ended, a_has_ended);
 }
 
+/// The digest is kept until something of it changes: it is the same for who asked for it before each change.
+#[parameterized(
+    newer = { said("a", 3, "x") },
+    drains = { Replica { draining: true, ..said("a", 3, "x") } },
+    moved = { said("a", 3, "z") },
+    ended = { Replica { ended: true, ..said("a", 1, "x") } },
+    another_at_its_address = { said("b", 1, "x") },
+    another_elsewhere = { said("b", 1, "y") },
+)]
+fn a_digest_that_is_kept_is_the_one_made_anew(news: Replica) {
+    let (mut asked, mut silent) = (ReplicaRegistry::default(), ReplicaRegistry::default());
+    for registry in [&mut asked, &mut silent] {
+        registry.observe(1_000, &said("a", 2, "x"), &mut Vec::new());
+    }
+    let before = asked.digest();
+    for registry in [&mut asked, &mut silent] {
+        registry.observe(1_500, &news, &mut Vec::new());
+    }
+    assert_eq!(asked.digest(), silent.digest());
+    assert_eq!(
+        asked.digest() == before,
+        news.ident == "a" && news.address == "x" && !news.draining && !news.ended
+    );
+    assert!(
+        asked.depart(2_000, &news.ident) != news.ended && silent.depart(2_000, &news.ident) != news.ended
+    );
+    assert_eq!(asked.digest(), silent.digest());
+}
+
 #[test]
 fn an_ended_life_does_not_come_back() {
     let mut registry = ReplicaRegistry::default();
