--- a/crates/linenthread-messages/src/words.rs
+++ b/crates/linenthread-messages/src/words.rs
@@ -1,6 +1,7 @@
 use prost::{Message, Oneof};
 
-pub const VERSION: u32 = 1;
+/// Peers of another version are turned away. 2: a value carries its last orders by identity, not all of them.
+pub const VERSION: u32 = 2;
 
 /// A machine whose disk counts: its disk's name and where its control calls and peers' port are.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
@@ -12,17 +13,29 @@
     pub address: String,
 }
 
-/// What was taken under which revision.
-#[derive(Clone, PartialEq, Message)]
-pub struct Taken {
+/// The first 128 bits of the SHA-256 of a document.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Message)]
+pub struct DocumentDigest {
+    #[prost(fixed64, tag = "1")]
+    pub high: u64,
+    #[prost(fixed64, tag = "2")]
+    pub low: u64,
+}
+
+/// What makes an order the same one when it is sent again.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct OrderIdentity {
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    #[prost(fixed64, tag = "2")]
-    pub digest: u64,
+    /// The revision that it builds on: of an order that was taken, the revision of the one taken before it.
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    #[prost(message, required, tag = "3")]
+    pub digest: DocumentDigest,
 }
 
 /// What the counted disks agree on, one after another.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Value {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -35,12 +48,15 @@
     /// Whose disks decide the next value.
     #[prost(message, repeated, tag = "4")]
     pub voters: Vec<Voter>,
-    /// What was taken of late, oldest first.
-    #[prost(message, repeated, tag = "5")]
-    pub taken: Vec<Taken>,
     /// The epoch under which the voters were last changed: whoever has this value supports none below it.
     #[prost(uint64, tag = "6")]
     pub epoch: u64,
+    /// How many orders were ever taken.
+    #[prost(uint64, tag = "7")]
+    pub taken_count: u64,
+    /// The last orders that were taken, oldest first; earlier ones are in each node's ledger.
+    #[prost(message, repeated, tag = "8")]
+    pub recent: Vec<OrderIdentity>,
 }
 
 /// Greater rounds win; the proposer tells equal ones apart.
@@ -52,7 +68,7 @@
     pub proposer: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Accepted {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -61,7 +77,7 @@
 }
 
 /// One record on disk.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Record {
     /// The disk's name.
     #[prost(fixed64, optional, tag = "1")]
@@ -81,9 +97,12 @@
     /// All replicas that were known, where this record tells them.
     #[prost(message, repeated, tag = "7")]
     pub replicas: Vec<Replica>,
+    /// Orders that were taken, in any order: they join those of earlier records.
+    #[prost(message, repeated, tag = "8")]
+    pub ledger: Vec<OrderIdentity>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Prepare {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -91,7 +110,7 @@
     pub ballot: Ballot,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Promise {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -101,7 +120,7 @@
     pub accepted: Option<Accepted>,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Accept {
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
@@ -110,7 +129,7 @@
 }
 
 /// Accepted, synced.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct AcceptAck {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -119,7 +138,7 @@
 }
 
 /// A greater ballot was promised for this number.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Rejected {
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -128,20 +147,50 @@
 }
 
 /// The speaker has decided values up to this one only.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct CatchUpRequest {
     #[prost(uint64, tag = "1")]
     pub number: u64,
 }
 
+/// Which orders were taken, from this revision downwards and above that one?
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct LedgerRequest {
+    #[prost(uint64, tag = "1")]
+    pub newest: u64,
+    #[prost(uint64, tag = "2")]
+    pub above: u64,
+}
+
+/// Orders in a row, newest first, each the base of the one before it; none if the speaker lacks the newest.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct LedgerEntries {
+    /// What was asked for.
+    #[prost(uint64, tag = "1")]
+    pub newest: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub orders: Vec<OrderIdentity>,
+}
+
+/// What a node says to itself when a record of its own is synced; from another node it means nothing.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Synced {
+    /// The decided value that the record holds; 0 if none.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Which record of the ledger it is, counted within this life; 0 if none.
+    #[prost(uint64, tag = "2")]
+    pub ledger_record: u64,
+}
+
 /// What have you decided and accepted? Only answers to this very question count.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ReadRequest {
     #[prost(uint64, tag = "1")]
     pub question: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ReadReply {
     #[prost(uint64, tag = "1")]
     pub question: u64,
@@ -153,7 +202,7 @@
 }
 
 /// Support me for the duty for so long from when you hear this, under this epoch.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct LeaseRequest {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
@@ -169,7 +218,7 @@
     pub on: u64,
 }
 
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct LeaseVote {
     /// The greatest epoch the speaker has supported.
     #[prost(uint64, tag = "1")]
@@ -180,8 +229,17 @@
     pub yes: bool,
 }
 
+/// The speaker holds the lease no more under this epoch, nor under any of its life before it.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct LeaseRelease {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+}
+
 /// A replica as one hub knows it.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Replica {
     #[prost(string, tag = "1")]
     pub ident: String,
@@ -274,6 +332,32 @@
     /// From a front: the revision it goes by.
     #[prost(uint64, tag = "4")]
     pub revision: u64,
+    /// From a control node: the newest value that its disk holds, synced; none while it holds none.
+    #[prost(uint64, optional, tag = "5")]
+    pub durable: Option<u64>,
+    /// The speaker's steady clock when this was said.
+    #[prost(uint64, tag = "6")]
+    pub sent: u64,
+    /// `sent` of the last heartbeat that the speaker heard on this session: proof of a round trip.
+    #[prost(uint64, optional, tag = "7")]
+    pub echo: Option<u64>,
+    /// From a control node: it is about to end.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
+    /// From the holder of the leader lease: the voters are about to change.
+    #[prost(bool, tag = "9")]
+    pub reconfiguring: bool,
+}
+
+/// What the speaker's disk holds, synced.
+#[derive(Clone, PartialEq, Message)]
+pub struct Durable {
+    /// The newest value's number.
+    #[prost(uint64, optional, tag = "1")]
+    pub value: Option<u64>,
+    /// The greatest epoch of a lease that it voted for.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
 }
 
 /// From hub to front: changes in a row, or all there is.
@@ -359,7 +443,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "PeerMessage", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17")]
+    #[prost(oneof = "PeerMessage", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,23")]
     pub word: Option<PeerMessage>,
 }
 
@@ -399,4 +483,14 @@
     LeaseVote(LeaseVote),
     #[prost(message, tag = "17")]
     Allotments(Allotments),
+    #[prost(message, tag = "18")]
+    LeaseRelease(LeaseRelease),
+    #[prost(message, tag = "23")]
+    Durable(Durable),
+    #[prost(message, tag = "19")]
+    LedgerRequest(LedgerRequest),
+    #[prost(message, tag = "20")]
+    LedgerEntries(LedgerEntries),
+    #[prost(message, tag = "21")]
+    Synced(Synced),
 }
--- a/crates/linenthread-node/src/control.rs
+++ b/crates/linenthread-node/src/control.rs
@@ -36,11 +36,20 @@
     Unreached(String),
     Beat(String, Beat, oneshot::Sender<Answer>),
     Departure(String, oneshot::Sender<Answer>),
-    Replace { base: u64, revision: u64, document: Vec<u8>, reply: oneshot::Sender<Answer> },
+    Replace {
+        base: u64,
+        revision: u64,
+        document: Vec<u8>,
+        reply: oneshot::Sender<Answer>,
+    },
     Read(oneshot::Sender<Answer>),
     Members(oneshot::Sender<serde_json::Value>),
     Replicas(oneshot::Sender<serde_json::Value>),
     Synced(Vec<(u64, PeerMessage)>),
+    /// A planned end was asked for; the answer comes when this node may go.
+    Leave(oneshot::Sender<()>),
+    /// Why it may not go yet.
+    LeaveWaits(oneshot::Sender<&'static str>),
     Stop(oneshot::Sender<()>),
 }
 
@@ -49,6 +58,25 @@
 }
 
 impl ControlServer {
+    /// Serves on until others hold what this node holds and it leads no more, or that takes too long.
+    pub async fn leave(&self, within: Duration) {
+        let began = Instant::now();
+        let (done, may_go) = oneshot::channel();
+        if self.commands.send(Command::Leave(done)).await.is_err() {
+            return;
+        }
+        let took = |began: Instant| began.elapsed().as_millis() as u64;
+        if tokio::time::timeout(within, may_go).await.is_ok() {
+            log::info!(ms = took(began); "event=left");
+            return;
+        }
+        let (tell, cause) = oneshot::channel();
+        let _ = self.commands.send(Command::LeaveWaits(tell)).await;
+        let cause = tokio::time::timeout(Duration::from_millis(100), cause).await;
+        let cause = cause.ok().and_then(Result::ok).unwrap_or("no answer");
+        log::warn!(ms = took(began), waits_for = cause; "event=left_unready");
+    }
+
     /// Ends all sessions, so that the others need not wait for silence.
     pub async fn stop(&self) {
         let (done, ended) = oneshot::channel();
@@ -117,6 +145,8 @@
         tokens: 0,
         commands: commands.clone(),
         port: settings.peers_port,
+        leaves: Vec::new(),
+        gone: false,
     };
     spawn_local(hub.run(queue));
     let to = commands.clone();
@@ -179,14 +209,22 @@
     tokens: Token,
     commands: mpsc::Sender<Command>,
     port: u16,
+    /// Who waits for this node to be free to go.
+    leaves: Vec<oneshot::Sender<()>>,
+    /// It has left: nothing is taken any more.
+    gone: bool,
 }
 
 impl ControlNode {
     async fn run(mut self, mut queue: mpsc::Receiver<Command>) {
         let (mut waiting, mut out) = (Vec::new(), Vec::new());
         loop {
-            let due = clock::at_ms(self.control.due(clock::ms())).into();
-            let _ = tokio::time::timeout_at(due, queue.recv_many(&mut waiting, 64)).await;
+            if self.gone {
+                queue.recv_many(&mut waiting, 64).await;
+            } else {
+                let due = clock::at_ms(self.control.due(clock::ms())).into();
+                let _ = tokio::time::timeout_at(due, queue.recv_many(&mut waiting, 64)).await;
+            }
             let now = clock::ms();
             for command in waiting.drain(..) {
                 if let Command::Stop(done) = command {
@@ -196,12 +234,31 @@
                     let _ = done.send(());
                     return;
                 }
-                self.take(now, command, &mut out);
+                if !self.gone {
+                    self.take(now, command, &mut out);
+                }
+            }
+            if self.gone {
+                out.clear();
+                continue;
             }
             if now >= self.control.due(now) {
                 self.control.tick(now, &mut out);
             }
             self.carry_out(&mut out);
+            if !self.leaves.is_empty() && self.control.may_leave(now) {
+                self.go();
+            }
+        }
+    }
+
+    /// Others may have been told that they can go because this node stays: from here on it says nothing more.
+    fn go(&mut self) {
+        self.gone = true;
+        self.links.clear();
+        self.calls.clear();
+        for done in self.leaves.drain(..) {
+            let _ = done.send(());
         }
     }
 
@@ -242,6 +299,11 @@
             Command::Members(reply) => drop(reply.send(self.control.members(now))),
             Command::Replicas(reply) => drop(reply.send(self.control.replicas(now))),
             Command::Synced(then) => self.control.synced(now, then, out),
+            Command::Leave(done) => {
+                self.control.leave(now, out);
+                self.leaves.push(done);
+            }
+            Command::LeaveWaits(reply) => drop(reply.send(self.control.leave_waits_for(now))),
             Command::Stop(_) => {}
         }
     }
@@ -320,6 +382,7 @@
         let done = match reply {
             Reply::Json(status, value) => answer(&mut wire, status, &value, keep).await,
             Reply::Raw(document) => raw(&mut wire, 200, &document, keep).await,
+            Reply::Elsewhere(address) => sent_on(&mut wire, &address, head.target(), keep).await,
         };
         if done.is_err() || !keep {
             if done.is_err() {
@@ -333,6 +396,8 @@
 enum Reply {
     Json(u16, serde_json::Value),
     Raw(Vec<u8>),
+    /// The same call is to be made at this address.
+    Elsewhere(String),
 }
 
 fn refuse(status: u16, cause: impl std::fmt::Display) -> Reply {
@@ -410,6 +475,7 @@
             Reply::Json(412, json!({"error": "another version is in place", "revision": revision}))
         }
         Ok(Answer::NotNow(cause)) => refuse(503, cause),
+        Ok(Answer::Elsewhere(address)) => Reply::Elsewhere(address),
         Err(_) => refuse(503, "ending"),
     }
 }
@@ -418,6 +484,16 @@
     raw(wire, status, value.to_string().as_bytes(), keep).await
 }
 
+/// Another control node is to be called.
+async fn sent_on(wire: &mut Wire, address: &str, target: &str, keep: bool) -> Result<(), Stop> {
+    let close = if keep { "" } else { "Connection: close\r\n" };
+    let bytes = format!(
+        "HTTP/1.1 307 Temporary Redirect\r\nLocation: http://{address}{target}\r\n\
+         Content-Length: 0\r\n{close}\r\n"
+    );
+    wire.write(bytes.as_bytes(), Instant::now() + SLOW).await
+}
+
 async fn raw(wire: &mut Wire, status: u16, body: &[u8], keep: bool) -> Result<(), Stop> {
     let reason = match status {
         200 => "OK",
