--- a/crates/linenthread-control/src/voters.rs
+++ b/crates/linenthread-control/src/voters.rs
@@ -3,6 +3,7 @@
 use linenthread_consensus::Change;
 use linenthread_messages::Voter;
 
+use crate::membership::ControlPeer;
 use crate::reconfiguration::{
     Holder, Leave, LeaveView, Presence, VoterState, VotersView, next_step_of_leaving, next_voters,
 };
@@ -29,13 +30,18 @@
 
     /// It leads, and changes the voters, or will as soon as a standby holds all.
     pub(crate) fn reconfigures(&self, now: u64) -> bool {
-        let changes = |number| next_voters(&self.voters_view(now, number)).is_some();
-        let wants = || !self.standbys(now, None).is_empty() || changes(self.value_number());
+        let wants = || !self.standbys(now, None).is_empty() || self.wants_other_voters(now);
         self.lease.holds(now).is_some() && (self.changes_voters || wants())
     }
 
-    /// Machines in contact that may vote, do not yet, and stay; with a number only those that may take a vote at
-    /// once, since they hold the value of this number on their disks.
+    /// It leads, and others should vote: the change can be made at once.
+    pub(crate) fn wants_other_voters(&self, now: u64) -> bool {
+        let view = || self.voters_view(now, self.value_number());
+        self.lease.holds(now).is_some() && next_voters(&view()).is_some()
+    }
+
+    /// Machines in contact that may vote, do not yet, and stay; with a number only those that may take a vote
+    /// at once, since they hold the value of this number on their disks.
     pub(crate) fn standbys(&self, now: u64, number: Option<u64>) -> Vec<Voter> {
         let own = Voter { id: self.register.id(), address: self.local.control.clone() };
         let own_ready = self.local.counts && self.leaving.is_none() && self.durable.value >= number;
@@ -64,11 +70,15 @@
             true => self.leaving.is_some(),
             false => self.members.leaves(voter.id),
         };
+        let replaced = sighting.is_some_and(|sighting| sighting.disk != voter.id && sighting.counts);
+        // Another disk at its address: the old one does not come back, unless its successor is about to vote.
+        let joins = |peer: &ControlPeer| peer.hello.control == voter.address && !peer.leaving;
+        let given_up = replaced && !self.members.contacts(now).any(joins);
         VoterState {
             voter: voter.clone(),
             in_contact,
-            replaced: sighting.is_some_and(|sighting| sighting.disk != voter.id && sighting.counts),
-            lost: !in_contact && now > since + LOST,
+            replaced,
+            lost: !in_contact && (given_up || now > since + LOST),
             leaving: leaves,
         }
     }
@@ -89,8 +99,8 @@
         self.hurry();
     }
 
-    /// Whether this control node may end now: others hold durably what it holds, and it leads no more. Who has
-    /// been told so must end without a further message: others may go because this node was still to go.
+    /// Whether this control node may end now: others hold durably what it holds, and it leads no more. Who
+    /// has been told so must end without a further message: others may go because this node was still to go.
     pub fn may_leave(&self, now: u64) -> bool {
         self.leaving.is_some() && self.next_step_of_leaving(now) == Leave::Go
     }
