--- a/crates/linenthread-node/src/control.rs
+++ b/crates/linenthread-node/src/control.rs
@@ -8,6 +8,7 @@
 
 use linenthread_config::{Configuration, Settings};
 use linenthread_control::{Answer, Beat, Control, Effect, Link, Local, Token};
+use linenthread_dataplane::connection::{HttpConnection, Stop};
 use linenthread_http::{Head, request_framing};
 use linenthread_messages::{PeerMessage, Value, Voter};
 use serde_json::json;
@@ -18,7 +19,6 @@
 
 use crate::disk::Disk;
 use crate::errors::{Error, step};
-use crate::wire::{Stop, Wire};
 use crate::{clock, disk, links, logs};
 
 const COMMANDS: usize = 4_096;
@@ -347,7 +347,7 @@
 /// One caller's connection: calls one after another.
 async fn call(stream: TcpStream, from: SocketAddr, commands: mpsc::Sender<Command>) {
     links::prepare(&stream);
-    let mut wire = Wire::new(stream);
+    let mut wire = HttpConnection::new(stream);
     loop {
         let head = match wire.request(HEAD, QUIET, SLOW).await {
             Ok(head) => head,
@@ -480,12 +480,17 @@
     }
 }
 
-async fn answer(wire: &mut Wire, status: u16, value: &serde_json::Value, keep: bool) -> Result<(), Stop> {
+async fn answer(
+    wire: &mut HttpConnection,
+    status: u16,
+    value: &serde_json::Value,
+    keep: bool,
+) -> Result<(), Stop> {
     raw(wire, status, value.to_string().as_bytes(), keep).await
 }
 
 /// Another control node is to be called.
-async fn sent_on(wire: &mut Wire, address: &str, target: &str, keep: bool) -> Result<(), Stop> {
+async fn sent_on(wire: &mut HttpConnection, address: &str, target: &str, keep: bool) -> Result<(), Stop> {
     let close = if keep { "" } else { "Connection: close\r\n" };
     let bytes = format!(
         "HTTP/1.1 307 Temporary Redirect\r\nLocation: http://{address}{target}\r\n\
@@ -494,7 +499,7 @@
     wire.write(bytes.as_bytes(), Instant::now() + SLOW).await
 }
 
-async fn raw(wire: &mut Wire, status: u16, body: &[u8], keep: bool) -> Result<(), Stop> {
+async fn raw(wire: &mut HttpConnection, status: u16, body: &[u8], keep: bool) -> Result<(), Stop> {
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
--- a/crates/linenthread-node/src/follow.rs
+++ b/crates/linenthread-node/src/follow.rs
@@ -7,11 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use linenthread_dataplane::{DataPlane, Share};
 use linenthread_messages::{Heartbeat, Hello, PeerMessage, VERSION};
 use oorandom::Rand64;
 use tokio::sync::{mpsc, watch};
 
-use crate::plane::{Plane, Share};
 use crate::{clock, links};
 
 const TICK: Duration = Duration::from_millis(500);
@@ -22,7 +22,7 @@
 
 /// What outlasts a session.
 struct Following {
-    plane: Rc<Plane>,
+    plane: Rc<DataPlane>,
     life: u64,
     log: Cell<u64>,
     place: Cell<u64>,
@@ -47,7 +47,7 @@
 }
 
 pub async fn follow(
-    plane: Rc<Plane>,
+    plane: Rc<DataPlane>,
     life: u64,
     mut changed: watch::Receiver<Option<Rc<linenthread_config::Settings>>>,
 ) {
--- a/crates/linenthread-node/src/front.rs
+++ b/crates/linenthread-node/src/front.rs
@@ -7,7 +7,7 @@
 use linenthread_config::Settings;
 use linenthread_dataplane::connection::HttpConnection;
 use linenthread_dataplane::transport::TcpConnector;
-use linenthread_dataplane::{refused, serve};
+use linenthread_dataplane::{DataPlane, refused, serve};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -15,7 +15,6 @@
 use crate::control::{life, pause};
 use crate::errors::{Error, step};
 use crate::follow;
-use crate::plane::Plane;
 use crate::signals::Ends;
 
 /// What those who ask for readiness may take.
@@ -28,9 +27,13 @@
 /// second.
 const STILL_COMING: Duration = Duration::from_millis(2_600);
 
-pub async fn start(settings: &Rc<Settings>, address: SocketAddr, ends: &Ends) -> Result<Rc<Plane>, Error> {
+pub async fn start(
+    settings: &Rc<Settings>,
+    address: SocketAddr,
+    ends: &Ends,
+) -> Result<Rc<DataPlane>, Error> {
     let life = life();
-    let plane = Plane::new(settings.clone(), life, TcpConnector);
+    let plane = DataPlane::new(settings.clone(), life, TcpConnector);
     let clients = TcpListener::bind(address).await.map_err(step("binding", address))?;
     if let Some(address) = settings.readiness {
         let asked = TcpListener::bind(address).await.map_err(step("binding", address))?;
@@ -76,7 +79,7 @@
 }
 
 /// Serves on until nothing new comes and all is answered.
-pub async fn stop(plane: &Plane, grace_ms: u64) {
+pub async fn stop(plane: &DataPlane, grace_ms: u64) {
     plane.ending.set(true);
     let began = Instant::now();
     let latest = began + Duration::from_millis(grace_ms.saturating_sub(600));
@@ -89,7 +92,7 @@
     }
 }
 
-async fn readiness(stream: TcpStream, plane: Rc<Plane>) {
+async fn readiness(stream: TcpStream, plane: Rc<DataPlane>) {
     let _ = stream.set_nodelay(true);
     let mut http = HttpConnection::new(stream);
     while let Ok(head) = http.request(HEAD, QUIET, HEADER).await {
--- a/crates/linenthread-node/src/main.rs
+++ b/crates/linenthread-node/src/main.rs
@@ -21,16 +21,6 @@
 
 use crate::errors::Error;
 
-/// Connections as control uses them.
-mod wire {
-    pub use linenthread_dataplane::connection::{HttpConnection as Wire, Stop};
-}
-
-/// The data plane as the sessions with control fill it.
-mod plane {
-    pub use linenthread_dataplane::{DataPlane as Plane, Share};
-}
-
 mod flags {
     use std::path::PathBuf;
 
