--- /dev/null
+++ b/scripts/paired_days.py
@@ -0,0 +1,137 @@
+#!/usr/bin/env python3
+"""Writes days that pair kinds of trouble, for `fleetbench run SITE DAY.toml`.
+
+    scripts/paired_days.py SITE.toml OUTPUT_FOLDER FIRST_SEED COUNT
+
+Each day draws three to six pairs of troubles that strike within two seconds of each other, a rolling restart of
+the core, two to four planned works, one more trouble in the closing seconds and a closing fault. The same seed gives
+the same day. Traffic is that of the site's second standard day.
+"""
+
+import random
+import sys
+import tomllib
+
+# Each trouble: its kind, and for each of its fields the values that are drawn from.
+CORE_TROUBLES = [
+    ("core_cut", {"count": [1], "for_s": [2.0, 4.5, 8.0],
+                  "how": ["", "one_way", "leader", "leader race", "race", "both", "seeds", "hard"]}),
+    ("node_kill", {"on": ["core"], "count": [1], "for_s": [0.5, 2.0, 4.0],
+                   "how": ["", "power", "leader", "leader meet", "power race", "leader race drain",
+                           "meet drain", "hard"]}),
+    ("node_freeze", {"on": ["core"], "count": [1], "for_s": [1.0, 3.0, 7.0],
+                     "how": ["", "leader", "leader meet", "race"]}),
+    ("disk_full", {"count": [1], "for_s": [1.0, 4.0], "how": ["", "leader"]}),
+    ("disk_stall", {"count": [1], "for_s": [1.0, 3.5], "how": ["", "leader"]}),
+    ("disk_slow", {"count": [1], "x": [10.0, 30.0, 80.0], "for_s": [5.0], "how": ["", "leader"]}),
+    ("clock_step", {"share": [0.3, 1.0], "x": [2000.0, 60000.0], "for_s": [5.0],
+                    "how": ["", "back", "ahead", "leader"]}),
+    ("after_ack_wipe", {"for_s": [1.5]}),
+    ("after_ack_kill", {"count": [1], "for_s": [1.5], "how": ["", "kill", "timed"]}),
+    ("replace_core", {"x": [0.5, 1.0, 3.0], "how": ["", "planned", "seed", "leader", "planned leader"]}),
+    ("reset_conns", {"share": [0.2, 1.0], "x": [0.7]}),
+    ("node_slow", {"on": ["core"], "count": [1], "x": [5.0], "for_s": [4.0], "how": ["", "leader"]}),
+    ("ack_lost", {"x": [0.7], "for_s": [5.0]}),
+    ("herd_kill", {"on": ["core"], "for_s": [0.5, 1.5], "how": ["", "power"]}),
+]
+CLOSING_TROUBLES = CORE_TROUBLES[:8]
+TRAFFIC_TROUBLES = [
+    ("garble", {"how": ["", "extra", "extra late"], "share": [0.5], "x": [0.03], "for_s": [5.0]}),
+    ("answer_lost", {"how": ["", "reset"], "share": [0.5], "x": [0.05], "for_s": [5.0]}),
+    ("srv_crash", {"how": ["", "dark", "gone", "across", "dark across"], "share": [0.15], "for_s": [4.0]}),
+    ("srv_slow", {"how": ["across"], "share": [0.15], "x": [6.0], "for_s": [5.0]}),
+    ("srv_grey", {"how": ["errors", "shed", "busy", "hang", "reset", "mute", "slow"], "share": [0.15],
+                  "x": [0.4], "for_s": [5.0]}),
+    ("replace_with_reuse", {"how": ["", "drain", "dark"], "share": [0.15]}),
+    ("node_kill", {"share": [0.15], "for_s": [1.5], "how": ["", "power"]}),
+    ("node_freeze", {"share": [0.15], "for_s": [2.5]}),
+    ("node_cut", {"share": [0.2], "for_s": [4.0], "how": ["", "servers"]}),
+    ("reset_conns", {"share": [0.3], "x": [0.6]}),
+    ("retry_abuse", {"share": [0.3], "x": [2], "for_s": [4.0]}),
+    ("burst", {"x": [1.6], "for_s": [3.0]}),
+]
+PLANNED_WORK = [
+    ("config_change", {"how": ["route", "weights", "timeout", "idle"]}),
+    ("config_race", {"count": [1, 3], "gap_s": [0.6, 1.2]}),
+    ("config_storm", {"for_s": [6.0], "gap_s": [0.2]}),
+    ("reshard", {"x": [3.3]}),
+    ("roll_term", {"share": [0.5], "x": [1.0], "gap_s": [1.0], "how": ["", "busy", "remove"]}),
+    ("seed_turnover", {}),
+    ("hup", {"share": [0.5], "gap_s": [2.0]}),
+    ("bad_config", {"count": [2], "gap_s": [1.0],
+                    "how": ["cut_short", "old_version", "same_version", "shared_key"]}),
+    ("release", {"share": [0.4], "x": [1], "gap_s": [1.0]}),
+    ("scale_in", {"share": [0.15]}),
+]
+ROLLING_CORE_RESTART = (
+    "roll_term",
+    {"on": ["core"], "share": [1.0], "x": [1.0], "gap_s": [3.0], "how": ["", "remove", "meet"]},
+)
+CLOSINGS = ["power_off_all", "kill_all", "wipe_after_ack"]
+WIPE_TIMINGS = ["aimed", "timed", ""]
+PAIR_GAPS_S = [0.0, 0.05, 0.3, 1.0, 1.6, 2.0]
+
+
+def toml_value(value):
+    """A value as TOML writes it; tables stand in line."""
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {toml_value(item)}" for key, item in value.items()) + " }"
+    return f'"{value}"' if isinstance(value, str) else f"{value}"
+
+
+def draw(source, at, trouble):
+    """One entry of a day, with each field drawn."""
+    kind, fields = trouble
+    entry = {"at": round(at, 2), "kind": kind}
+    entry.update({field: source.choice(values) for field, values in fields.items()})
+    return entry
+
+
+def draw_faults(source):
+    faults = []
+    for _ in range(source.randint(3, 6)):
+        at = source.uniform(6, 24)
+        faults.append(draw(source, at, source.choice(CORE_TROUBLES)))
+        at += source.choice(PAIR_GAPS_S)
+        faults.append(draw(source, at, source.choice(CORE_TROUBLES + TRAFFIC_TROUBLES)))
+    faults.append(draw(source, source.uniform(30, 33.5), source.choice(CLOSING_TROUBLES)))
+    return sorted(faults, key=lambda entry: entry["at"])
+
+
+def draw_planned(source):
+    planned = [draw(source, source.uniform(6, 26), ROLLING_CORE_RESTART)]
+    for _ in range(source.randint(2, 4)):
+        planned.append(draw(source, source.uniform(1, 30), source.choice(PLANNED_WORK)))
+    return sorted(planned, key=lambda entry: entry["at"])
+
+
+def draw_closing(source):
+    closing = {"kind": source.choice(CLOSINGS), "down_s": round(source.uniform(0.4, 1.5), 2)}
+    if closing["kind"] == "wipe_after_ack":
+        closing["how"] = source.choice(WIPE_TIMINGS)
+    return closing
+
+
+def day(site, seed):
+    """The text of one day."""
+    source = random.Random(seed)
+    traffic = site["day"][1]["traffic"]
+    lists = {"faults": draw_faults(source), "plan": draw_planned(source), "traffic": traffic}
+    lines = [f'name = "paired-{seed}"', f"seed = {seed}", f"closing = {toml_value(draw_closing(source))}"]
+    for name, entries in lists.items():
+        lines.append(f"{name} = [")
+        lines.extend(f"  {toml_value(entry)}," for entry in entries)
+        lines.append("]")
+    return "\n".join(lines) + "\n"
+
+
+def main():
+    site_file, folder, first, count = sys.argv[1], sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
+    with open(site_file, "rb") as file:
+        site = tomllib.load(file)
+    for seed in range(first, first + count):
+        with open(f"{folder}/{site['name']}-{seed}.toml", "w") as file:
+            file.write(day(site, seed))
+
+
+main()
