State log: nothing is appended to the parts of an interrupted record

Cause: a record over 512 KiB takes several entries. After a crash or a full disk that left only the first ones, the next record was appended to them, and the start after that failed with "a record does not decode".

Change: a log that ends within a record is not appended to; the next write puts the complete state into a new generation, as after a failed write. A folder in which an earlier version joined two records opens with what was acknowledged: leading parts that belong to no record are left out.

--- a/crates/linenthread-control/src/state_log.rs
+++ b/crates/linenthread-control/src/state_log.rs
@@ -44,6 +44,13 @@
     },
 }
 
+/// What the entries of a log add up to.
+struct Decoded {
+    state: DurableState,
+    /// Each part belongs to a record that was written completely: a record that is appended is read as itself.
+    is_complete: bool,
+}
+
 /// What [`StateLog::open`] found.
 pub struct OpenedState<F: Files, O: FnMut() -> Result<F, DirectoryError>> {
     /// The log, ready to be written.
@@ -58,7 +65,8 @@
 pub struct StateLog<F: Files, O: FnMut() -> Result<F, DirectoryError>> {
     /// Opens the node's files; called again after each failure.
     open_files: O,
-    /// `None` after a failure: what the disk holds is unknown then.
+    /// `None` where nothing may be appended: after a failure, when what the disk holds is unknown, and where the log
+    /// has parts of an interrupted record, to which the next record would be joined.
     log: Option<Log<F>>,
     /// All that was handed over, synced or not.
     state: DurableState,
@@ -74,10 +82,10 @@
     /// The files can't be opened, or what was synced is not readable any more.
     pub fn open(mut open_files: O, compact_above: u64) -> Result<OpenedState<F, O>, StateLogError> {
         let opened = open_log(&mut open_files)?;
-        let state = decode(opened.records)?;
+        let Decoded { state, is_complete } = decode(&opened.records)?;
         let log = StateLog {
             open_files,
-            log: Some(opened.log),
+            log: is_complete.then_some(opened.log),
             state: state.clone(),
             compact_above,
         };
@@ -88,8 +96,9 @@
         })
     }
 
-    /// Writes and syncs these records. After a failure the next call opens the log again and writes the complete state:
-    /// until then, records whose write failed may be on disk or not.
+    /// Writes and syncs these records. After a failure, and where a crash interrupted a record in several parts, the
+    /// next call opens the log again and writes the complete state: until then, records whose write failed may be on
+    /// disk or not.
     ///
     /// # Errors
     ///
@@ -164,16 +173,42 @@
         .collect()
 }
 
-fn decode(entries: Vec<Vec<u8>>) -> Result<DurableState, StateLogError> {
+/// Adds up the records of a log. A crash may have left the first parts of a record behind all others, and an earlier
+/// version may then have appended another record to them: see [`decode_record`].
+fn decode(entries: &[Vec<u8>]) -> Result<Decoded, StateLogError> {
     let mut state = DurableState::default();
-    let mut bytes = Vec::new();
+    let mut parts: Vec<&[u8]> = Vec::new();
+    let mut is_complete = true;
     for entry in entries {
         let (marker, part) = entry.split_first().context(EmptyEntrySnafu)?;
-        bytes.extend_from_slice(part);
+        parts.push(part);
         if *marker == LAST_PART {
-            state.add(Record::decode(&bytes[..]).context(DecodeSnafu)?);
-            bytes.clear();
+            let (record, abandoned_parts) = decode_record(&parts)?;
+            state.add(record);
+            is_complete &= abandoned_parts == 0;
+            parts.clear();
+        }
+    }
+    is_complete &= parts.is_empty();
+    Ok(Decoded { state, is_complete })
+}
+
+/// Decodes the record that ends with the last of these parts, and counts the parts before it that belong to a record
+/// that a crash interrupted. Versions before December 2026 appended the next record to such parts. What was interrupted
+/// was never synced, so nothing that was acknowledged is in it; what follows it was.
+///
+/// A join of two records could decode by chance. It would not encode to the same bytes again, so a record that does is
+/// preferred.
+fn decode_record(parts: &[&[u8]]) -> Result<(Record, usize), StateLogError> {
+    let mut result = Record::decode(&parts.concat()[..]).context(DecodeSnafu);
+    let mut abandoned_parts = 0;
+    for first in 0..parts.len() {
+        let bytes = parts[first..].concat();
+        match Record::decode(&bytes[..]) {
+            Ok(record) if record.encode_to_vec() == bytes => return Ok((record, first)),
+            Ok(record) if result.is_err() => (result, abandoned_parts) = (Ok(record), first),
+            Ok(_) | Err(_) => {}
         }
     }
-    Ok(state)
+    result.map(|record| (record, abandoned_parts))
 }
--- a/crates/linenthread-control/tests/state_log.rs
+++ b/crates/linenthread-control/tests/state_log.rs
@@ -5,16 +5,35 @@
 
 use linenthread_control::{Epoch, OpenedState, StateLog, StateLogError};
 use linenthread_messages::{Record, Value};
-use linenthread_store::{DirectoryError, SimulatedDisk};
+use linenthread_store::{DirectoryError, Log, SimulatedDisk};
 use oorandom::Rand64;
 
 const COMPACT_ABOVE: u64 = 4_000;
+/// Longer than any log of these tests.
+const NEVER_COMPACT: u64 = u64::MAX;
+/// Length of every entry of a long record but its last, with the marker in front.
+const PART_ENTRY_BYTES: usize = linenthread_store::MAX_RECORD_BYTES / 2 + 1;
+/// First byte of such an entry.
+const PART_MARKER: u8 = 0;
+/// First byte of the last entry of a record.
+const LAST_PART_MARKER: u8 = 1;
+/// Bytes of a document that takes two entries.
+const TWO_ENTRIES: usize = 600_000;
+/// Bytes of a document that takes three entries.
+const THREE_ENTRIES: usize = 1_100_000;
 
 type Disk = Rc<RefCell<SimulatedDisk>>;
 
 fn open(disk: &Disk) -> OpenedState<Disk, impl FnMut() -> Result<Disk, DirectoryError> + use<>> {
+    open_with(disk, COMPACT_ABOVE)
+}
+
+fn open_with(
+    disk: &Disk,
+    compact_above: u64,
+) -> OpenedState<Disk, impl FnMut() -> Result<Disk, DirectoryError> + use<>> {
     let disk = disk.clone();
-    StateLog::open(move || Ok(disk.clone()), COMPACT_ABOVE).expect("a disk without damage opens")
+    StateLog::open(move || Ok(disk.clone()), compact_above).expect("a disk without damage opens")
 }
 
 fn decided(number: u64, bytes: usize) -> Record {
@@ -93,3 +112,140 @@
         .expect("there is room");
     assert_eq!(open(&disk).state.records()[0].decided, record.decided);
 }
+
+/// The entries of this record's log.
+fn entries(record: &Record) -> Vec<Vec<u8>> {
+    let disk = Disk::default();
+    open(&disk)
+        .log
+        .write(std::slice::from_ref(record))
+        .expect("there is room");
+    Log::open(disk).expect("a disk without damage").records
+}
+
+/// A disk whose log has these entries.
+fn disk_with(entries: &[Vec<u8>]) -> Disk {
+    let disk = Disk::default();
+    let mut log = Log::open(disk.clone()).expect("an empty disk").log;
+    for entry in entries {
+        log.append(entry).expect("an entry");
+    }
+    log.sync().expect("there is room");
+    disk
+}
+
+#[test]
+fn a_record_after_one_that_a_crash_interrupted_is_read_as_itself() {
+    for interrupted in [TWO_ENTRIES, THREE_ENTRIES] {
+        let abandoned = entries(&decided(2, interrupted));
+        for first_parts in 1..abandoned.len() {
+            for next in [300, TWO_ENTRIES, THREE_ENTRIES] {
+                let mut on_disk = entries(&decided(1, 300));
+                on_disk.extend_from_slice(&abandoned[..first_parts]);
+                let disk = disk_with(&on_disk);
+                let mut opened = open_with(&disk, NEVER_COMPACT);
+                assert_eq!(number(&opened), 1, "the interrupted record is left out");
+                opened
+                    .log
+                    .write(&[decided(3, next)])
+                    .expect("there is room");
+                opened.log.write(&[decided(4, 300)]).expect("there is room");
+                drop(opened);
+                assert_eq!(
+                    number(&open(&disk)),
+                    4,
+                    "{interrupted} {first_parts} {next}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn a_folder_in_which_an_earlier_version_joined_two_records_opens_with_all_that_was_acknowledged() {
+    for interrupted in [TWO_ENTRIES, THREE_ENTRIES] {
+        let abandoned = entries(&decided(2, interrupted));
+        for first_parts in 1..abandoned.len() {
+            for next in [300, TWO_ENTRIES, THREE_ENTRIES] {
+                let acknowledged = decided(3, next);
+                let mut on_disk = entries(&decided(1, 300));
+                on_disk.extend_from_slice(&abandoned[..first_parts]);
+                on_disk.extend(entries(&acknowledged));
+                on_disk.extend(entries(&Record {
+                    epoch: 5,
+                    ..Record::default()
+                }));
+                let disk = disk_with(&on_disk);
+                for _ in 0..2 {
+                    let mut opened = open_with(&disk, NEVER_COMPACT);
+                    assert_eq!(
+                        opened.state.records()[0].decided,
+                        acknowledged.decided,
+                        "{interrupted} {first_parts} {next}"
+                    );
+                    assert_eq!(opened.state.epoch, Epoch::new(5));
+                    opened
+                        .log
+                        .write(&[Record::default()])
+                        .expect("there is room");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn entries_that_hold_no_record_are_an_error_wherever_they_begin() {
+    let part = |marker: u8, bytes: usize| {
+        let mut entry = vec![0xff; bytes];
+        entry[0] = marker;
+        entry
+    };
+    for on_disk in [
+        vec![part(LAST_PART_MARKER, 40)],
+        vec![
+            part(PART_MARKER, PART_ENTRY_BYTES),
+            part(LAST_PART_MARKER, 40),
+        ],
+    ] {
+        let disk = disk_with(&on_disk);
+        let opened = StateLog::open(move || Ok(disk.clone()), COMPACT_ABOVE);
+        assert!(matches!(opened, Err(StateLogError::Decode { .. })));
+    }
+}
+
+#[test]
+fn long_records_outlast_crashes_at_any_byte_and_full_disks() {
+    let (disk, mut random) = (Disk::default(), Rand64::new(11));
+    let (mut acknowledged, mut next) = (0, 1);
+    for round in 0..30 {
+        let mut opened = open_with(&disk, NEVER_COMPACT);
+        assert!(number(&opened) >= acknowledged, "round {round}");
+        for _ in 0..random.rand_range(0..3) {
+            let bytes = [300, TWO_ENTRIES][usize::from(random.rand_range(0..3) == 0)];
+            opened
+                .log
+                .write(&[decided(next, bytes)])
+                .expect("there is room");
+            (acknowledged, next) = (next, next + 1);
+        }
+        let full = random.rand_range(0..2) == 0;
+        if full {
+            let free = usize::try_from(random.rand_range(0..THREE_ENTRIES as u64)).expect("small");
+            disk.borrow_mut().limit_free_bytes(free);
+        } else {
+            disk.borrow_mut().syncs_until_failure = Some(0);
+        }
+        if opened.log.write(&[decided(next, THREE_ENTRIES)]).is_ok() {
+            acknowledged = next;
+        }
+        next += 1;
+        drop(opened);
+        if full {
+            // The process ends, and what the disk had room for stays.
+            disk.borrow_mut().capacity = None;
+        } else {
+            disk.borrow_mut().crash(&mut random);
+        }
+    }
+}
