Data plane: the response to a HEAD states the length that the replica stated

Cause: the length was always that of the body at hand, which is empty for a HEAD: Content-Length: 0, whatever the replica stated.

Change: a response says what is stated where its body is left out: the replica's length, that of our own body, or none where nobody knows it.

Result: the_response_to_a_head_states_the_length_that_is_known (three cases).

--- a/crates/linenthread-dataplane/src/response.rs
+++ b/crates/linenthread-dataplane/src/response.rs
@@ -1,7 +1,7 @@
 //! What a client gets.
 
 use linenthread_core::interface::TenthMillis;
-use linenthread_http::{merge_top_records, write_decimal};
+use linenthread_http::{content_length, merge_top_records, write_decimal};
 use smallvec::SmallVec;
 
 use crate::outcome::SendState;
@@ -22,12 +22,25 @@
 /// The responses of the sub-requests that were answered.
 pub(crate) type SubRequestResponses<'a> = SmallVec<[&'a ReplicaResponse; 8]>;
 
+/// The length that the response to a `HEAD` states, for the body that it leaves out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OmittedLength {
+    /// That of the response's own body: it would be the same for a `GET`.
+    OfBody,
+    /// The length that the replica stated.
+    Stated(u64),
+    /// Nobody knows it, so none is stated.
+    Unknown,
+}
+
 /// A status, headers and a body.
 pub(crate) struct Response {
     pub(crate) status: u16,
     /// Whole lines, without those of the connection and of the length.
     pub(crate) headers: Vec<u8>,
     pub(crate) body: Vec<u8>,
+    /// What a response to a `HEAD` states.
+    pub(crate) omitted_length: OmittedLength,
 }
 
 impl Response {
@@ -42,6 +55,7 @@
             status,
             headers,
             body: Vec::new(),
+            omitted_length: OmittedLength::OfBody,
         }
     }
 
@@ -52,6 +66,7 @@
         Response {
             status: response.head.status(),
             headers,
+            omitted_length: stated_length(&response),
             body: response.body,
         }
     }
@@ -85,6 +100,8 @@
                 responses.iter().map(|response| response.body.as_slice()),
                 limit,
             ),
+            // Without the replicas' records the length of the merged ones is not known.
+            omitted_length: OmittedLength::Unknown,
         }
     }
 
@@ -103,3 +120,11 @@
         Response::with_headers(status, headers)
     }
 }
+
+/// The length that a replica's response states.
+fn stated_length(response: &ReplicaResponse) -> OmittedLength {
+    match content_length(&response.head) {
+        Ok(Some(length)) => OmittedLength::Stated(length),
+        Ok(None) | Err(_) => OmittedLength::Unknown,
+    }
+}
--- a/crates/linenthread-dataplane/src/server/respond.rs
+++ b/crates/linenthread-dataplane/src/server/respond.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{ConnectionError, HttpConnection};
-use crate::response::Response;
+use crate::response::{OmittedLength, Response};
 
 /// A client accepts a response within this time.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -22,7 +22,7 @@
 }
 
 /// Writes a response. Where the request wants no body, the length of the body that it would have is stated all the
-/// same.
+/// same, if it is known.
 pub(super) async fn respond<S: AsyncRead + AsyncWrite + Unpin>(
     http: &mut HttpConnection<S>,
     response: &Response,
@@ -40,9 +40,9 @@
     if persistence == Persistence::Close {
         bytes.extend_from_slice(b"Connection: close\r\n");
     }
-    if !matches!(response.status, 204 | 304) {
+    if let Some(length) = stated_length(response, body_presence) {
         bytes.extend_from_slice(b"Content-Length: ");
-        write_decimal(&mut bytes, response.body.len() as u64);
+        write_decimal(&mut bytes, length);
         bytes.extend_from_slice(b"\r\n");
     }
     bytes.extend_from_slice(b"\r\n");
@@ -52,6 +52,21 @@
     http.write(&bytes, Instant::now() + WRITE_TIMEOUT).await
 }
 
+/// The length that the head states, if it states one.
+fn stated_length(response: &Response, body_presence: BodyPresence) -> Option<u64> {
+    if matches!(response.status, 204 | 304) {
+        return None;
+    }
+    let own_length = response.body.len() as u64;
+    match (body_presence, response.omitted_length) {
+        (BodyPresence::Present, _) | (BodyPresence::Absent, OmittedLength::OfBody) => {
+            Some(own_length)
+        }
+        (BodyPresence::Absent, OmittedLength::Stated(length)) => Some(length),
+        (BodyPresence::Absent, OmittedLength::Unknown) => None,
+    }
+}
+
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/crates/linenthread-dataplane/tests/server.rs
+++ b/crates/linenthread-dataplane/tests/server.rs
@@ -14,6 +14,7 @@
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
 };
 use linenthread_dataplane_sim::replica::messages::{self, Message};
+use linenthread_http::Head;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
 use yare::parameterized;
@@ -76,17 +77,24 @@
 
 /// The status of an ingress node's response to a request.
 async fn status(replicas: Option<Replicas>, path: &str, headers: &str) -> u16 {
+    response_head(replicas, "GET", path, headers).await.status()
+}
+
+/// The head of an ingress node's response to a request.
+async fn response_head(
+    replicas: Option<Replicas>,
+    method: &str,
+    path: &str,
+    headers: &str,
+) -> Head {
     let plane = ingress(replicas.as_ref());
     let (client, server) = tokio::io::duplex(4_096);
     spawn_local(serve(server, SocketAddr::from(([127, 0, 0, 1], 1)), plane));
     let mut http = HttpConnection::new(client);
     let deadline = Instant::now() + Duration::from_secs(10);
-    let request = format!("GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{headers}\r\n");
+    let request = format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{headers}\r\n");
     http.write(request.as_bytes(), deadline).await.unwrap();
-    http.read_response_head(4_096, deadline)
-        .await
-        .unwrap()
-        .status()
+    http.read_response_head(4_096, deadline).await.unwrap()
 }
 
 fn simulated<T>(future: impl Future<Output = T>) -> T {
@@ -193,3 +201,30 @@
     assert_eq!(got, 502);
     assert!(replicas.requests.get() > 1);
 }
+
+/// The head of a replica's response to a `HEAD`, with these lines beside id and seal.
+fn response_to_head(lines: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Replica-Seal: s\r\n{lines}\r\n").into_bytes()
+}
+
+#[parameterized(
+    with_length = { Some("Content-Length: 17\r\n"), Some("17") },
+    without_length = { Some(""), None },
+    rejected_here = { None, Some("0") },
+)]
+fn the_response_to_a_head_states_the_length_that_is_known(
+    lines: Option<&str>,
+    expected: Option<&str>,
+) {
+    let replicas = lines.map(|lines| Replicas {
+        reply: vec![InboundEvent::Bytes(response_to_head(lines))],
+        requests: Rc::default(),
+    });
+    let head = simulated(response_head(
+        replicas,
+        "HEAD",
+        "/one/x",
+        "X-Attempt-Id: a\r\n",
+    ));
+    assert_eq!(head.header("content-length"), expected);
+}
--- a/crates/linenthread-http/src/framing.rs
+++ b/crates/linenthread-http/src/framing.rs
@@ -58,8 +58,12 @@
     }
 }
 
-/// The one length that a head states, if it states any.
-fn content_length(head: &Head) -> Result<Option<u64>, ParseError> {
+/// The one length that a head states, if it states any. A response to a `HEAD` states that of the body which it leaves
+/// out.
+///
+/// # Errors
+/// Something that is not a length, or several lengths.
+pub fn content_length(head: &Head) -> Result<Option<u64>, ParseError> {
     let mut length = None;
     for value in head.header_values("content-length") {
         let stated = parse_length(value)?;
--- a/crates/linenthread-http/src/lib.rs
+++ b/crates/linenthread-http/src/lib.rs
@@ -18,6 +18,6 @@
 pub use body::BodyReader;
 pub use decimal::write_decimal;
 pub use error::ParseError;
-pub use framing::{BodyPresence, Framing, request_framing, response_framing};
+pub use framing::{BodyPresence, Framing, content_length, request_framing, response_framing};
 pub use head::Head;
 pub use records::{RECORD_BYTES, merge_top_records};
