Data plane: responses without a length end with their connection

Such answers were rejected as malformed: 502.

Change: Framing::UntilClose; an orderly close completes such a body, a reset or a time-out does not, and the connection is not used again. The simulation draws such responses, closed and reset.

--- a/crates/linenthread-dataplane-sim/src/replica/connection.rs
+++ b/crates/linenthread-dataplane-sim/src/replica/connection.rs
@@ -7,7 +7,7 @@
 use linenthread_http::{BodyPresence, BodyReader, Head, request_framing};
 use tokio::time::Instant;
 
-use super::messages::{Message, misdirection, rejection};
+use super::messages::{Message, misdirection, rejection, without_length};
 use super::{Replica, TargetCheck};
 use crate::content::response_body;
 use crate::fault_plan::{RequestFault, SurplusResponse, SurplusTime, Truncation, WriteFault};
@@ -171,6 +171,10 @@
                 self.drop_request(request, executed);
                 inbound.push(after, InboundEvent::Close);
             }
+            RequestFault::ResponseWithoutLength { is_reset } => {
+                let response = self.execute(request, request_id);
+                self.respond_without_length(&response, is_reset, after, inbound);
+            }
             RequestFault::Truncated { per_mille, end } => {
                 let mut response = self.execute(request, request_id);
                 response.truncate(fraction(response.len(), per_mille));
@@ -180,6 +184,28 @@
         }
     }
 
+    /// Sends a response without its length, and ends the connection.
+    fn respond_without_length(
+        &mut self,
+        response: &[u8],
+        is_reset: bool,
+        after: Duration,
+        inbound: &mut Inbound,
+    ) {
+        let (mut bytes, body) = without_length(response);
+        if is_reset {
+            let arrived = self.replica.random.index(body.len() + 1);
+            bytes.extend_from_slice(&body[..arrived]);
+            inbound.push_bytes(after, bytes);
+            inbound.push(PROMPTLY, InboundEvent::Reset);
+        } else {
+            bytes.extend_from_slice(body);
+            inbound.push_bytes(after, bytes);
+            inbound.push(PROMPTLY, InboundEvent::Close);
+        }
+        self.state = State::Dropped;
+    }
+
     /// Ends the connection with no response.
     fn drop_request(&mut self, request: &Request, executed: bool) {
         if executed {
--- a/crates/linenthread-dataplane-sim/src/replica/messages.rs
+++ b/crates/linenthread-dataplane-sim/src/replica/messages.rs
@@ -1,5 +1,8 @@
 //! The messages of simulated replicas, as bytes.
 
+/// What ends a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 /// A response of a replica.
 #[derive(Clone, Copy)]
 pub struct Message<'a> {
@@ -70,3 +73,17 @@
     }
     .to_bytes()
 }
+
+/// The head of a response without its length, and its body.
+pub(super) fn without_length(response: &[u8]) -> (Vec<u8>, &[u8]) {
+    let head_end = response
+        .windows(HEAD_END.len())
+        .position(|window| window == HEAD_END)
+        .map_or(response.len(), |at| at + HEAD_END.len());
+    let (head, body) = response.split_at(head_end);
+    let lines = String::from_utf8_lossy(head);
+    let kept = lines
+        .split_inclusive('\n')
+        .filter(|line| !line.starts_with("Content-Length:"));
+    (kept.collect::<String>().into_bytes(), body)
+}
--- a/crates/linenthread-dataplane/src/connection.rs
+++ b/crates/linenthread-dataplane/src/connection.rs
@@ -54,6 +54,15 @@
     pub source: ConnectionError,
 }
 
+/// What a read brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadProgress {
+    /// Some bytes.
+    Bytes,
+    /// The other side has closed the connection in order.
+    Closed,
+}
+
 /// A connection and the bytes that were read off it and not consumed yet.
 pub struct HttpConnection<S = TcpStream> {
     stream: S,
@@ -69,13 +78,22 @@
         }
     }
 
-    /// Reads some bytes into the buffer.
-    async fn fill(&mut self, deadline: Instant) -> Result<(), ConnectionError> {
+    /// Reads some bytes into the buffer, if any come.
+    async fn read_more(&mut self, deadline: Instant) -> Result<ReadProgress, ConnectionError> {
         self.buffer.reserve(READ_BYTES);
         match timeout_at(deadline, self.stream.read_buf(&mut self.buffer)).await {
             Err(_) => Err(ConnectionError::TimedOut),
-            Ok(Ok(0) | Err(_)) => Err(ConnectionError::Broken),
-            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) => Err(ConnectionError::Broken),
+            Ok(Ok(0)) => Ok(ReadProgress::Closed),
+            Ok(Ok(_)) => Ok(ReadProgress::Bytes),
+        }
+    }
+
+    /// Reads some bytes into the buffer, which are due.
+    async fn fill(&mut self, deadline: Instant) -> Result<(), ConnectionError> {
+        match self.read_more(deadline).await? {
+            ReadProgress::Bytes => Ok(()),
+            ReadProgress::Closed => Err(ConnectionError::Broken),
         }
     }
 
@@ -142,7 +160,8 @@
     /// before the deadline, if there is one.
     ///
     /// # Errors
-    /// The connection ended, the time is over, or what arrived is not a body of this framing.
+    /// The connection ended within the body, the time is over, or what arrived is not a body of this framing. A body
+    /// that lasts until the connection is closed is incomplete if it is reset.
     pub async fn read_body(
         &mut self,
         framing: Framing,
@@ -154,7 +173,11 @@
         while !body.read_from(&mut self.buffer)? {
             let idle_deadline = Instant::now() + idle_timeout;
             let next = deadline.map_or(idle_deadline, |deadline| deadline.min(idle_deadline));
-            self.fill(next).await?;
+            match self.read_more(next).await? {
+                ReadProgress::Bytes => {}
+                ReadProgress::Closed if body.on_close() => break,
+                ReadProgress::Closed => return Err(ConnectionError::Broken),
+            }
         }
         if self.buffer.is_empty() && self.buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
             self.buffer = BytesMut::new();
--- a/crates/linenthread-dataplane/src/pool/leased.rs
+++ b/crates/linenthread-dataplane/src/pool/leased.rs
@@ -71,7 +71,7 @@
     }
 
     /// Makes it ready for another request, if the replica keeps it open after a response with this head and no byte
-    /// follows the response.
+    /// follows the response. Where the end of the connection was the end of the response, it is not idle.
     pub(super) fn into_idle(self, last_response: &Head) -> Option<IdleConnection<C>> {
         if !last_response.keeps_alive() || !self.http.is_idle() {
             return None;
--- a/crates/linenthread-dataplane/tests/server.rs
+++ b/crates/linenthread-dataplane/tests/server.rs
@@ -187,6 +187,32 @@
     assert!(replicas.requests.get() > 1);
 }
 
+/// A sealed response without a length.
+fn without_length() -> InboundEvent {
+    let response = String::from_utf8(sealed(Some("a"))).unwrap();
+    InboundEvent::Bytes(response.replace("Content-Length: 4\r\n", "").into_bytes())
+}
+
+#[parameterized(
+    closed = { InboundEvent::Close, 200 },
+    reset = { InboundEvent::Reset, 502 },
+)]
+fn a_response_without_length_is_complete_if_its_connection_is_closed(
+    end: InboundEvent,
+    expected: u16,
+) {
+    let replicas = Replicas {
+        reply: vec![without_length(), end],
+        requests: Rc::default(),
+    };
+    let got = simulated(status(
+        Some(replicas.clone()),
+        "/once/x",
+        "X-Attempt-Id: a\r\n",
+    ));
+    assert_eq!((got, replicas.requests.get()), (expected, 1));
+}
+
 #[test]
 fn an_idempotent_request_is_retried_after_a_reset() {
     let replicas = Replicas {
--- a/crates/linenthread-http/src/body.rs
+++ b/crates/linenthread-http/src/body.rs
@@ -25,6 +25,8 @@
     ChunkEnd,
     /// Trailer lines, up to an empty one.
     Trailers,
+    /// All bytes up to the end of the connection.
+    UntilClose,
     /// Nothing.
     Complete,
 }
@@ -44,6 +46,7 @@
             Framing::Length(0) => (State::Complete, 0),
             Framing::Length(length) => (State::Bytes(length), bounded(length, MAX_RESERVED_BYTES)),
             Framing::Chunked => (State::ChunkSize, 0),
+            Framing::UntilClose => (State::UntilClose, 0),
         };
         BodyReader {
             state,
@@ -65,6 +68,10 @@
                 State::ChunkSize => read_chunk_size(buffer)?,
                 State::ChunkEnd => read_chunk_end(buffer)?,
                 State::Trailers => read_trailer(buffer)?,
+                State::UntilClose => {
+                    self.copy_all(buffer)?;
+                    None
+                }
             };
             match next {
                 Some(state) => self.state = state,
@@ -73,11 +80,29 @@
         }
     }
 
+    /// Notes that the sender closed the connection, in order, behind what was read; true if that completes the body.
+    pub fn on_close(&mut self) -> bool {
+        if self.state == State::UntilClose {
+            self.state = State::Complete;
+        }
+        self.state == State::Complete
+    }
+
     /// The bytes read so far, without the framing.
     pub fn into_bytes(self) -> Vec<u8> {
         self.bytes
     }
 
+    /// Copies the whole buffer to the body.
+    fn copy_all(&mut self, buffer: &mut BytesMut) -> Result<(), ParseError> {
+        if self.bytes.len() + buffer.len() > self.max_bytes {
+            return Err(ParseError::BodyTooLong);
+        }
+        self.bytes.extend_from_slice(buffer);
+        buffer.clear();
+        Ok(())
+    }
+
     /// Copies up to `left` bytes of the buffer to the body. Once none is missing it goes on with `next`; until then it
     /// stays in the state `unfinished`, with what is missing.
     fn copy(
--- a/crates/linenthread-http/src/framing.rs
+++ b/crates/linenthread-http/src/framing.rs
@@ -12,6 +12,8 @@
     Length(u64),
     /// It comes in chunks, the last of which is empty.
     Chunked,
+    /// It lasts until its sender closes the connection. Only responses come like this.
+    UntilClose,
 }
 
 /// The framing of a request's body.
@@ -46,15 +48,16 @@
 /// The framing of the body of a response to such a request.
 ///
 /// # Errors
-/// An ambiguous framing, or none: a body that lasts until the connection ends cannot be told from a truncated one.
+/// An ambiguous framing.
 pub fn response_framing(head: &Head, presence: BodyPresence) -> Result<Framing, ParseError> {
     if presence == BodyPresence::Absent || matches!(head.status(), 204 | 304) {
         return Ok(Framing::Length(0));
     }
     match (is_chunked(head)?, content_length(head)?) {
-        (true, Some(_)) | (false, None) => Err(ParseError::Malformed),
+        (true, Some(_)) => Err(ParseError::Malformed),
         (true, None) => Ok(Framing::Chunked),
         (false, Some(length)) => Ok(Framing::Length(length)),
+        (false, None) => Ok(Framing::UntilClose),
     }
 }
 
