linenthread-ctl: follows a redirect, names each address that failed

Cause: a 307 of a control node that shuts down was taken for the final response, so the next address was not tried, and replace said 'unknown whether ...' although nothing had begun. With several addresses only the last failure was shown.

Where none may have, replace says that nothing has changed.

--- a/crates/linenthread-ctl/src/commands.rs
+++ b/crates/linenthread-ctl/src/commands.rs
@@ -18,9 +18,8 @@
 
 use crate::error::{
     CompareSnafu, EncodeSnafu, Error, InvalidAddressSnafu, InvalidConfigurationSnafu,
-    InvalidCurrentConfigurationSnafu, NoConfigurationSnafu, NoControlAddressSnafu,
-    NoResponseToReplaceSnafu, ReadFileSnafu, RequestSnafu, UnexpectedStatusSnafu,
-    UnreadableResponseSnafu,
+    InvalidCurrentConfigurationSnafu, NoConfigurationSnafu, NoControlAddressSnafu, ReadFileSnafu,
+    UnavailableSnafu, UnexpectedStatusSnafu, UnreadableResponseSnafu,
 };
 use crate::flags::{LinenthreadCtl, LinenthreadCtlCmd};
 
@@ -134,13 +133,12 @@
             None => self.current_revision()?,
         };
         let response = self.send_replacement(base, &document)?;
-        let (status, message) = (response.status, body_text(&response));
+        let (status, message) = (response.status, response.body_text());
         match status {
             OK if self.json => Ok(message),
             OK => Ok(format!("in force, replaces revision {base}")),
             PRECONDITION_FAILED => Err(Error::RevisionConflict { message }),
-            400..500 => Err(Error::Rejected { status, message }),
-            _ => Err(Error::UnknownOutcome { status, message }),
+            _ => Err(Error::Rejected { status, message }),
         }
     }
 
@@ -157,7 +155,7 @@
         };
         self.client
             .send(&request, REPLACE_ROUNDS)
-            .context(NoResponseToReplaceSnafu)
+            .map_err(Error::of_replacement)
     }
 
     /// What a control node reports at a path.
@@ -168,7 +166,7 @@
             UnexpectedStatusSnafu {
                 path,
                 status: response.status,
-                message: body_text(&response),
+                message: response.body_text(),
             }
         );
         serde_json::from_slice(&response.body).context(UnreadableResponseSnafu { path })
@@ -181,10 +179,10 @@
         match response.status {
             OK => Ok(Some(response.body)),
             NOT_FOUND => Ok(None),
-            status => Err(Error::Unavailable {
+            status => Err(Error::UnexpectedStatus {
                 path,
                 status,
-                message: body_text(&response),
+                message: response.body_text(),
             }),
         }
     }
@@ -198,10 +196,10 @@
         Ok(current.revision)
     }
 
-    fn send_get(&self, path: &str) -> Result<Response, Error> {
+    fn send_get(&self, path: &'static str) -> Result<Response, Error> {
         self.client
             .send(&Request::get(path), READ_ROUNDS)
-            .context(RequestSnafu)
+            .context(UnavailableSnafu { path })
     }
 
     /// JSON if the flag asks for it, else what `human_readable` makes of the value.
@@ -225,10 +223,6 @@
     Ok(document)
 }
 
-fn body_text(response: &Response) -> String {
-    String::from_utf8_lossy(&response.body).into_owned()
-}
-
 fn lines<T: ToString>(items: &[T]) -> String {
     let lines: Vec<String> = items.iter().map(T::to_string).collect();
     lines.join("\n")
--- a/crates/linenthread-ctl/src/control_api.rs
+++ b/crates/linenthread-ctl/src/control_api.rs
@@ -15,6 +15,8 @@
 
 /// The call succeeded.
 pub const OK: u16 = 200;
+/// Another control node serves the call, which this one, as it shuts down, did not begin.
+pub const TEMPORARY_REDIRECT: u16 = 307;
 /// There is no configuration yet.
 pub const NOT_FOUND: u16 = 404;
 /// The caller was too slow; no control node sends it, but a proxy between may.
--- a/crates/linenthread-ctl/src/error.rs
+++ b/crates/linenthread-ctl/src/error.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 use linenthread_config::ConfigurationError;
-use linenthread_ctl::RequestError;
+use linenthread_ctl::NoFinalResponse;
 use snafu::Snafu;
 
 /// The cluster rejects what it was asked for.
@@ -49,10 +49,7 @@
     /// Standard output fails, other than by a closed pipe.
     #[snafu(display("printing the output: {source}"))]
     Print { source: io::Error },
-    /// A read has no response from any control node; this is what the last one failed at.
-    #[snafu(display("{source}"))]
-    Request { source: RequestError },
-    /// A control node does not report its nodes or replicas.
+    /// A control node does not report what it was asked for.
     #[snafu(display("{path}: status {status}: {message}"))]
     UnexpectedStatus {
         path: &'static str,
@@ -65,12 +62,12 @@
         path: &'static str,
         source: serde_json::Error,
     },
-    /// No control node can read the configuration in force, most often as none has contact with a majority.
-    #[snafu(display("{path}: status {status}: {message}"))]
+    /// No control node responds to a read, or none can read the configuration in force, most often as none has contact
+    /// with a majority.
+    #[snafu(display("{path}: {source}"))]
     Unavailable {
         path: &'static str,
-        status: u16,
-        message: String,
+        source: NoFinalResponse,
     },
     /// There is nothing to print: no configuration was ever taken.
     #[snafu(display("there is no configuration yet"))]
@@ -81,15 +78,24 @@
     /// The control node finds the file or the request invalid; nothing has changed.
     #[snafu(display("rejected with status {status}: {message}"))]
     Rejected { status: u16, message: String },
-    /// No response from any control node. The same file may be sent again.
+    /// No control node accepted it; nothing has changed. The same file may be sent again.
+    #[snafu(display("nothing has changed, no control node accepted the configuration: {source}"))]
+    NotBegun { source: NoFinalResponse },
+    /// No control node could tell what became of it. The same file may be sent again.
     #[snafu(display("unknown whether the configuration is in force: {source}"))]
-    NoResponseToReplace { source: RequestError },
-    /// A control node could not tell in time what became of it. The same file may be sent again.
-    #[snafu(display("unknown whether the configuration is in force: status {status}: {message}"))]
-    UnknownOutcome { status: u16, message: String },
+    UnknownOutcome { source: NoFinalResponse },
 }
 
 impl Error {
+    /// A replacement without a final response.
+    pub(crate) fn of_replacement(source: NoFinalResponse) -> Error {
+        if source.may_have_begun {
+            Error::UnknownOutcome { source }
+        } else {
+            Error::NotBegun { source }
+        }
+    }
+
     /// The exit code of the program.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
@@ -105,10 +111,9 @@
             | Error::Compare { .. }
             | Error::Encode { .. }
             | Error::Print { .. } => INVALID,
-            Error::Request { .. }
-            | Error::UnreadableResponse { .. }
+            Error::UnreadableResponse { .. }
             | Error::Unavailable { .. }
-            | Error::NoResponseToReplace { .. }
+            | Error::NotBegun { .. }
             | Error::UnknownOutcome { .. } => NO_RESPONSE,
         }
     }
--- a/crates/linenthread-ctl/src/lib.rs
+++ b/crates/linenthread-ctl/src/lib.rs
@@ -10,7 +10,7 @@
 mod request;
 mod status;
 
-pub use client::Client;
+pub use client::{AddressFailure, Client, FailureReason, NoFinalResponse};
 pub use difference::{Change, Section, configuration_changes};
 pub use request::{Request, RequestError, Response};
 pub use status::{
--- a/crates/linenthread-ctl/src/request.rs
+++ b/crates/linenthread-ctl/src/request.rs
@@ -21,6 +21,14 @@
 /// Why a request has no response.
 #[derive(Debug, Snafu)]
 pub enum RequestError {
+    /// No connection was made, so nothing was sent.
+    #[snafu(display("connecting to {peer}: {source}"))]
+    Connect {
+        /// The address that was called.
+        peer: SocketAddr,
+        /// What the operating system reports.
+        source: io::Error,
+    },
     /// The connection failed, or the time was over.
     #[snafu(display("{step} {peer}: {source}"))]
     Connection {
@@ -68,6 +76,20 @@
     pub body: Vec<u8>,
 }
 
+impl RequestError {
+    /// Whether the request may have reached the peer.
+    pub fn may_have_been_sent(&self) -> bool {
+        !matches!(self, RequestError::Connect { .. })
+    }
+}
+
+impl Response {
+    /// The body as text.
+    pub fn body_text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
 impl<'a> Request<'a> {
     /// A `GET` without headers.
     pub fn get(path: &'a str) -> Request<'a> {
@@ -117,12 +139,8 @@
 impl Connection {
     fn open(peer: SocketAddr, timeout: Duration) -> Result<Connection, RequestError> {
         let deadline = Instant::now() + timeout;
-        let stream = TcpStream::connect_timeout(&peer, timeout.max(MIN_TIMEOUT)).context(
-            ConnectionSnafu {
-                step: "connecting to",
-                peer,
-            },
-        )?;
+        let stream = TcpStream::connect_timeout(&peer, timeout.max(MIN_TIMEOUT))
+            .context(ConnectSnafu { peer })?;
         Ok(Connection {
             peer,
             stream,
--- a/crates/linenthread-ctl/tests/program.rs
+++ b/crates/linenthread-ctl/tests/program.rs
@@ -10,6 +10,11 @@
 
 /// Serves the same response to every request, for as long as the test runs.
 fn fake_control_node(status: &'static str, body: &'static str) -> SocketAddr {
+    fake_control_node_with(status, String::new(), body)
+}
+
+/// The same, with these header lines.
+fn fake_control_node_with(status: &'static str, headers: String, body: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
@@ -19,7 +24,7 @@
             let length = body.len();
             let _ = write!(
                 stream,
-                "HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}"
+                "HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
             );
         }
     });
@@ -41,19 +46,24 @@
     let _ = stream.read_exact(&mut vec![0; length]);
 }
 
-fn ctl(address: SocketAddr, arguments: &[&str]) -> Command {
+fn ctl(addresses: &[SocketAddr], arguments: &[&str]) -> Command {
+    let addresses: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
     let mut command = Command::new(env!("CARGO_BIN_EXE_linenthread-ctl"));
-    command.args(["--control", &address.to_string()]);
+    command.args(["--control", &addresses.join(",")]);
     command.args(arguments);
     command
 }
 
 fn run(address: SocketAddr, arguments: &[&str]) -> (Option<i32>, String, String) {
+    run_at(&[address], arguments)
+}
+
+fn run_at(addresses: &[SocketAddr], arguments: &[&str]) -> (Option<i32>, String, String) {
     let Output {
         status,
         stdout,
         stderr,
-    } = ctl(address, arguments).output().unwrap();
+    } = ctl(addresses, arguments).output().unwrap();
     let text = |bytes| String::from_utf8(bytes).unwrap();
     (status.code(), text(stdout), text(stderr))
 }
@@ -134,10 +144,103 @@
     assert_eq!((code, stderr), (Some(expected_exit_code), expected_line));
 }
 
+/// A control node that shuts down and names another one.
+fn redirecting_control_node(to: SocketAddr) -> SocketAddr {
+    let location = format!("Location: http://{to}/path\r\n");
+    fake_control_node_with("307 Temporary Redirect", location, "")
+}
+
+/// An address at which nothing listens.
+fn unused_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn configuration_file(name: &str) -> String {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&file, CONFIGURATION).unwrap();
+    file.to_str().unwrap().to_owned()
+}
+
+#[test]
+fn a_redirect_leads_to_a_control_node_that_was_not_listed() {
+    let serving = fake_control_node("200 OK", CONFIGURATION);
+    let address = redirecting_control_node(redirecting_control_node(serving));
+    let (code, stdout, _) = run(address, &["read"]);
+    assert_eq!((code, stdout), (Some(0), format!("{CONFIGURATION}\n")));
+    let file = configuration_file("redirected.json");
+    let (code, stdout, _) = run(address, &["replace", &file, "--base", "3"]);
+    assert_eq!(
+        (code, stdout.as_str()),
+        (Some(0), "in force, replaces revision 3\n")
+    );
+}
+
+#[test]
+fn a_listed_control_node_is_tried_after_one_that_redirects_to_nobody() {
+    let redirecting = redirecting_control_node(unused_address());
+    let serving = fake_control_node("200 OK", CONFIGURATION);
+    let (code, _, _) = run_at(&[redirecting, serving], &["read"]);
+    assert_eq!(code, Some(0));
+}
+
+#[test]
+fn control_nodes_that_redirect_in_a_circle_are_not_tried_for_ever() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let first = listener.local_addr().unwrap();
+    drop(listener);
+    let second = redirecting_control_node(first);
+    let (code, _, _) = run_at(&[second, redirecting_control_node(second)], &["read"]);
+    assert_eq!(code, Some(3));
+}
+
+#[test]
+fn a_replacement_that_no_control_node_began_has_changed_nothing() {
+    let unused = unused_address();
+    let redirecting = redirecting_control_node(unused);
+    let file = configuration_file("not begun.json");
+    let arguments = ["replace", file.as_str(), "--base", "3"];
+    let (code, _, stderr) = run_at(&[redirecting], &arguments);
+    assert_eq!(code, Some(3));
+    let expected =
+        "linenthread-ctl: nothing has changed, no control node accepted the configuration: ";
+    assert!(stderr.starts_with(expected), "{stderr}");
+    assert!(
+        stderr.contains(&format!("{redirecting}: status 307")),
+        "{stderr}"
+    );
+    assert!(
+        stderr.contains(&format!("connecting to {unused}")),
+        "{stderr}"
+    );
+}
+
+#[test]
+fn what_each_address_failed_at_is_printed() {
+    let unused = unused_address();
+    let without_quorum = fake_control_node("503 Service Unavailable", "no contact");
+    let (code, _, stderr) = run_at(&[without_quorum, unused], &["read"]);
+    assert_eq!(code, Some(3));
+    assert!(
+        stderr.contains(&format!("{without_quorum}: status 503: no contact")),
+        "{stderr}"
+    );
+    assert!(
+        stderr.contains(&format!("connecting to {unused}")),
+        "{stderr}"
+    );
+    let file = configuration_file("unknown.json");
+    let arguments = ["replace", file.as_str(), "--base", "3"];
+    let (code, _, stderr) = run_at(&[unused, without_quorum], &arguments);
+    assert_eq!(code, Some(3));
+    let expected = "linenthread-ctl: unknown whether the configuration is in force: ";
+    assert!(stderr.starts_with(expected), "{stderr}");
+}
+
 #[test]
 fn a_closed_output_pipe_ends_it_quietly() {
     let address = fake_control_node("200 OK", CONFIGURATION);
-    let output = run_with_closed_output(&mut ctl(address, &["read"])).unwrap();
+    let output = run_with_closed_output(&mut ctl(&[address], &["read"])).unwrap();
     assert_eq!(String::from_utf8(output.stderr).unwrap(), "");
     assert_eq!(output.status.code(), Some(0));
 }
--- a/crates/linenthread-demo/src/cluster.rs
+++ b/crates/linenthread-demo/src/cluster.rs
@@ -7,7 +7,7 @@
 use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 
-use linenthread_ctl::{Client, MembersStatus, RequestError, Response};
+use linenthread_ctl::{Client, MembersStatus, NoFinalResponse, RequestError, Response};
 use snafu::ResultExt;
 
 use crate::client::{CALL_TIMEOUT, members_at, query_at};
@@ -317,13 +317,13 @@
     /// single ones.
     ///
     /// # Errors
-    /// No control node could be reached.
+    /// No control node gave a final response.
     pub fn configure(
         &self,
         base: u64,
         revision: u64,
         services: &[&str],
-    ) -> Result<Response, RequestError> {
+    ) -> Result<Response, NoFinalResponse> {
         let order = Order::new(base, revision, services, 0);
         let client = Client {
             addresses: self.control_addresses(),
--- a/crates/linenthread-demo/src/command_error.rs
+++ b/crates/linenthread-demo/src/command_error.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use linenthread_ctl::RequestError;
+use linenthread_ctl::NoFinalResponse;
 use linenthread_demo::DemoError;
 use snafu::Snafu;
 
@@ -13,7 +13,10 @@
     #[snafu(context(false), display("{source}"))]
     Cluster { source: DemoError },
     #[snafu(display("sending configuration {revision}: {source}"))]
-    Configure { revision: u64, source: RequestError },
+    Configure {
+        revision: u64,
+        source: NoFinalResponse,
+    },
     #[snafu(display("configuration {revision} has the response {status}"))]
     Rejected { revision: u64, status: u16 },
     #[snafu(display("{machine} did not log {event} in time"))]
