--- a/crates/linenthread-ctl/tests/program.rs
+++ b/crates/linenthread-ctl/tests/program.rs
@@ -15,12 +15,20 @@
 
 /// The same, with these header lines.
 fn fake_control_node_with(status: &'static str, headers: String, body: &'static str) -> SocketAddr {
+    fake_control_node_that(move |_| (status, headers.clone(), body))
+}
+
+/// Serves to each request, by how many came before it, a status, header lines and a body.
+fn fake_control_node_that(
+    response: impl Fn(usize) -> (&'static str, String, &'static str) + Send + 'static,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
-        for stream in listener.incoming() {
+        for (earlier, stream) in listener.incoming().enumerate() {
             let mut stream = stream.unwrap();
             read_request(&mut stream);
+            let (status, headers, body) = response(earlier);
             let length = body.len();
             let _ = write!(
                 stream,
@@ -215,6 +223,19 @@
     );
 }
 
+#[test]
+fn a_replacement_that_was_unclear_once_stays_unclear() {
+    let address = fake_control_node_that(|earlier| match earlier {
+        0 => ("503 Service Unavailable", String::new(), "late"),
+        _ => ("307 Temporary Redirect", String::new(), ""),
+    });
+    let file = configuration_file("unclear once.json");
+    let (code, _, stderr) = run(address, &["replace", &file, "--base", "3"]);
+    assert_eq!(code, Some(3));
+    let expected = "linenthread-ctl: unknown whether the configuration is in force: status 307\n";
+    assert_eq!(stderr, expected);
+}
+
 #[test]
 fn what_each_address_failed_at_is_printed() {
     let unused = unused_address();
