Zones: little traffic is evidence, too; an ordered return takes no opening from a fault

Cause 1: an observer needs five completed sub-requests for the opinion that a zone is reachable, but none for the opinion that it is down. With little traffic one zone that did not reach another closed it for all. Change 1: where no observer of a zone has an opinion, what they completed together in the interval is one.

Change 2: an ordered return brings the openings that it needs.

--- a/crates/linenthread-zones/src/controller/adoption.rs
+++ b/crates/linenthread-zones/src/controller/adoption.rs
@@ -5,9 +5,11 @@
 
 use super::FailoverController;
 use crate::ALL_KEYS;
+use crate::health::OPENINGS_OF_RETURN;
 use crate::table::Row;
 
-/// How often routes may be opened further: this many times in a row, and once more with each minute that passes.
+/// How often routes may be opened further: this many times in a row, and once more with each minute that passes. Steps
+/// of a return that an operator ordered come on top.
 const MAX_OPENINGS: f64 = 20.0;
 /// A new leader may open routes so often at first.
 const INITIAL_OPENINGS: f64 = 5.0;
@@ -33,11 +35,17 @@
     }
 
     fn refill(&mut self, now: TenthMillis) {
-        self.openings += (now - self.refilled_at) as f64 / MINUTE as f64;
-        self.openings = self.openings.min(MAX_OPENINGS);
+        let refilled = self.openings + (now - self.refilled_at) as f64 / MINUTE as f64;
+        // What an order allowed may exceed the maximum, but does not grow.
+        self.openings = refilled.min(MAX_OPENINGS.max(self.openings));
         self.refilled_at = now;
     }
 
+    /// An operator lets a zone return. Its steps are not taken from what failures may use: an order is no flapping.
+    pub(super) fn allow_ordered_return(&mut self) {
+        self.openings += OPENINGS_OF_RETURN;
+    }
+
     fn spend(&mut self, now: TenthMillis) {
         self.openings -= 1.0;
         self.opened_at = now;
--- a/crates/linenthread-zones/src/controller/evidence.rs
+++ b/crates/linenthread-zones/src/controller/evidence.rs
@@ -18,7 +18,8 @@
         let is_down = is_majority(stats.down, stats.observers);
         if is_down && is_majority(stats.down, coordinators) {
             Opinion::Down
-        } else if !is_down && stats.observers > 0 {
+        } else if !is_down && stats.observers > 0 || is_majority(stats.succeeded, stats.completed) {
+            // With little traffic no single observer has an opinion; what all of them completed together is one.
             Opinion::Reachable
         } else {
             Opinion::Unknown
@@ -94,8 +95,6 @@
             Opinion::Reachable => false,
             // Others outvote its own coordinators, unless nobody else can tell.
             Opinion::Down => votes.down > votes.reachable || votes.reachable == 0,
-            // Known fault: too little traffic for an opinion in most zones leaves the decision to a single other one,
-            // even while the zone's own sub-requests all succeed (simulation of zones, schedule 5689).
             Opinion::Unknown => votes.down > votes.reachable,
         }
     }
--- a/crates/linenthread-zones/src/controller/mod.rs
+++ b/crates/linenthread-zones/src/controller/mod.rs
@@ -10,8 +10,7 @@
 //!
 //! A pair of zones is partitioned while the remote one is not ejected and a majority in the local one finds it down:
 //! the route between them goes through the same states by itself. So an observer that is itself cut off is outvoted in
-//! its own zone, and a zone that only one other cannot reach is not ejected for all. (With little traffic it may be:
-//! see [`Evidence::is_down`].)
+//! its own zone, and a zone that only one other cannot reach is not ejected for all.
 //!
 //! Where to read what, in the order of [`FailoverController::decide`]: `measurements`, `evidence`, the states in
 //! [`crate::health`], `routes`, and `adoption`; `restoration` is what a new leader begins with.
@@ -120,8 +119,8 @@
         for (name, health) in self.zone_names.iter().zip(&mut self.health) {
             if drained.contains(name) {
                 health.drain();
-            } else {
-                health.end_drain(now, &self.config);
+            } else if health.end_drain(now, &self.config) {
+                self.budget.allow_ordered_return();
             }
         }
     }
--- a/crates/linenthread-zones/src/health.rs
+++ b/crates/linenthread-zones/src/health.rs
@@ -9,6 +9,8 @@
 pub(crate) const CONFIRMATIONS: u32 = 2;
 /// The share of keys, in thousandths, that a returning zone gets, step by step.
 pub(crate) const RETURN_SHARES: [u16; 3] = [50, 150, 400];
+/// How often the routes to a returning zone open further: at each step, and to all keys.
+pub(crate) const OPENINGS_OF_RETURN: f64 = RETURN_SHARES.len() as f64 + 1.0;
 /// The time of an ejection is doubled so often at most.
 const MAX_DOUBLINGS: u32 = 16;
 
@@ -91,11 +93,13 @@
         self.state = State::Drained;
     }
 
-    /// No operator drains it any more: it returns, if one did.
-    pub(crate) fn end_drain(&mut self, now: TenthMillis, config: &FailoverConfig) {
-        if self.state == State::Drained {
+    /// No operator drains it any more: it returns, if one did. Whether it does.
+    pub(crate) fn end_drain(&mut self, now: TenthMillis, config: &FailoverConfig) -> bool {
+        let was_drained = self.state == State::Drained;
+        if was_drained {
             self.state = State::returning(now, config);
         }
+        was_drained
     }
 
     fn eject(&mut self, now: TenthMillis, config: &FailoverConfig) {
--- a/crates/linenthread-zones/tests/failover.rs
+++ b/crates/linenthread-zones/tests/failover.rs
@@ -164,3 +164,63 @@
         "it is ejected anew from then on"
     );
 }
+
+/// Coordinators of zone 0 find zone 2 down. All others had too few sub-requests for an opinion; of what they sent to
+/// zone 2 so many were completed, and so many succeeded.
+fn report_of_little_traffic(completed: u32, succeeded: u32) -> Report {
+    let mut report = report(|from, to| (from, to) == (0, 2));
+    for (route, stats) in &mut report.routes {
+        if route.from.position() != 0 && route.to.position() == 2 {
+            *stats = RouteStats {
+                completed,
+                succeeded,
+                latency_sum_ms: u64::from(succeeded) * 10,
+                ..RouteStats::default()
+            };
+        }
+    }
+    report
+}
+
+#[test]
+fn a_zone_that_one_zone_does_not_reach_stays_open_for_others_with_little_traffic() {
+    let mut controller = controller(None, 0);
+    let tables = run(&mut controller, &report_of_little_traffic(4, 4), 3);
+    let [(_, table)] = &tables[..] else {
+        panic!("one table: {tables:?}");
+    };
+    let closed = Route::closed(Reason::Partitioned);
+    assert_eq!(all_routes_to(table, 2), [closed, Route::OPEN, Route::OPEN]);
+}
+
+#[test]
+fn a_zone_that_gives_nobody_a_success_is_left_by_all() {
+    let mut controller = controller(None, 0);
+    let tables = run(&mut controller, &report_of_little_traffic(4, 0), 3);
+    let [(_, table)] = &tables[..] else {
+        panic!("one table: {tables:?}");
+    };
+    let closed = Route::closed(Reason::ZoneDown);
+    assert_eq!(all_routes_to(table, 2), [closed; ZONES]);
+}
+
+#[test]
+fn a_return_that_an_operator_orders_does_not_delay_the_return_after_a_fault() {
+    let mut controller = controller(None, 0);
+    let healthy = report(|_, _| false);
+    for _ in 0..3 {
+        let now = controller.wake_at();
+        controller.set_drained(&["palermo".to_owned()].into(), now);
+        run(&mut controller, &healthy, 2);
+        let now = controller.wake_at();
+        controller.set_drained(&[].into(), now);
+        run(&mut controller, &healthy, 12);
+        assert_eq!(controller.rows()[0].routes[2], Route::OPEN);
+    }
+    let tables = run(&mut controller, &report_without(2), 3);
+    let left_at = tables.first().map(|(now, _)| *now).expect("a table");
+    let tables = run(&mut controller, &healthy, 20);
+    let (returned_at, table) = tables.last().expect("a table");
+    assert_eq!(table.rows[0].routes[2], Route::OPEN);
+    assert_eq!(returned_at - left_at, EJECTION_TIME + 3 * RETURN_STEP);
+}
