Co-ordinator: what is wrong with a body, in words of our own

Cause: clients got the JSON parser's text, which names types of this program. Change: whether it is not JSON or not of the form, which form, line and column. The test of the messages holds to the new texts, exactly as to the old ones, with two more cases.

--- a/crates/linenthread-protocol/src/query.rs
+++ b/crates/linenthread-protocol/src/query.rs
@@ -4,6 +4,7 @@
 
 use linenthread_core::interface::Completeness;
 use serde::Deserialize;
+use serde_json::error::Category;
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 /// Where the load balancer and the operators ask whether queries are accepted.
@@ -23,6 +24,12 @@
 /// The weights of a query may miss 1 by this much: each is rounded on its own.
 const WEIGHT_ROUNDING: f64 = 0.01;
 
+/// The form of a query's body, as clients are told it.
+const QUERY_FORM: &str = r#"{"buckets":[{"bucket":3,"part":1}],"body":"text"}"#;
+
+/// The form of a page, as clients are told it.
+const PAGE_FORM: &str = r#"{"page":{"rows":20,"after":"cursor"}}"#;
+
 /// The longest time, in milliseconds, that a client may wait: a day.
 const MAX_WAIT_MS: u64 = 86_400_000;
 
@@ -86,14 +93,15 @@
     /// The client's wait is no number, or out of range.
     #[snafu(display("{EXPIRY_HEADER} is no number of milliseconds from 1 to {MAX_WAIT_MS}"))]
     BadExpiry,
-    /// The body is not JSON, or has another form.
-    #[snafu(display("the body does not parse: {source}"))]
+    /// The body is not JSON, or has another form. The parser's own text names types of this program, so clients get
+    /// another one.
+    #[snafu(display("the body {}", json_fault(source, QUERY_FORM)))]
     Body {
         /// What is wrong with it.
         source: serde_json::Error,
     },
     /// The page has another form.
-    #[snafu(display("the page does not parse: {source}"))]
+    #[snafu(display("the page {}", json_fault(source, PAGE_FORM)))]
     Page {
         /// What is wrong with it.
         source: serde_json::Error,
@@ -114,6 +122,15 @@
     BadWeights,
 }
 
+/// What is wrong with JSON that should have a form, and where.
+fn json_fault(error: &serde_json::Error, form: &str) -> String {
+    let place = format!("line {}, column {}", error.line(), error.column());
+    match error.classify() {
+        Category::Data => format!("is not of the form {form}: {place}"),
+        Category::Syntax | Category::Eof | Category::Io => format!("is not JSON: {place}"),
+    }
+}
+
 /// The name of the index that a path is for.
 pub fn index_name(path: &str) -> &str {
     path.trim_start_matches('/').split('/').next().unwrap_or("")
--- a/crates/linenthread-protocol/tests/messages.rs
+++ b/crates/linenthread-protocol/tests/messages.rs
@@ -216,19 +216,24 @@
     let cases = [
         (
             "[]",
-            "the body does not parse: invalid length 0, expected struct Asked with 2 elements at line 1 column 2",
+            r#"the body is not of the form {"buckets":[{"bucket":3,"part":1}],"body":"text"}: line 1, column 2"#,
         ),
+        (
+            "{\n\"buckets\":}",
+            "the body is not JSON: line 2, column 11",
+        ),
+        (r#"{"buckets""#, "the body is not JSON: line 1, column 10"),
         (
             r#"{"buckets":[3],"body":"x"}"#,
-            "the body does not parse: invalid type: integer `3`, expected struct Part at line 1 column 13",
+            r#"the body is not of the form {"buckets":[{"bucket":3,"part":1}],"body":"text"}: line 1, column 13"#,
         ),
         (
             r#"{"buckets":[[3]],"body":"x"}"#,
-            "the body does not parse: invalid length 1, expected struct Part with 4 elements at line 1 column 15",
+            r#"the body is not of the form {"buckets":[{"bucket":3,"part":1}],"body":"text"}: line 1, column 15"#,
         ),
         (
             r#"{"buckets":[{"bucket":3}],"body":"x"}"#,
-            "the body does not parse: missing field `part` at line 1 column 24",
+            r#"the body is not of the form {"buckets":[{"bucket":3,"part":1}],"body":"text"}: line 1, column 24"#,
         ),
         (r#"{"buckets":[],"body":"x"}"#, "no parts are asked for"),
         (
@@ -246,11 +251,11 @@
     let page = |body: &str| query::decode_page(body.as_bytes()).unwrap_err().to_string();
     assert_eq!(
         page("7"),
-        "the page does not parse: invalid type: integer `7`, expected struct Asked at line 1 column 1"
+        r#"the page is not of the form {"page":{"rows":20,"after":"cursor"}}: line 1, column 1"#
     );
     assert_eq!(
         page(r#"{"page":7}"#),
-        "the page does not parse: invalid type: integer `7`, expected struct Page at line 1 column 9"
+        r#"the page is not of the form {"page":{"rows":20,"after":"cursor"}}: line 1, column 9"#
     );
 }
 
