Control node: four suspected faults, each with the test that showed it

A Hello alone counted as contact each time: a voter that reconnected again and again without a round trip was never replaced. The first Hello since the last contact counts. 3. members.status listed sessions: two with one node counted as two nodes. 4. 503 of an order had six causes and one text. Outcome::Unknown says which: timed out, too many pending, no value yet, base not decided, order log gap.

--- a/crates/linenthread-checker/src/register/transition.rs
+++ b/crates/linenthread-checker/src/register/transition.rs
@@ -199,7 +199,7 @@
                 }
                 AfterSync::RecordSynced(synced) => Some(Waiting::RecordSynced(synced)),
                 // No register asks for it.
-                AfterSync::EpochSynced(_) => None,
+                AfterSync::EpochSynced(_) | AfterSync::SnapshotSynced(_) => None,
             })
             .collect();
         let unsynced = UnsyncedRecord { record, after_sync };
--- a/crates/linenthread-consensus/src/decided_state.rs
+++ b/crates/linenthread-consensus/src/decided_state.rs
@@ -6,6 +6,7 @@
 use prost::bytes::Bytes;
 
 use crate::epoch::Epoch;
+use crate::jobs::UnknownReason;
 use crate::node_id::NodeId;
 use crate::order_log::{LoggedOrderStatus, OrderLog};
 use crate::revision::Revision;
@@ -24,9 +25,8 @@
     Committed,
     /// It was not accepted and never will be.
     Conflict,
-    /// This node cannot tell: the order log lacks the part that would tell, or the order builds on a revision that
-    /// may be decided yet.
-    Unknown,
+    /// This node cannot tell.
+    Unknown(UnknownReason),
 }
 
 /// The newest decided value, and the log of the orders that were accepted up to it.
@@ -118,14 +118,14 @@
             return match self.order_log.check_order(order) {
                 LoggedOrderStatus::Committed => OrderStatus::Committed,
                 LoggedOrderStatus::NotCommitted => OrderStatus::Conflict,
-                LoggedOrderStatus::Unknown => OrderStatus::Unknown,
+                LoggedOrderStatus::Unknown => OrderStatus::Unknown(UnknownReason::OrderLogGap),
             };
         }
         if base == newest {
             OrderStatus::Proposable
         } else if newest < base && base < revision {
             // Its base may be decided yet, and then the order accepted.
-            OrderStatus::Unknown
+            OrderStatus::Unknown(UnknownReason::BaseNotDecided)
         } else {
             OrderStatus::Conflict
         }
--- a/crates/linenthread-consensus/src/durable_state.rs
+++ b/crates/linenthread-consensus/src/durable_state.rs
@@ -30,7 +30,7 @@
     pub fn add(&mut self, record: Record) {
         self.id = record.id.map(NodeId).or(self.id);
         self.epoch = self.epoch.max(Epoch::new(record.epoch));
-        if !record.replicas.is_empty() {
+        if !record.replicas.is_empty() || record.replicas_cleared {
             self.replicas = record.replicas;
         }
         self.order_log.extend(&record.order_log);
--- a/crates/linenthread-consensus/src/effects.rs
+++ b/crates/linenthread-consensus/src/effects.rs
@@ -50,6 +50,24 @@
     /// The node's disk holds this epoch of the leader lease. It comes from whoever drives the lease, not from a
     /// [`crate::Register`].
     EpochSynced(Epoch),
+    /// The node's disk holds this snapshot of the replicas. It comes from whoever writes snapshots, not from a
+    /// [`crate::Register`].
+    SnapshotSynced(SnapshotNumber),
+}
+
+/// Numbers the snapshots of the replicas, from 1 within this incarnation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SnapshotNumber(u64);
+
+impl SnapshotNumber {
+    /// Before the first snapshot.
+    pub const NONE: SnapshotNumber = SnapshotNumber(0);
+
+    /// The number of the snapshot after this one.
+    #[must_use]
+    pub fn next(self) -> SnapshotNumber {
+        SnapshotNumber(self.0 + 1)
+    }
 }
 
 /// What a synced record of a register's decided state held.
--- a/crates/linenthread-consensus/src/jobs.rs
+++ b/crates/linenthread-consensus/src/jobs.rs
@@ -18,7 +18,21 @@
     Conflict(Revision),
     /// The newest value, as of a moment after the read was submitted.
     Newest(Value),
-    /// It is not known whether the change is or will be decided, or which value is the newest: no majority of the
-    /// voters replied in time, too many jobs are pending, or this node's order log lacks the part that would tell.
-    Unknown,
+    /// It is not known whether the change is or will be decided, or which value is the newest.
+    Unknown(UnknownReason),
+}
+
+/// Why the outcome of a job is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum UnknownReason {
+    /// No majority of the voters replied before the deadline.
+    TimedOut,
+    /// Too many jobs are pending on this node.
+    TooManyPending,
+    /// This node has just joined, and knows no value yet.
+    NoValue,
+    /// The order builds on a revision above the newest one that is decided, which may be decided yet.
+    BaseNotDecided,
+    /// This node's order log lacks the part that would tell.
+    OrderLogGap,
 }
--- a/crates/linenthread-consensus/src/lib.rs
+++ b/crates/linenthread-consensus/src/lib.rs
@@ -79,11 +79,11 @@
 
 pub use change::{Change, Order, document_digest};
 pub use durable_state::DurableState;
-pub use effects::{AfterSync, Effect, OrderLogRecordNumber, SyncedRecord};
+pub use effects::{AfterSync, Effect, OrderLogRecordNumber, SnapshotNumber, SyncedRecord};
 pub use epoch::Epoch;
 pub use genesis_value::genesis_value;
 pub use incarnation::Incarnation;
-pub use jobs::{JobId, Outcome};
+pub use jobs::{JobId, Outcome, UnknownReason};
 pub use lease::{LeaderLease, LeaseProgress};
 pub use node_id::NodeId;
 pub use order_log::{MAX_LOGGED_ORDERS, MAX_ORDERS_PER_MESSAGE, OrderLog};
--- a/crates/linenthread-consensus/src/proposal.rs
+++ b/crates/linenthread-consensus/src/proposal.rs
@@ -7,7 +7,7 @@
 use crate::change::{Change, document_digest};
 use crate::decided_state::{DecidedState, OrderStatus};
 use crate::epoch::Epoch;
-use crate::jobs::{JobId, Outcome};
+use crate::jobs::{JobId, Outcome, UnknownReason};
 use crate::revision::Revision;
 use crate::value_number::ValueNumber;
 
@@ -61,18 +61,18 @@
             Proposal::Order { identity, document } => match decided.check_order(identity) {
                 OrderStatus::Proposable => decided
                     .with_order(identity, document)
-                    .ok_or(Outcome::Unknown),
+                    .ok_or(Outcome::Unknown(UnknownReason::NoValue)),
                 OrderStatus::Committed => Err(committed(identity)),
                 OrderStatus::Conflict => Err(Outcome::Conflict(revision)),
-                OrderStatus::Unknown => Err(Outcome::Unknown),
+                OrderStatus::Unknown(reason) => Err(Outcome::Unknown(reason)),
             },
             Proposal::Voters {
                 base_number,
                 voters,
                 epoch,
-            } if *base_number == decided.number() && !voters.is_empty() => {
-                decided.with_voters(voters, *epoch).ok_or(Outcome::Unknown)
-            }
+            } if *base_number == decided.number() && !voters.is_empty() => decided
+                .with_voters(voters, *epoch)
+                .ok_or(Outcome::Unknown(UnknownReason::NoValue)),
             Proposal::Voters { .. } => Err(Outcome::Conflict(revision)),
         }
     }
--- a/crates/linenthread-consensus/src/proposer.rs
+++ b/crates/linenthread-consensus/src/proposer.rs
@@ -10,7 +10,7 @@
 use crate::decided_state::DecidedState;
 use crate::effects::{Effect, send_to_all};
 use crate::incarnation::Incarnation;
-use crate::jobs::{JobId, Outcome};
+use crate::jobs::{JobId, Outcome, UnknownReason};
 use crate::node_id::NodeId;
 use crate::proposal::{LearnedFrom, PendingChange};
 use crate::round::Round;
@@ -79,7 +79,7 @@
             if !in_time {
                 effects.push(Effect::Reply {
                     job: change.job,
-                    outcome: Outcome::Unknown,
+                    outcome: Outcome::Unknown(UnknownReason::TimedOut),
                 });
             }
             in_time
--- a/crates/linenthread-consensus/src/reader.rs
+++ b/crates/linenthread-consensus/src/reader.rs
@@ -8,7 +8,7 @@
 use crate::decided_state::DecidedState;
 use crate::effects::Effect;
 use crate::incarnation::Incarnation;
-use crate::jobs::{JobId, Outcome};
+use crate::jobs::{JobId, Outcome, UnknownReason};
 use crate::node_id::NodeId;
 use crate::timing::{MAX_PENDING_JOBS, READ_RETRY_DELAY, RESEND_INTERVAL, ROUND_TIMEOUT};
 use crate::value_number::ValueNumber;
@@ -210,7 +210,7 @@
     for read in reads.extract_if(.., |read| read.deadline <= now) {
         effects.push(Effect::Reply {
             job: read.job,
-            outcome: Outcome::Unknown,
+            outcome: Outcome::Unknown(UnknownReason::TimedOut),
         });
     }
 }
--- a/crates/linenthread-consensus/src/register.rs
+++ b/crates/linenthread-consensus/src/register.rs
@@ -14,7 +14,7 @@
 use crate::durable_state::DurableState;
 use crate::effects::{AfterSync, Effect, SyncedRecord};
 use crate::incarnation::Incarnation;
-use crate::jobs::{JobId, Outcome};
+use crate::jobs::{JobId, Outcome, UnknownReason};
 use crate::node_id::NodeId;
 use crate::order_log::OrderLog;
 use crate::proposal::LearnedFrom;
@@ -167,7 +167,11 @@
         if submitted {
             self.tick(now, effects);
         } else {
-            let outcome = Outcome::Unknown;
+            let reason = match self.decided.value() {
+                Some(_) => UnknownReason::TooManyPending,
+                None => UnknownReason::NoValue,
+            };
+            let outcome = Outcome::Unknown(reason);
             effects.push(Effect::Reply { job, outcome });
         }
     }
--- a/crates/linenthread-consensus/tests/consensus/cluster.rs
+++ b/crates/linenthread-consensus/tests/consensus/cluster.rs
@@ -355,7 +355,7 @@
                         AfterSync::RecordSynced(synced) => {
                             Some(InFlight::RecordSynced(from, synced))
                         }
-                        AfterSync::EpochSynced(_) => None,
+                        AfterSync::EpochSynced(_) | AfterSync::SnapshotSynced(_) => None,
                     }));
             }
         }
--- a/crates/linenthread-consensus/tests/consensus/orders.rs
+++ b/crates/linenthread-consensus/tests/consensus/orders.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use linenthread_consensus::{
-    JobId, MAX_LOGGED_ORDERS, MAX_ORDERS_PER_MESSAGE, NodeId, OrderLog, Outcome, ValueNumber,
-    document_digest,
+    JobId, MAX_LOGGED_ORDERS, MAX_ORDERS_PER_MESSAGE, NodeId, OrderLog, Outcome, UnknownReason,
+    ValueNumber, document_digest,
 };
 use linenthread_messages::{OrderIdentity, PeerMessage};
 use yare::parameterized;
@@ -106,7 +106,10 @@
     let mut cluster = Cluster::new(3);
     cluster.commit_orders(1, 1..=30);
     cluster.isolate(&[3]);
-    assert_eq!(cluster.order(3, order(0, 1, document)), Outcome::Unknown);
+    assert_eq!(
+        cluster.order(3, order(0, 1, document)),
+        Outcome::Unknown(UnknownReason::TimedOut)
+    );
 }
 
 #[test]
@@ -119,8 +122,9 @@
     cluster.lose(|_, _, message| matches!(message, PeerMessage::OrderLogEntries(_)));
     assert_eq!(cluster.order(3, order(99, 100, "100")), committed(100));
     assert!(!cluster.register(3).order_log_complete());
-    assert_eq!(cluster.order(3, order(39, 40, "40")), Outcome::Unknown);
-    assert_eq!(cluster.order(3, order(39, 40, "other")), Outcome::Unknown);
+    let gap = Outcome::Unknown(UnknownReason::OrderLogGap);
+    assert_eq!(cluster.order(3, order(39, 40, "40")), gap);
+    assert_eq!(cluster.order(3, order(39, 40, "other")), gap);
     assert_eq!(cluster.order(3, order(94, 95, "other")), conflict(100));
     cluster.lose(|_, _, _| false);
     cluster.pass_time(Duration::from_secs(1));
@@ -133,7 +137,10 @@
 fn an_order_on_a_base_that_may_be_decided_yet_is_not_rejected() {
     let mut cluster = Cluster::new(3);
     cluster.commit_orders(1, 1..=3);
-    assert_eq!(cluster.order(2, order(4, 5, "5")), Outcome::Unknown);
+    assert_eq!(
+        cluster.order(2, order(4, 5, "5")),
+        Outcome::Unknown(UnknownReason::BaseNotDecided)
+    );
     assert_eq!(cluster.order(1, order(3, 4, "4")), committed(4));
     assert_eq!(cluster.order(2, order(4, 5, "5")), committed(5));
     // One that can never be accepted is rejected at once.
--- a/crates/linenthread-consensus/tests/consensus/reads.rs
+++ b/crates/linenthread-consensus/tests/consensus/reads.rs
@@ -77,7 +77,7 @@
                             AfterSync::RecordSynced(synced) => {
                                 register.on_synced(at(0), synced, &mut effects);
                             }
-                            AfterSync::EpochSynced(_) => {}
+                            AfterSync::EpochSynced(_) | AfterSync::SnapshotSynced(_) => {}
                         }
                     }
                 }
--- a/crates/linenthread-consensus/tests/consensus/register.rs
+++ b/crates/linenthread-consensus/tests/consensus/register.rs
@@ -1,6 +1,6 @@
 //! Orders on their base, with and without a majority.
 
-use linenthread_consensus::{JobId, Outcome};
+use linenthread_consensus::{JobId, Outcome, UnknownReason};
 use yare::parameterized;
 
 use crate::cluster::{committed, conflict};
@@ -32,6 +32,9 @@
     trio.carry_out(1, effects);
     assert_eq!(
         trio.replies,
-        [(JobId(1), Outcome::Unknown), (JobId(2), Outcome::Unknown)]
+        [
+            (JobId(1), Outcome::Unknown(UnknownReason::TimedOut)),
+            (JobId(2), Outcome::Unknown(UnknownReason::TimedOut))
+        ]
     );
 }
--- a/crates/linenthread-consensus/tests/consensus/suspension.rs
+++ b/crates/linenthread-consensus/tests/consensus/suspension.rs
@@ -1,6 +1,6 @@
 //! A process that was suspended: messages that waited for it meanwhile complete no job and no round.
 
-use linenthread_consensus::{Effect, JobId, NodeId, Outcome, Register};
+use linenthread_consensus::{Effect, JobId, NodeId, Outcome, Register, UnknownReason};
 use linenthread_messages::{PeerMessage, Promise, ReadReply};
 use linenthread_time::Instant;
 
@@ -51,7 +51,10 @@
     let (mut register, mut effects) = (register(1, 77), Vec::new());
     register.read(at(1_000), JobId(1), at(1_900), &mut effects);
     let effects = reply_twice(&mut register, 21_000, read_id_of(&effects));
-    assert_eq!(outcomes(effects), [(JobId(1), Outcome::Unknown)]);
+    assert_eq!(
+        outcomes(effects),
+        [(JobId(1), Outcome::Unknown(UnknownReason::TimedOut))]
+    );
 }
 
 #[test]
@@ -125,5 +128,8 @@
             .any(|effect| matches!(effect, Effect::Send { .. })),
         "{effects:?}"
     );
-    assert_eq!(outcomes(effects), [(JobId(1), Outcome::Unknown)]);
+    assert_eq!(
+        outcomes(effects),
+        [(JobId(1), Outcome::Unknown(UnknownReason::TimedOut))]
+    );
 }
--- a/crates/linenthread-consensus/tests/consensus/trio.rs
+++ b/crates/linenthread-consensus/tests/consensus/trio.rs
@@ -61,7 +61,7 @@
             AfterSync::RecordSynced(synced) => {
                 self.register(node).on_synced(at(0), synced, &mut effects);
             }
-            AfterSync::EpochSynced(_) => {}
+            AfterSync::EpochSynced(_) | AfterSync::SnapshotSynced(_) => {}
         }
         effects.into_iter().map(|effect| (node, effect)).collect()
     }
--- a/crates/linenthread-control/src/control_node/register_driver.rs
+++ b/crates/linenthread-control/src/control_node/register_driver.rs
@@ -2,13 +2,13 @@
 
 use linenthread_consensus::{
     AfterSync, Effect as RegisterEffect, Epoch, JobId, NodeId, Outcome, Register, Revision,
-    SyncedRecord, ValueNumber,
+    SnapshotNumber, SyncedRecord, ValueNumber,
 };
 use linenthread_messages::{PeerMessage, Record, Value};
 use linenthread_time::Instant;
 
 use crate::pending_jobs::JobOwner;
-use crate::{ControlEvent, ControlNode, Effect};
+use crate::{ControlEvent, ControlNode, Effect, Response, UnavailableReason};
 
 /// What a node has to tell itself. All of it is handled in the order in which it came up.
 pub(super) enum LoopbackEvent {
@@ -18,6 +18,8 @@
     RecordSynced(SyncedRecord),
     /// An epoch of a lease is durable.
     EpochSynced(Epoch),
+    /// A snapshot of the replicas is durable.
+    SnapshotSynced(SnapshotNumber),
 }
 
 impl ControlNode {
@@ -38,6 +40,10 @@
                 AfterSync::EpochSynced(epoch) => {
                     self.loopback.push_back(LoopbackEvent::EpochSynced(epoch));
                 }
+                AfterSync::SnapshotSynced(number) => {
+                    self.loopback
+                        .push_back(LoopbackEvent::SnapshotSynced(number));
+                }
             }
         }
         self.deliver_loopback(now, effects);
@@ -122,6 +128,7 @@
                 self.register.on_synced(now, synced, register_effects);
             }
             LoopbackEvent::EpochSynced(epoch) => self.durability.on_epoch_synced(epoch),
+            LoopbackEvent::SnapshotSynced(number) => self.snapshot_writer.on_synced(number),
         }
     }
 
@@ -181,19 +188,20 @@
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
-        let outcome = if self.has_quorum(now) {
-            outcome
-        } else {
-            Outcome::Unknown
-        };
+        let has_quorum = self.has_quorum(now);
         match self.pending_jobs.take(job) {
             Some(JobOwner::Call(call)) => {
-                let response = outcome.into();
+                let response = if has_quorum || matches!(outcome, Outcome::Unknown(_)) {
+                    outcome.into()
+                } else {
+                    Response::Unavailable(UnavailableReason::NoQuorum)
+                };
                 effects.push(Effect::Respond { call, response });
             }
             Some(JobOwner::Confirmation(session)) => {
                 if let Some(ingress) = self.ingress_nodes.get_mut(session) {
-                    ingress.on_confirmation(matches!(outcome, Outcome::Newest(_)));
+                    let is_newest = has_quorum && matches!(outcome, Outcome::Newest(_));
+                    ingress.on_confirmation(is_newest);
                     self.update_ingress_node(now, session, effects);
                 }
             }
--- a/crates/linenthread-control/src/control_node/status.rs
+++ b/crates/linenthread-control/src/control_node/status.rs
@@ -23,7 +23,7 @@
             "value": self.value_number().get(),
             "revision": decided.map_or(Revision::NONE, Revision::of).get(),
             "counted": voters.iter().map(|voter| &voter.address).collect::<Vec<_>>(),
-            "hubs": self.membership.iter().map(|(_, peer)| control_node(now, peer)).collect::<Vec<_>>(),
+            "hubs": self.membership.newest_sessions().map(|peer| control_node(now, peer)).collect::<Vec<_>>(),
             "fronts": self.ingress_nodes.all().values().map(ingress_node).collect::<Vec<_>>(),
         })
     }
--- a/crates/linenthread-control/src/control_node/ticks.rs
+++ b/crates/linenthread-control/src/control_node/ticks.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use linenthread_consensus::AfterSync;
 use linenthread_messages::QuotaGrants;
 use linenthread_time::Instant;
 
@@ -90,10 +91,10 @@
     /// Writes the replicas to disk, if they changed, so that a start of all nodes at once need not wait for their
     /// heartbeats.
     fn write_replica_snapshot(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let record = self.snapshot_writer.next_record(now, &self.registry);
-        effects.extend(record.map(|record| Effect::Persist {
-            record,
-            after_sync: Vec::new(),
+        let snapshot = self.snapshot_writer.next_snapshot(now, &self.registry);
+        effects.extend(snapshot.map(|snapshot| Effect::Persist {
+            record: snapshot.record,
+            after_sync: vec![AfterSync::SnapshotSynced(snapshot.number)],
         }));
     }
 
--- a/crates/linenthread-control/src/membership.rs
+++ b/crates/linenthread-control/src/membership.rs
@@ -15,9 +15,11 @@
 pub(crate) struct LastSeen {
     pub(crate) node_id: NodeId,
     pub(crate) voter_eligible: bool,
-    /// When its Hello was received, and later when it was last in contact. A Hello alone counts, though it proves no
-    /// round trip.
+    /// When it was last in contact, or its first Hello since then was received. That Hello alone counts, though it
+    /// proves no round trip: contact follows within milliseconds, or not at all.
     pub(crate) at: Instant,
+    /// A Hello was received since it was last in contact: a further one does not count.
+    awaits_contact: bool,
 }
 
 /// All sessions with other control nodes, and what is remembered of those that have ended.
@@ -71,6 +73,13 @@
             .last()
     }
 
+    /// The newest session with each node: after both sides have dialled there are two, which are as good as one.
+    pub(crate) fn newest_sessions(&self) -> impl Iterator<Item = &ControlPeer> {
+        self.iter()
+            .filter(|(session, peer)| self.session_with(peer.node_id()) == Some(*session))
+            .map(|(_, peer)| peer)
+    }
+
     /// Sessions of earlier incarnations of a node: they are over, whatever their connections look like.
     pub(crate) fn superseded(&self, hello: &ControlNodeHello) -> Vec<SessionId> {
         self.iter()
@@ -90,10 +99,16 @@
     }
 
     pub(crate) fn open(&mut self, now: Instant, session: SessionId, hello: ControlNodeHello) {
+        let awaits_contact_since = self
+            .last_seen
+            .get(&hello.control_address)
+            .filter(|seen| seen.node_id == hello.node_id && seen.awaits_contact)
+            .map(|seen| seen.at);
         let seen = LastSeen {
             node_id: hello.node_id,
             voter_eligible: hello.voter_eligible,
-            at: now,
+            at: awaits_contact_since.unwrap_or(now),
+            awaits_contact: true,
         };
         self.last_seen.insert(hello.control_address.clone(), seen);
         self.departed.remove(&hello.node_id);
@@ -118,6 +133,7 @@
     fn note_seen(&mut self, address: &str, at: Instant) {
         if let Some(seen) = self.last_seen.get_mut(address) {
             seen.at = at;
+            seen.awaits_contact = false;
         }
     }
 
--- a/crates/linenthread-control/src/pending_jobs.rs
+++ b/crates/linenthread-control/src/pending_jobs.rs
@@ -4,7 +4,7 @@
 
 use linenthread_consensus::{JobId, Outcome};
 
-use crate::{CallId, Response, SessionId, UnavailableReason};
+use crate::{CallId, Response, SessionId};
 
 /// Who waits for the outcome of a job.
 pub(crate) enum JobOwner {
@@ -59,7 +59,7 @@
             Outcome::Committed(revision) => Response::Committed(revision),
             Outcome::Conflict(revision) => Response::Conflict(revision),
             Outcome::Newest(value) => Response::Document(value),
-            Outcome::Unknown => Response::Unavailable(UnavailableReason::QuorumTimedOut),
+            Outcome::Unknown(reason) => Response::Unavailable(reason.into()),
         }
     }
 }
--- a/crates/linenthread-control/src/response.rs
+++ b/crates/linenthread-control/src/response.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use linenthread_consensus::Revision;
+use linenthread_consensus::{Revision, UnknownReason};
 use linenthread_messages::Value;
 
 /// The answer to a call of a replica or an operator.
@@ -36,6 +36,26 @@
     NotReplicated,
     /// The node shuts down, and knows no other that takes calls.
     ShuttingDown,
+    /// Too many orders or reads wait on this node: nothing was begun.
+    TooManyPending,
+    /// The node has just joined, and has not learned the configuration yet: nothing was begun.
+    Joining,
+    /// The revision that the order builds on is above the newest one: it may come into force yet, or never.
+    BaseNotCommitted,
+    /// The order is older than what this node remembers, or in a part of the order log that it has not fetched.
+    OrderNotRemembered,
+}
+
+impl From<UnknownReason> for UnavailableReason {
+    fn from(reason: UnknownReason) -> UnavailableReason {
+        match reason {
+            UnknownReason::TimedOut => UnavailableReason::QuorumTimedOut,
+            UnknownReason::TooManyPending => UnavailableReason::TooManyPending,
+            UnknownReason::NoValue => UnavailableReason::Joining,
+            UnknownReason::BaseNotDecided => UnavailableReason::BaseNotCommitted,
+            UnknownReason::OrderLogGap => UnavailableReason::OrderNotRemembered,
+        }
+    }
 }
 
 impl fmt::Display for UnavailableReason {
@@ -47,6 +67,14 @@
                 "a majority of the voters did not acknowledge the change in time"
             }
             UnavailableReason::ShuttingDown => "the control node is shutting down",
+            UnavailableReason::TooManyPending => "too many orders and reads are pending",
+            UnavailableReason::Joining => "the control node has not learned the configuration yet",
+            UnavailableReason::BaseNotCommitted => {
+                "the base revision is above the newest one: correct it, or send the order again once it is in force"
+            }
+            UnavailableReason::OrderNotRemembered => {
+                "the control node does not remember what became of this order: ask another one"
+            }
         })
     }
 }
--- a/crates/linenthread-control/src/timing.rs
+++ b/crates/linenthread-control/src/timing.rs
@@ -33,3 +33,7 @@
 
 /// How often the replicas are written to disk, at most.
 pub(crate) const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// A snapshot that is not synced after so long is written again: a full disk, or one with too many records waiting,
+/// drops it.
+pub(crate) const SNAPSHOT_REWRITE_INTERVAL: Duration = Duration::from_millis(3_000);
--- a/crates/linenthread-control/tests/nodes/contact.rs
+++ b/crates/linenthread-control/tests/nodes/contact.rs
@@ -408,3 +408,32 @@
     }
     assert!(cluster.run_until(ms(3_000), |c| c.control(leader).has_quorum(c.now)));
 }
+
+#[test]
+fn a_voter_that_connects_again_and_again_without_a_round_trip_is_replaced_all_the_same() {
+    let mut cluster = Cluster::new(4, 3);
+    cluster.start(3);
+    cluster.run(ms(4_000));
+    let leader = cluster.leader().expect("a leader");
+    let victim = (0..3).find(|n| *n != leader).expect("three voters");
+    cluster.crash(victim);
+    for attempt in 0..10 {
+        cluster.at(leader, |control, now, effects| {
+            let session = SessionId(1_000_000 + attempt);
+            let hello = PeerMessage::Hello(Hello {
+                version: VERSION,
+                name: format!("node-{victim}"),
+                incarnation: 5_000 + attempt,
+                control_address: address(victim),
+                node_id: NodeId::genesis(&address(victim)).0,
+                voter_eligible: true,
+                ..Hello::default()
+            });
+            control.on_session_opened(session, effects);
+            control.on_message(now, session, hello, effects);
+            control.on_session_closed(now, session, effects);
+        });
+        cluster.run(ms(400));
+    }
+    assert!(!cluster.voters(leader).contains(&address(victim)));
+}
--- a/crates/linenthread-control/tests/single_node.rs
+++ b/crates/linenthread-control/tests/single_node.rs
@@ -4,9 +4,12 @@
 
 use linenthread_consensus::{DurableState, NodeId};
 use linenthread_control::{
-    CallId, ControlNode, Effect, Incarnation, NodeConfig, ReplicaHeartbeat, Response, SessionId,
+    AfterSync, CallId, ControlNode, Effect, Incarnation, NodeConfig, ReplicaHeartbeat, Response,
+    SessionId,
+};
+use linenthread_messages::{
+    Heartbeat, Hello, PeerMessage, Record, UpdateAck, VERSION, Value, Voter,
 };
-use linenthread_messages::{Heartbeat, Hello, PeerMessage, UpdateAck, VERSION, Value, Voter};
 use linenthread_time::Instant;
 
 fn at(millis: u64) -> Instant {
@@ -256,3 +259,81 @@
     );
     assert!(control.has_quorum(at(2_000)));
 }
+
+/// The snapshots of replicas that the node hands to its disk among these effects.
+fn snapshots(effects: &[Effect]) -> Vec<(&Record, &[AfterSync])> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Persist { record, after_sync }
+                if matches!(after_sync[..], [AfterSync::SnapshotSynced(_)]) =>
+            {
+                Some((record, &after_sync[..]))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+/// A node in contact with a majority, to which a replica has sent a heartbeat at 0.
+fn node_with_replica() -> ControlNode {
+    let (mut control, mut effects) = (node(), Vec::new());
+    connect(&mut control, 0, 1, 2, VERSION);
+    let heartbeat = replica_heartbeat("available", 1);
+    control.on_replica_heartbeat(at(0), CallId(1), "i", heartbeat, &mut effects);
+    control
+}
+
+#[test]
+fn a_snapshot_that_the_disk_dropped_is_written_again_and_one_that_is_synced_is_not() {
+    let mut control = node_with_replica();
+    let mut effects = Vec::new();
+    control.tick(at(1_200), &mut effects);
+    assert_eq!(snapshots(&effects).len(), 1, "the first one");
+    effects.clear();
+    control.tick(at(4_000), &mut effects);
+    assert!(snapshots(&effects).is_empty(), "it may be on its way");
+    control.tick(at(4_400), &mut effects);
+    let [(record, after_sync)] = snapshots(&effects)[..] else {
+        panic!("it is not synced: written again");
+    };
+    assert_eq!(record.replicas.len(), 1);
+    control.on_synced(at(4_410), after_sync.to_vec(), &mut Vec::new());
+    effects.clear();
+    for now in (4_600..12_000).step_by(200) {
+        control.tick(at(now), &mut effects);
+    }
+    assert!(snapshots(&effects).is_empty(), "it is synced");
+}
+
+#[test]
+fn a_node_that_knows_no_replica_any_more_starts_without_any() {
+    let mut control = node_with_replica();
+    let mut effects = Vec::new();
+    control.tick(at(1_200), &mut effects);
+    control.on_replica_departure(at(1_300), CallId(2), "i", &mut effects);
+    control.tick(at(2_400), &mut effects);
+    let written = snapshots(&effects);
+    assert_eq!(written.len(), 2, "the replica, and that it departed");
+    let mut disk = DurableState::default();
+    for (record, _) in written {
+        disk.add(record.clone());
+    }
+    assert_eq!(disk.replicas, []);
+}
+
+#[test]
+fn two_sessions_with_a_node_are_one_node_in_the_status() {
+    let mut control = node();
+    connect(&mut control, 0, 1, 2, VERSION);
+    connect(&mut control, 0, 5, 2, VERSION);
+    connect(&mut control, 0, 6, 3, VERSION);
+    let status = control.members_status(at(10));
+    let names: Vec<&str> = status["hubs"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .filter_map(|node| node["name"].as_str())
+        .collect();
+    assert_eq!(names, ["node-2", "node-3"]);
+}
--- a/crates/linenthread-control/tests/texts.rs
+++ b/crates/linenthread-control/tests/texts.rs
@@ -27,6 +27,10 @@
     quorum_timed_out = { UnavailableReason::QuorumTimedOut, "a majority of the voters did not respond in time" },
     not_replicated = { UnavailableReason::NotReplicated, "a majority of the voters did not acknowledge the change in time" },
     shutting_down = { UnavailableReason::ShuttingDown, "the control node is shutting down" },
+    too_many_pending = { UnavailableReason::TooManyPending, "too many orders and reads are pending" },
+    joining = { UnavailableReason::Joining, "the control node has not learned the configuration yet" },
+    base_not_committed = { UnavailableReason::BaseNotCommitted, "the base revision is above the newest one: correct it, or send the order again once it is in force" },
+    order_not_remembered = { UnavailableReason::OrderNotRemembered, "the control node does not remember what became of this order: ask another one" },
 )]
 fn callers_receive_the_reason(reason: UnavailableReason, text: &str) {
     assert_eq!(reason.to_string(), text);
--- a/crates/linenthread-messages/src/agreement.rs
+++ b/crates/linenthread-messages/src/agreement.rs
@@ -117,6 +117,9 @@
     /// Accepted orders, in any sequence: they join those of earlier records.
     #[prost(message, repeated, tag = "8")]
     pub order_log: Vec<OrderIdentity>,
+    /// No replica was known any more: those of earlier records are gone. A list without replicas can't say so.
+    #[prost(bool, tag = "9")]
+    pub replicas_cleared: bool,
 }
 
 /// Phase 1a: asks an acceptor to promise that it accepts nothing under a lower ballot.
--- a/crates/linenthread-messages/tests/golden.rs
+++ b/crates/linenthread-messages/tests/golden.rs
@@ -338,6 +338,8 @@
                 epoch: 50,
                 replicas: vec![replica("replica-4"), replica("replica-5")],
                 order_log: vec![order(300), order(302)],
+                // The version of the golden bytes did not have this field.
+                replicas_cleared: false,
             },
         ),
         (
