Daemon, client, co-ordinator: the other faults suspected by reading

A replica that changes its address under its id was sent to the former one: its pool follows (requests_follow_a_replica_to_its_new_address). 2. A retry quota ended only while a session was open: the ingress role ends it by itself (a_retry_quota_ends_although_no_control_node_can_be_reached). 3. SIGHUP reached the ingress role only, which forgot the reloaded addresses at its next session: both roles take them in (control_addresses_of_reloaded_settings_are_dialled_and_not_forgotten; the ingress role's part has no test of its own). 4. disk_backlogged was logged for ever once the disk's thread had ended: one line disk_writer_stopped. No test: only a panic ends that thread. 5. linenthread-ctl took a report with other keys for an outage: an error (a_report_that_lacks_a_key_is_an_error_and_no_outage). 412 with the file's own revision says that it was not raised (a_changed_file_whose_revision_was_not_raised_is_not_taken_for_a_success). 6. Co-ordinator: one limit on log lines was shared by different lines and used up by connections that end in order; links are drained while the health check already fails.

--- a/crates/linenthread-control/src/address_book.rs
+++ b/crates/linenthread-control/src/address_book.rs
@@ -60,14 +60,12 @@
     pub(crate) fn new(own: String, bootstrap: &[String], now: Instant) -> AddressBook {
         let mut addresses = AddressBook {
             own,
-            bootstrap: bootstrap.to_vec(),
+            bootstrap: Vec::new(),
             started_at: now,
             known: BTreeMap::new(),
             version: AddressBookVersion::NONE.next(),
         };
-        for address in bootstrap {
-            addresses.learn(now, address);
-        }
+        addresses.set_bootstrap(now, bootstrap);
         addresses
     }
 
@@ -84,6 +82,14 @@
             .collect()
     }
 
+    /// The settings name these addresses from now on.
+    pub(crate) fn set_bootstrap(&mut self, now: Instant, bootstrap: &[String]) {
+        self.bootstrap = bootstrap.to_vec();
+        for address in bootstrap {
+            self.learn(now, address);
+        }
+    }
+
     /// Adds an address if it is a new one.
     pub(crate) fn learn(&mut self, now: Instant, address: &str) {
         if address == self.own || address.is_empty() || self.known.contains_key(address) {
--- a/crates/linenthread-control/src/control_node/sessions.rs
+++ b/crates/linenthread-control/src/control_node/sessions.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// The settings were read again: they name these control addresses.
+    pub fn set_bootstrap(&mut self, now: Instant, bootstrap: &[String]) {
+        self.address_book.set_bootstrap(now, bootstrap);
+    }
+
     /// A control node could not be dialled.
     pub fn on_dial_failed(&mut self, now: Instant, address: &str) {
         self.address_book.on_dial_failed(now, address);
--- a/crates/linenthread-control/tests/single_node.rs
+++ b/crates/linenthread-control/tests/single_node.rs
@@ -337,3 +337,22 @@
         .collect();
     assert_eq!(names, ["node-2", "node-3"]);
 }
+
+#[test]
+fn control_addresses_of_reloaded_settings_are_dialled_and_not_forgotten() {
+    let mut control = node();
+    control.set_bootstrap(at(1_000), &[address(8), address(9)]);
+    let mut dialled_late = std::collections::BTreeSet::new();
+    for now in (1_200..60_000).step_by(200) {
+        let mut effects = Vec::new();
+        control.tick(at(now), &mut effects);
+        let dialled = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Dial(address) => Some(address),
+            _ => None,
+        });
+        if now > 50_000 {
+            dialled_late.extend(dialled);
+        }
+    }
+    assert!(dialled_late.contains(&address(8)) && dialled_late.contains(&address(9)));
+}
--- a/crates/linenthread-ctl/src/commands.rs
+++ b/crates/linenthread-ctl/src/commands.rs
@@ -137,11 +137,23 @@
         match status {
             OK if self.json => Ok(message),
             OK => Ok(format!("in force, replaces revision {base}")),
-            PRECONDITION_FAILED => Err(Error::RevisionConflict { message }),
+            PRECONDITION_FAILED => Err(self.conflict(&document, message)),
             _ => Err(Error::Rejected { status, message }),
         }
     }
 
+    /// Why a replacement was rejected for another one. A control node that has committed this very document would have
+    /// accepted it again: where the revision in force is the file's own, its content or its base differs.
+    fn conflict(&self, document: &[u8], message: String) -> Error {
+        let sent = Configuration::decode(document).map(|sent| sent.revision);
+        match (sent, self.current_revision()) {
+            (Ok(revision), Ok(current)) if revision == current => {
+                Error::RevisionNotRaised { revision }
+            }
+            _ => Error::RevisionConflict { message },
+        }
+    }
+
     fn send_replacement(&self, base: u64, document: &[u8]) -> Result<Response, Error> {
         let headers = [
             (BASE_REVISION_HEADER, base.to_string()),
--- a/crates/linenthread-ctl/src/error.rs
+++ b/crates/linenthread-ctl/src/error.rs
@@ -75,6 +75,11 @@
     /// Somebody else has replaced the configuration: read it and start from it.
     #[snafu(display("another revision is in force: {message}"))]
     RevisionConflict { message: String },
+    /// The configuration in force has the file's revision, but is another one, or was built on another base.
+    #[snafu(display(
+        "revision {revision} is in force with another content or base: compare with diff, and raise \"revision\""
+    ))]
+    RevisionNotRaised { revision: u64 },
     /// The control node finds the file or the request invalid; nothing has changed.
     #[snafu(display("rejected with status {status}: {message}"))]
     Rejected { status: u16, message: String },
@@ -102,6 +107,7 @@
             Error::UnexpectedStatus { .. }
             | Error::NoConfiguration
             | Error::RevisionConflict { .. }
+            | Error::RevisionNotRaised { .. }
             | Error::Rejected { .. } => REJECTED,
             Error::NoControlAddress
             | Error::InvalidAddress { .. }
--- a/crates/linenthread-ctl/src/status.rs
+++ b/crates/linenthread-ctl/src/status.rs
@@ -7,9 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The view of the control node that was asked, not confirmed by others.
+/// The view of the control node that was asked, not confirmed by others. A report that lacks a key is an error: it is
+/// from another version, and a default would look like an outage.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(default)]
 pub struct MembersStatus {
     /// Name of the control node that reports.
     pub name: String,
@@ -42,7 +42,6 @@
 
 /// Another control node, as the one that reports sees it.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(default)]
 pub struct ControlNodeStatus {
     /// Its name.
     pub name: String,
@@ -67,7 +66,6 @@
 
 /// An ingress node.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(default)]
 pub struct IngressStatus {
     /// Its name.
     pub name: String,
@@ -98,7 +96,6 @@
 
 /// A replica of a backend.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(default)]
 pub struct ReplicaStatus {
     /// Its id.
     #[serde(rename(deserialize = "ident"))]
--- a/crates/linenthread-ctl/tests/program.rs
+++ b/crates/linenthread-ctl/tests/program.rs
@@ -236,6 +236,20 @@
     assert_eq!(stderr, expected);
 }
 
+#[test]
+fn a_changed_file_whose_revision_was_not_raised_is_not_taken_for_a_success() {
+    let address = fake_control_node_that(|earlier| match earlier {
+        0 => ("412 Precondition Failed", String::new(), "revision 4"),
+        _ => ("200 OK", String::new(), CONFIGURATION),
+    });
+    let file = configuration_file("not raised.json");
+    let (code, _, stderr) = run(address, &["replace", &file, "--base", "3"]);
+    assert_eq!(code, Some(1));
+    let expected = "linenthread-ctl: revision 4 is in force with another content or base: compare with diff, \
+        and raise \"revision\"\n";
+    assert_eq!(stderr, expected);
+}
+
 #[test]
 fn what_each_address_failed_at_is_printed() {
     let unused = unused_address();
--- a/crates/linenthread-ctl/tests/status.rs
+++ b/crates/linenthread-ctl/tests/status.rs
@@ -59,3 +59,23 @@
     assert_eq!(json["control_nodes"][0]["last_message_ms"], 40);
     assert_eq!(json["voters"].as_array().unwrap().len(), 3);
 }
+
+#[test]
+fn a_report_that_lacks_a_key_is_an_error_and_no_outage() {
+    for key in ["whole", "counted", "hubs", "fronts", "revision"] {
+        let mut report: serde_json::Value = serde_json::from_str(MEMBERS).unwrap();
+        report.as_object_mut().unwrap().remove(key);
+        assert!(
+            serde_json::from_value::<MembersStatus>(report).is_err(),
+            "{key}"
+        );
+    }
+    for key in ["ident", "phase", "heard_ms"] {
+        let mut report: serde_json::Value = serde_json::from_str(REPLICAS).unwrap();
+        report[0].as_object_mut().unwrap().remove(key);
+        assert!(
+            serde_json::from_value::<Vec<ReplicaStatus>>(report).is_err(),
+            "{key}"
+        );
+    }
+}
--- a/crates/linenthread-dataplane/src/data_plane.rs
+++ b/crates/linenthread-dataplane/src/data_plane.rs
@@ -7,6 +7,7 @@
 use linenthread_config::{Configuration, Destination, ResolvedRoute, RoutingTable, Settings};
 use linenthread_core::interface::TenthMillis;
 use linenthread_hash::fnv1a_64;
+use linenthread_time::Instant;
 
 use crate::clock;
 use crate::counter::{Counter, CounterGuard};
@@ -176,6 +177,17 @@
         }
     }
 
+    /// Ends the retry quota if its time is over.
+    fn expire_retry_quota(&self, now: Instant) {
+        let quota = self.retry_quota.get();
+        if quota.expires_at <= now && quota.retries_per_window > 0.0 {
+            self.set_retry_quota(RetryQuota {
+                retries_per_window: 0.0,
+                ..quota
+            });
+        }
+    }
+
     /// The retry quota in force.
     pub fn retry_quota(&self) -> RetryQuota {
         self.retry_quota.get()
@@ -237,6 +249,11 @@
         dispatcher.dispatch(request, resolved, key, deadline)
     }
 
+    /// To be called several times a second, whether or not there is a control node: ends what lasts for a time only.
+    pub fn expire(&self) {
+        self.expire_retry_quota(clock::now());
+    }
+
     /// To be called about once a second: closes connections that their replicas are about to close, and forgets
     /// replicas that departed long ago.
     pub fn maintain(&self) {
--- a/crates/linenthread-dataplane/src/pool.rs
+++ b/crates/linenthread-dataplane/src/pool.rs
@@ -57,7 +57,7 @@
     id: String,
     backend: Rc<str>,
     zone: String,
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     connector: C,
     status: Cell<ReplicaStatus>,
     /// When its departure, or its return, was last learned.
@@ -79,7 +79,7 @@
             id: replica.id.clone(),
             backend,
             zone: replica.zone.clone(),
-            address,
+            address: Cell::new(address),
             connector,
             status: Cell::new(ReplicaStatus {
                 draining: replica.draining,
@@ -118,6 +118,14 @@
         self.departure_changed_at.set(clock::now());
     }
 
+    /// Sets its address, by an update that names it. Nothing new goes to the former one; what is in flight there ends
+    /// there.
+    pub fn set_address(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.close_idle();
+        }
+    }
+
     /// Whether it departed so long ago that no update names it any more.
     pub fn is_forgotten(&self, now: Instant) -> bool {
         self.status().departed && now > self.departure_changed_at.get() + DEPARTED_RETENTION
@@ -182,8 +190,9 @@
             idle.into_leased(self.in_use.enter())
         } else {
             self.reserve_capacity()?;
-            let transport = self.connect(timeout).await?;
-            LeasedConnection::new(transport, self.in_use.enter())
+            let address = self.address.get();
+            let transport = self.connect(address, timeout).await?;
+            LeasedConnection::new(transport, address, self.in_use.enter())
         };
         request.add_connection(connection.id);
         Ok(connection)
@@ -219,9 +228,13 @@
         }
     }
 
-    async fn connect(&self, timeout: Duration) -> Result<C::Transport, WireEvent> {
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<C::Transport, WireEvent> {
         let connect_timeout = timeout.min(clock::tenth_millis_to_duration(CONNECT_TIMEOUT));
-        let connecting = self.connector.connect(self.address);
+        let connecting = self.connector.connect(address);
         match tokio::time::timeout(connect_timeout, connecting).await {
             Ok(Ok(transport)) => Ok(transport),
             _ => Err(WireEvent::ConnectFailed),
@@ -230,7 +243,7 @@
 
     /// Returns a connection to the pool, if it can carry another request.
     fn return_connection(&self, connection: LeasedConnection<C>, response: &ReplicaResponse) {
-        if !self.status().is_available() {
+        if !self.status().is_available() || connection.peer != self.address.get() {
             return;
         }
         if let Some(connection) = connection.into_idle(&response.head) {
--- a/crates/linenthread-dataplane/src/pool/leased.rs
+++ b/crates/linenthread-dataplane/src/pool/leased.rs
@@ -1,6 +1,7 @@
 //! Connections of a pool: idle ones, and those that an attempt has to itself.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use linenthread_http::Head;
@@ -32,6 +33,7 @@
 pub(super) struct IdleConnection<C: Connector> {
     http: HttpConnection<C::Transport>,
     pub(super) id: ConnectionId,
+    peer: SocketAddr,
     /// When to stop using it, where the replica announced that it will close it.
     expires_at: Option<Instant>,
 }
@@ -46,6 +48,7 @@
         LeasedConnection {
             http: self.http,
             id: self.id,
+            peer: self.peer,
             age: ConnectionAge::Reused,
             _in_use: in_use,
         }
@@ -56,15 +59,22 @@
 pub(super) struct LeasedConnection<C: Connector> {
     pub(super) http: HttpConnection<C::Transport>,
     pub(super) id: ConnectionId,
+    /// The address that it leads to.
+    pub(super) peer: SocketAddr,
     pub(super) age: ConnectionAge,
     _in_use: CounterGuard,
 }
 
 impl<C: Connector> LeasedConnection<C> {
-    pub(super) fn new(transport: C::Transport, in_use: CounterGuard) -> LeasedConnection<C> {
+    pub(super) fn new(
+        transport: C::Transport,
+        peer: SocketAddr,
+        in_use: CounterGuard,
+    ) -> LeasedConnection<C> {
         LeasedConnection {
             http: HttpConnection::new(transport),
             id: ConnectionId::next(),
+            peer,
             age: ConnectionAge::New,
             _in_use: in_use,
         }
@@ -81,6 +91,7 @@
         Some(IdleConnection {
             http: self.http,
             id: self.id,
+            peer: self.peer,
             expires_at,
         })
     }
--- a/crates/linenthread-dataplane/src/replica_table.rs
+++ b/crates/linenthread-dataplane/src/replica_table.rs
@@ -64,6 +64,9 @@
                 self.add(replica)
             };
         };
+        if let Ok(address) = replica.address.parse() {
+            pool.set_address(address);
+        }
         if pool.status() == status {
             return None;
         }
--- a/crates/linenthread-dataplane/tests/server.rs
+++ b/crates/linenthread-dataplane/tests/server.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use linenthread_dataplane::connection::HttpConnection;
-use linenthread_dataplane::{DataPlane, UpdateScope, serve};
+use linenthread_dataplane::{DataPlane, RetryQuota, UpdateScope, clock, serve};
 use linenthread_dataplane_sim::deployment::{HOST, data_plane};
 use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
@@ -29,6 +29,16 @@
     requests: Rc<Cell<usize>>,
 }
 
+impl Replicas {
+    /// Replicas that answer each request.
+    fn that_answer() -> Replicas {
+        Replicas {
+            reply: vec![InboundEvent::Bytes(sealed(Some("a")))],
+            requests: Rc::default(),
+        }
+    }
+}
+
 impl Listener for Replicas {
     fn accept(&self) -> Option<Accepted> {
         Some(Accepted {
@@ -87,7 +97,21 @@
     path: &str,
     headers: &str,
 ) -> Head {
-    let plane = ingress(replicas.as_ref());
+    response_head_at(ingress(replicas.as_ref()), method, path, headers).await
+}
+
+/// The status of the response to a request at this ingress node.
+async fn status_at(plane: Rc<DataPlane<Network>>, path: &str) -> u16 {
+    let headers = "X-Attempt-Id: a\r\n";
+    response_head_at(plane, "GET", path, headers).await.status()
+}
+
+async fn response_head_at(
+    plane: Rc<DataPlane<Network>>,
+    method: &str,
+    path: &str,
+    headers: &str,
+) -> Head {
     let (client, server) = tokio::io::duplex(4_096);
     spawn_local(serve(server, SocketAddr::from(([127, 0, 0, 1], 1)), plane));
     let mut http = HttpConnection::new(client);
@@ -254,3 +278,49 @@
     ));
     assert_eq!(head.header("content-length"), expected);
 }
+
+#[test]
+fn requests_follow_a_replica_to_its_new_address() {
+    let (former, present) = (Replicas::that_answer(), Replicas::that_answer());
+    let statuses = simulated(async {
+        let network = Network::default();
+        let plane = data_plane(1, network.clone(), RETRIES_PER_WINDOW);
+        let addresses = [1, 2].map(|n| SocketAddr::from(([10, 0, 0, n], 80)));
+        network.listen(addresses[0], Rc::new(former.clone()));
+        network.listen(addresses[1], Rc::new(present.clone()));
+        let mut statuses = Vec::new();
+        for address in addresses {
+            let replica = linenthread_messages::Replica {
+                id: "i1".into(),
+                backend: "s1".into(),
+                address: address.to_string(),
+                ..Default::default()
+            };
+            plane.update_replicas(&[replica], UpdateScope::Complete);
+            statuses.push(status_at(plane.clone(), "/one/x").await);
+        }
+        statuses
+    });
+    assert_eq!(statuses, [200, 200]);
+    assert_eq!((former.requests.get(), present.requests.get()), (1, 1));
+}
+
+#[test]
+fn a_retry_quota_ends_although_no_control_node_can_be_reached() {
+    let left = simulated(async {
+        let plane = data_plane(1, Network::default(), RETRIES_PER_WINDOW);
+        plane.set_retry_quota(RetryQuota {
+            retries_per_window: 5.0,
+            expires_at: clock::now() + Duration::from_secs(2),
+            ..RetryQuota::default()
+        });
+        let mut left = Vec::new();
+        for _ in 0..3 {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            plane.expire();
+            left.push(plane.retry_quota().retries_per_window);
+        }
+        left
+    });
+    assert_eq!(left, [5.0, 0.0, 0.0]);
+}
--- a/crates/linenthread-node/src/control/command.rs
+++ b/crates/linenthread-node/src/control/command.rs
@@ -43,6 +43,8 @@
     ReplicasStatus(oneshot::Sender<serde_json::Value>),
     /// Records are durable; this waited for them.
     Synced(Vec<AfterSync>),
+    /// The settings were read again: they name these control addresses.
+    SettingsReloaded(Vec<String>),
     /// A graceful shutdown was requested; the notification follows when the process may exit.
     BeginShutdown(oneshot::Sender<()>),
     /// Why the process may not exit yet.
--- a/crates/linenthread-node/src/control/mod.rs
+++ b/crates/linenthread-node/src/control/mod.rs
@@ -21,7 +21,7 @@
 use linenthread_dataplane::clock;
 use linenthread_messages::{Record, Value};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
@@ -68,6 +68,20 @@
         }
     }
 
+    /// Takes in settings that were read again, each time, for as long as it is polled.
+    pub(crate) async fn follow_settings(
+        &self,
+        mut settings: watch::Receiver<Option<Rc<Settings>>>,
+    ) {
+        while settings.changed().await.is_ok() {
+            let reloaded = settings.borrow_and_update().clone();
+            if let Some(settings) = reloaded {
+                let command = Command::SettingsReloaded(bootstrap_addresses(&settings));
+                self.handle.send(command).await;
+            }
+        }
+    }
+
     /// Closes all sessions, so that the others need not wait for a time-out.
     pub(crate) async fn stop(&self) {
         let (stopped, has_stopped) = oneshot::channel();
@@ -159,6 +173,12 @@
     }
 }
 
+/// The control addresses that settings name.
+fn bootstrap_addresses(settings: &Settings) -> Vec<String> {
+    let peers = settings.bootstrap_peers.iter();
+    peers.map(SocketAddr::to_string).collect()
+}
+
 /// The control node, from its settings and what the disk holds. An empty disk is given its identity.
 fn start_node(
     settings: &Settings,
@@ -168,11 +188,7 @@
 ) -> ControlNode {
     let incarnation = Incarnation::new(incarnation::draw());
     let identity = Identity::new(settings, address, durable_state.id, incarnation);
-    let bootstrap: Vec<String> = settings
-        .bootstrap_peers
-        .iter()
-        .map(SocketAddr::to_string)
-        .collect();
+    let bootstrap = bootstrap_addresses(settings);
     let genesis = settings.initial_boot.then(|| genesis_value(&bootstrap));
     let config = NodeConfig {
         name: settings.node_name.clone(),
@@ -202,5 +218,7 @@
         decided: genesis,
         ..Record::default()
     };
-    state_writer.persist(record, Vec::new());
+    if state_writer.persist(record, Vec::new()).is_err() {
+        log::error!("event=disk_writer_stopped");
+    }
 }
--- a/crates/linenthread-node/src/control/state_writer.rs
+++ b/crates/linenthread-node/src/control/state_writer.rs
@@ -16,7 +16,7 @@
 
 /// Records that may wait to be written; more are dropped, with what waits for them. The register hands its
 /// records over again when they are not synced in time, and the epoch of a lease comes back with the next request for
-/// it. The registry's snapshot is not handed over again before the registry changes.
+/// it, and so does the registry's snapshot.
 const MAX_QUEUED_RECORDS: usize = 256;
 
 /// The thread's stack, in bytes: it needs little.
@@ -60,14 +60,33 @@
         Ok((StateWriter { queue }, opened.state))
     }
 
-    /// Queues a record; what waits for it comes back when it is durable. False if too many records wait
-    /// already: this one is dropped.
-    pub(super) fn persist(&self, record: Record, after_sync: Vec<AfterSync>) -> bool {
+    /// Queues a record; what waits for it comes back when it is durable.
+    ///
+    /// # Errors
+    ///
+    /// The record is dropped: too many wait already, or the thread has ended.
+    pub(super) fn persist(
+        &self,
+        record: Record,
+        after_sync: Vec<AfterSync>,
+    ) -> Result<(), PersistError> {
         let queued = QueuedRecord { record, after_sync };
-        self.queue.try_send(queued).is_ok()
+        self.queue.try_send(queued).map_err(|error| match error {
+            mpsc::TrySendError::Full(_) => PersistError::Backlogged,
+            mpsc::TrySendError::Disconnected(_) => PersistError::Stopped,
+        })
     }
 }
 
+/// Why a record was not queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PersistError {
+    /// Too many records wait.
+    Backlogged,
+    /// The disk's thread has ended.
+    Stopped,
+}
+
 /// Writes records, all that wait at a time, until the handle is dropped.
 fn write_records<O: FnMut() -> Result<Directory, DirectoryError>>(
     mut log: StateLog<Directory, O>,
--- a/crates/linenthread-node/src/control/task.rs
+++ b/crates/linenthread-node/src/control/task.rs
@@ -3,16 +3,16 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use linenthread_control::{CallId, ControlNode, Effect, Response, SessionId};
+use linenthread_control::{AfterSync, CallId, ControlNode, Effect, Response, SessionId};
 use linenthread_dataplane::clock;
-use linenthread_messages::PeerMessage;
+use linenthread_messages::{PeerMessage, Record};
 use linenthread_time::Instant;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
 use super::command::{Call, Command, ControlHandle};
 use super::peer_sessions;
-use super::state_writer::StateWriter;
+use super::state_writer::{PersistError, StateWriter};
 
 /// Commands that are taken before the effects of all of them are carried out.
 const MAX_COMMANDS_PER_TURN: usize = 64;
@@ -34,6 +34,8 @@
     shutdown_waiters: Vec<oneshot::Sender<()>>,
     /// The process was notified that it may exit: nothing is handled or sent any more.
     exit_permitted: bool,
+    /// It was logged that the disk's thread has ended.
+    disk_stopped: bool,
 }
 
 impl ControlTask {
@@ -53,6 +55,7 @@
             peers_port,
             shutdown_waiters: Vec::new(),
             exit_permitted: false,
+            disk_stopped: false,
         }
     }
 
@@ -133,6 +136,7 @@
                 let _ = respond.send(self.control.replicas_status(now));
             }
             Command::Synced(after_sync) => self.control.on_synced(now, after_sync, effects),
+            Command::SettingsReloaded(bootstrap) => self.control.set_bootstrap(now, &bootstrap),
             Command::BeginShutdown(waiter) => {
                 self.control.begin_shutdown(now, effects);
                 self.shutdown_waiters.push(waiter);
@@ -175,9 +179,7 @@
         match effect {
             Effect::Send { session, message } => self.send(session, message),
             Effect::Persist { record, after_sync } => {
-                if !self.state_writer.persist(record, after_sync) {
-                    log::warn!("event=disk_backlogged");
-                }
+                self.persist(record, after_sync);
             }
             Effect::Respond { call, response } => {
                 if let Some(respond) = self.calls.remove(&call) {
@@ -193,6 +195,20 @@
         }
     }
 
+    /// Queues a record for the disk. Once the disk's thread has ended nothing is durable any more: this node confirms
+    /// and votes for nothing, and one line says why.
+    fn persist(&mut self, record: Record, after_sync: Vec<AfterSync>) {
+        match self.state_writer.persist(record, after_sync) {
+            Ok(()) => {}
+            Err(PersistError::Backlogged) => log::warn!("event=disk_backlogged"),
+            Err(PersistError::Stopped) if self.disk_stopped => {}
+            Err(PersistError::Stopped) => {
+                self.disk_stopped = true;
+                log::error!("event=disk_writer_stopped");
+            }
+        }
+    }
+
     /// Queues a message; a session whose queue is full is closed.
     fn send(&mut self, session: SessionId, message: PeerMessage) {
         let is_full = self
--- a/crates/linenthread-node/src/control_client.rs
+++ b/crates/linenthread-node/src/control_client.rs
@@ -37,6 +37,8 @@
     position: Cell<ChangeLogPosition>,
     /// The control nodes, as the last session named them, and those of the settings.
     control_nodes: RefCell<Vec<SocketAddr>>,
+    /// Those that the settings name, as they were last read.
+    bootstrap_peers: RefCell<Vec<SocketAddr>>,
     /// The zones of the control nodes that it has had a session with.
     zones: RefCell<HashMap<SocketAddr, String>>,
     quota_requests: RefCell<QuotaRequests>,
@@ -73,6 +75,7 @@
     fn new(plane: Rc<DataPlane>, incarnation: Incarnation) -> ControlClient {
         ControlClient {
             control_nodes: RefCell::new(plane.settings().bootstrap_peers.clone()),
+            bootstrap_peers: RefCell::new(plane.settings().bootstrap_peers.clone()),
             plane,
             incarnation,
             position: Cell::default(),
@@ -92,17 +95,18 @@
         }
     }
 
-    /// Adds the control nodes that settings name, if settings were read again since the last call.
+    /// Takes in the control nodes that settings name, if settings were read again since the last call.
     fn apply_reloaded_settings(&self, settings: &mut watch::Receiver<Option<Rc<Settings>>>) {
         if settings.has_changed().unwrap_or(false)
             && let Some(settings) = settings.borrow_and_update().clone()
         {
-            self.add_control_nodes(&settings.bootstrap_peers);
+            self.set_bootstrap_peers(&settings.bootstrap_peers);
         }
     }
 
-    /// Adds control nodes that the settings name, if they are new.
-    fn add_control_nodes(&self, bootstrap_peers: &[SocketAddr]) {
+    /// The settings name these control nodes from now on; those that are new join the ones to try.
+    fn set_bootstrap_peers(&self, bootstrap_peers: &[SocketAddr]) {
+        *self.bootstrap_peers.borrow_mut() = bootstrap_peers.to_vec();
         let mut control_nodes = self.control_nodes.borrow_mut();
         for peer in bootstrap_peers {
             if !control_nodes.contains(peer) {
--- a/crates/linenthread-node/src/control_client/session.rs
+++ b/crates/linenthread-node/src/control_client/session.rs
@@ -115,7 +115,6 @@
             }
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
             let now = clock::now();
-            self.expire_quota(now);
             if now > self.last_received_at.get() + RECEIVE_TIMEOUT {
                 return SessionEnd::ReceiveTimeout;
             }
@@ -125,17 +124,6 @@
         }
     }
 
-    fn expire_quota(&self, now: Instant) {
-        let plane = &self.client.plane;
-        let quota = plane.retry_quota();
-        if quota.expires_at <= now && quota.retries_per_window > 0.0 {
-            plane.set_retry_quota(RetryQuota {
-                retries_per_window: 0.0,
-                ..quota
-            });
-        }
-    }
-
     /// Applies a message of the control node; whether the session goes on.
     fn on_message(&self, message: PeerMessage) -> ControlFlow<()> {
         match message {
@@ -191,7 +179,7 @@
 
     /// The control nodes are those that are named, and those of the settings.
     fn set_control_nodes(&self, addresses: &[String]) {
-        let bootstrap_peers = &self.client.plane.settings().bootstrap_peers;
+        let bootstrap_peers = self.client.bootstrap_peers.borrow();
         let not_named = bootstrap_peers
             .iter()
             .filter(|peer| !addresses.contains(&peer.to_string()));
--- a/crates/linenthread-node/src/ingress.rs
+++ b/crates/linenthread-node/src/ingress.rs
@@ -28,6 +28,8 @@
 const MAX_CLIENTS: usize = 2_500;
 /// How often the data plane closes and forgets what is out of date.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
+/// How often it looks whether a retry quota has ended.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 /// How long new connections are still accepted after a shutdown was requested: load balancers check readiness once a
 /// second, so some still send clients here.
 const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(2_600);
@@ -55,6 +57,7 @@
         signals.settings(),
     ));
     spawn_local(maintain(plane.clone()));
+    spawn_local(expire(plane.clone()));
     Ok(plane)
 }
 
@@ -140,6 +143,14 @@
     }
 }
 
+/// Ends what lasts for a time only, also while no control node can be reached.
+async fn expire(plane: Rc<DataPlane>) {
+    loop {
+        tokio::time::sleep(EXPIRY_INTERVAL).await;
+        plane.expire();
+    }
+}
+
 async fn maintain(plane: Rc<DataPlane>) {
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
--- a/crates/linenthread-node/src/main.rs
+++ b/crates/linenthread-node/src/main.rs
@@ -151,7 +151,16 @@
         Some(address) => Some(ingress::start(&settings, address, &signals).await?),
         None => None,
     };
-    signals.shutdown_requested().await;
+    let follow_settings = async {
+        match &control {
+            Some(control) => control.follow_settings(signals.settings()).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        () = signals.shutdown_requested() => {}
+        () = follow_settings => signals.shutdown_requested().await,
+    }
     log::info!(node = settings.node_name; "event=stopping");
     let ingress_shutdown = async {
         if let Some(data_plane) = &data_plane {
--- a/crates/linenthread-service/src/frontends/http/mod.rs
+++ b/crates/linenthread-service/src/frontends/http/mod.rs
@@ -51,6 +51,7 @@
     /// A connection has closed.
     closed: Notify,
     error_lines: LogRateLimit,
+    accept_lines: LogRateLimit,
     full_lines: LogRateLimit,
 }
 
@@ -85,6 +86,7 @@
             is_stopping: Cell::new(false),
             closed: Notify::new(),
             error_lines: LogRateLimit::default(),
+            accept_lines: LogRateLimit::default(),
             full_lines: LogRateLimit::default(),
         }))
     }
@@ -103,7 +105,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => self.admit(stream),
                 Err(e) => {
-                    if let Some(suppressed) = self.0.full_lines.admit() {
+                    if let Some(suppressed) = self.0.accept_lines.admit() {
                         warn!(suppressed, "cannot accept a connection: {e}");
                     }
                     self.evict_one();
--- a/crates/linenthread-service/src/merge_responses/anomalies.rs
+++ b/crates/linenthread-service/src/merge_responses/anomalies.rs
@@ -23,13 +23,14 @@
     differing: Cell<u64>,
     /// Values that cannot be merged.
     invalid: Cell<u64>,
-    log_lines: LogRateLimit,
+    differing_lines: LogRateLimit,
+    invalid_lines: LogRateLimit,
 }
 
 impl Anomalies {
     pub(super) fn on_differing(&self, source: impl Fn() -> ResponseSource) {
         let total = increment(&self.differing);
-        if let Some(suppressed) = self.log_lines.admit() {
+        if let Some(suppressed) = self.differing_lines.admit() {
             let ResponseSource { replica, shard } = source();
             warn!(
                 replica,
@@ -43,7 +44,7 @@
 
     pub(super) fn on_invalid(&self, reason: &str, source: impl Fn() -> ResponseSource) {
         let total = increment(&self.invalid);
-        if let Some(suppressed) = self.log_lines.admit() {
+        if let Some(suppressed) = self.invalid_lines.admit() {
             let ResponseSource { replica, shard } = source();
             let reason: String = reason.chars().take(MAX_LOGGED_REASON_CHARS).collect();
             warn!(
--- a/crates/linenthread-service/src/serve/mod.rs
+++ b/crates/linenthread-service/src/serve/mod.rs
@@ -179,15 +179,18 @@
         }
     }
 
-    /// Leaves the fleet and the links, then answers the queries that were accepted.
+    /// Leaves the fleet, and answers the queries that were accepted, those of links as well. The health check fails at
+    /// once.
     async fn shut_down(self, listener: TcpListener) {
         if let Some(fleet) = &self.fleet {
             fleet.sender.send(ToFleet::Leave).ok();
         }
-        if let Some(gateway) = self.gateway {
-            gateway.drain(LINKS_DRAIN).await;
-        }
-        self.frontend.stop(listener).await;
+        let drain_links = async {
+            if let Some(gateway) = &self.gateway {
+                gateway.drain(LINKS_DRAIN).await;
+            }
+        };
+        tokio::join!(self.frontend.stop(listener), drain_links);
         if let Some(fleet) = self.fleet {
             fleet.leave();
         }
--- a/crates/linenthread-service/src/transports/replica_connections.rs
+++ b/crates/linenthread-service/src/transports/replica_connections.rs
@@ -38,7 +38,10 @@
     endpoints: RefCell<Vec<Endpoint>>,
     connection_count: Cell<usize>,
     next_attempt_number: Cell<u64>,
-    log_lines: LogRateLimit,
+    /// Lines on connections that there are too many of.
+    full_lines: LogRateLimit,
+    /// Lines on connections that failed.
+    failure_lines: LogRateLimit,
 }
 
 /// One of the connections that there may be at once. Dropping it gives it back.
@@ -74,7 +77,8 @@
             endpoints: RefCell::default(),
             connection_count: Cell::new(0),
             next_attempt_number: Cell::new(0),
-            log_lines: LogRateLimit::default(),
+            full_lines: LogRateLimit::default(),
+            failure_lines: LogRateLimit::default(),
         }))
     }
 
@@ -210,7 +214,7 @@
         endpoint: &mut Endpoint,
     ) -> Option<Rc<Connection>> {
         let Some(permit) = ConnectionPermit::acquire(&self.0) else {
-            if let Some(suppressed) = self.0.log_lines.admit() {
+            if let Some(suppressed) = self.0.full_lines.admit() {
                 warn!(%address, suppressed, "too many replica connections, not opening another");
             }
             return None;
@@ -242,7 +246,9 @@
         let end = result
             .as_ref()
             .map_or_else(ConnectionError::end, |()| ConnectionEnd::Lost);
-        if let (Err(cause), Some(suppressed)) = (result, self.0.log_lines.admit()) {
+        if let Err(cause) = result
+            && let Some(suppressed) = self.0.failure_lines.admit()
+        {
             let (address, in_flight) = (connection.address, connection.attempts_in_flight());
             let protocol_violation = end == ConnectionEnd::ProtocolViolated;
             warn!(%address, in_flight, protocol_violation, suppressed, "replica connection ended: {cause}");
