Control: no lease gates a change of the voters; all lost ones are replaced at once

Change: whoever is preferred as the leader proposes the next voters while it sees no leader; the register decides between rivals. Lost voters get their successors in one value.

--- a/crates/linenthread-consensus/src/lease.rs
+++ b/crates/linenthread-consensus/src/lease.rs
@@ -66,8 +66,7 @@
         /// The epoch of the lease.
         epoch: Epoch,
     },
-    /// This node held the lease, and holds it now by grants of the voters that a newer value names: it may change the
-    /// voters (see [`LeaderLease::is_held_at`]).
+    /// This node held the lease, and holds it now by grants of the voters that a newer value names.
     RenewedAtNewValue,
     /// This node held the lease at the same value, and now holds it for longer.
     Renewed,
@@ -78,6 +77,8 @@
 struct NewestValue {
     number: ValueNumber,
     voters: Vec<Voter>,
+    /// Number of the value that first named these voters.
+    voters_since: ValueNumber,
 }
 
 /// One node's part in the leader lease: as a voter it grants the lease to one candidate at a time, as a candidate it
@@ -89,7 +90,16 @@
 ///   margin, from when the candidate sent the request, which was earlier;
 /// - a voter that has restarted, or has become a voter anew, waits for as long as grants it does not know of may last;
 /// - candidate and voter have the same newest value, and the voter has accepted no other one: the majorities of two
-///   candidates are majorities of the same voters.
+///   candidates are majorities of the same voters;
+/// - of two sets of voters that follow each other the later one is smaller by one at most. A majority of it that has not
+///   granted the lease to the holder includes a new voter, which still waits: its wait began after the later set was
+///   decided, when the earlier one had stopped to grant;
+/// - a set of voters is changed again only by the holder of a lease that this set has granted, or once the leases that
+///   earlier sets granted are over ([`LEASE_DURATION`]). Else two removals in a row could leave a majority that has
+///   granted nothing;
+/// - an epoch that is requested anew is above all of earlier eras (see [`Epoch`]).
+///
+/// So a node that holds no lease may change the voters, too.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LeaderLease {
     incarnation: Incarnation,
@@ -134,6 +144,7 @@
             newest: NewestValue {
                 number: ValueNumber::FIRST,
                 voters: Vec::new(),
+                voters_since: ValueNumber::FIRST,
             },
         }
     }
@@ -145,8 +156,7 @@
             .map(|held| held.epoch)
     }
 
-    /// Whether this node holds the lease by grants of the voters that the value of this number names. Only then may
-    /// it change the voters (*one-lease-holder-per-epoch*).
+    /// Whether this node holds the lease by grants of the voters that the value of this number names.
     pub fn is_held_at(&self, now: Instant, value_number: ValueNumber) -> bool {
         self.held
             .is_some_and(|held| now < held.expires_at && held.value_number == value_number)
@@ -205,22 +215,31 @@
         }
     }
 
+    /// The lease that is held is renewed under its epoch. Another one is requested above all epochs that this node knows
+    /// of, and above all earlier eras.
     fn epoch_to_request(&self) -> Epoch {
+        let floor = self.epoch.max(Epoch::before_era(self.newest.voters_since));
         match (self.held, &self.request) {
             (Some(held), _) => held.epoch,
-            (None, Some(own)) if own.epoch > self.epoch => own.epoch,
-            _ => self.epoch.max(self.retired_epoch).next(),
+            (None, Some(own)) if own.epoch > floor => own.epoch,
+            _ => floor.max(self.retired_epoch).next(),
         }
     }
 
+    /// The node that this voter has granted the lease to, as long as that grant lasts.
+    pub fn granted_to(&self, now: Instant) -> Option<NodeId> {
+        self.grant
+            .filter(|grant| now < grant.expires_at)
+            .map(|grant| grant.candidate)
+    }
+
     /// The greatest epoch that was granted. It must be synced to disk before a grant under a new epoch is sent.
     pub fn epoch(&self) -> Epoch {
         self.epoch
     }
 
     /// A value was decided. If it directly follows the one that the lease was granted at, and names the same voters,
-    /// the lease counts as granted at the new value: else orders in quick succession would keep the lease holder from
-    /// changing the voters.
+    /// the lease counts as granted at the new value.
     pub fn on_decided(&mut self, value: &Value) {
         let (newest, number) = (&self.newest, ValueNumber::of(value));
         let same_voters = newest.number.next() == number && newest.voters == value.voters;
@@ -234,6 +253,7 @@
         self.newest = NewestValue {
             number,
             voters: value.voters.clone(),
+            voters_since: ValueNumber::new(value.voters_since),
         };
     }
 
--- a/crates/linenthread-consensus/src/lib.rs
+++ b/crates/linenthread-consensus/src/lib.rs
@@ -89,4 +89,5 @@
 pub use order_log::{MAX_LOGGED_ORDERS, MAX_ORDERS_PER_MESSAGE, OrderLog};
 pub use register::Register;
 pub use revision::Revision;
+pub use timing::LEASE_DURATION;
 pub use value_number::ValueNumber;
--- a/crates/linenthread-consensus/src/timing.rs
+++ b/crates/linenthread-consensus/src/timing.rs
@@ -48,7 +48,7 @@
 
 /// Duration of the leader lease. A voter counts it from when it receives the request, the lease holder from when it
 /// sent the request: the lease ends at its holder first.
-pub(crate) const LEASE_DURATION: Duration = Duration::from_millis(LEASE_MILLIS as u64);
+pub const LEASE_DURATION: Duration = Duration::from_millis(LEASE_MILLIS as u64);
 
 /// The lease holder asks for renewal this often: it can miss three attempts before the lease ends.
 pub(crate) const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
--- a/crates/linenthread-control/src/control_node.rs
+++ b/crates/linenthread-control/src/control_node.rs
@@ -81,7 +81,7 @@
         let mut control = ControlNode {
             lease: LeaderLease::new(config.incarnation, now, config.is_genesis, epoch),
             register: Register::new(id, durable_state, genesis, config.incarnation),
-            voting: VotingState::default(),
+            voting: VotingState::new(now),
             loopback: VecDeque::new(),
             pending_jobs: PendingJobs::default(),
             durability: OwnDurability::new(epoch),
--- a/crates/linenthread-control/src/control_node/durability.rs
+++ b/crates/linenthread-control/src/control_node/durability.rs
@@ -44,7 +44,7 @@
 
     /// A standby that has just become ready need not wait for the next tick.
     fn expedite_voter_change(&mut self, now: Instant) {
-        if self.is_leader(now) && !self.ready_standbys(now, self.value_number()).is_empty() {
+        if self.changes_voters(now) && !self.ready_standbys(now, self.value_number()).is_empty() {
             self.ticks.expedite();
         }
     }
--- a/crates/linenthread-control/src/control_node/leader_lease.rs
+++ b/crates/linenthread-control/src/control_node/leader_lease.rs
@@ -28,7 +28,7 @@
 
     /// Whether this node is the first voter in contact, in the order of the newest value, of those that do not shut
     /// down; if all do, of all: without a leader no standby could replace any of them.
-    fn is_preferred_leader(&self, now: Instant) -> bool {
+    pub(super) fn is_preferred_leader(&self, now: Instant) -> bool {
         let own_id = self.register.id();
         let in_contact = self.nodes_in_contact(now);
         let candidates = || {
--- a/crates/linenthread-control/src/control_node/register_driver.rs
+++ b/crates/linenthread-control/src/control_node/register_driver.rs
@@ -165,6 +165,7 @@
             .iter()
             .any(|voter| NodeId::from(voter) == self.register.id());
         let was_voter = self.voting.set_voter(is_voter);
+        self.voting.on_decided(now, value);
         let became_voter = is_voter && (!was_voter || self.lease.skips_voter_change(value));
         self.lease.on_decided(value);
         self.lease.observe_epoch(Epoch::new(value.epoch));
@@ -209,9 +210,7 @@
                 // Nodes that shut down wait for this news.
                 self.ticks.expedite();
                 // If an order was decided first, the change is tried again at once, before the next order.
-                if let Some(epoch) = self.lease_epoch(now) {
-                    self.adjust_voters(now, epoch, effects);
-                }
+                self.adjust_voters(now, effects);
             }
             None => {}
         }
--- a/crates/linenthread-control/src/control_node/ticks.rs
+++ b/crates/linenthread-control/src/control_node/ticks.rs
@@ -66,6 +66,7 @@
         self.dial(now, effects);
         self.flush_changed_replicas(now, effects);
         self.write_replica_snapshot(now, effects);
+        self.adjust_voters(now, effects);
     }
 
     /// Replicas time out only while this node has been in contact for as long as their time-out: before, their
@@ -98,7 +99,7 @@
         }));
     }
 
-    /// Sends heartbeats, and does what rests on those that were received: the lease, quota grants, voters.
+    /// Sends heartbeats, and does what rests on those that were received: the lease, quota grants.
     fn heartbeat_tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.send_heartbeats(now, effects);
         self.send_ingress_sessions(effects);
@@ -115,7 +116,6 @@
                 .quota_allocator
                 .allocate(now, epoch, &self.ingress_nodes.all());
             self.send_quota_grants(QuotaGrants { grants }, effects);
-            self.adjust_voters(now, epoch, effects);
         }
     }
 
--- a/crates/linenthread-control/src/control_node/voters.rs
+++ b/crates/linenthread-control/src/control_node/voters.rs
@@ -19,11 +19,33 @@
         self.register.is_voter(self.register.id())
     }
 
-    /// As the leader under `epoch`, proposes the next voters if they should be others: one change at a time.
-    pub(super) fn adjust_voters(&mut self, now: Instant, epoch: Epoch, effects: &mut Vec<Effect>) {
+    /// Whether it is this node that changes the voters: the leader, or else the node that is preferred as the leader.
+    ///
+    /// That saves rounds, and is no condition of safety: the register decides between rivals. So no lease delays the
+    /// replacement of a lost voter, not even of the leader itself.
+    pub(super) fn changes_voters(&self, now: Instant) -> bool {
+        self.is_leader(now) || !self.sees_leader(now) && self.is_preferred_leader(now)
+    }
+
+    /// Whether nobody can hold the lease by grants of earlier voters than the present ones: they have granted it to this
+    /// node, or enough time has passed. Else two changes in a row could lead to two holders.
+    fn earlier_leases_are_void(&self, now: Instant) -> bool {
+        self.lease.is_held_at(now, self.value_number()) || self.voting.earlier_leases_are_over(now)
+    }
+
+    /// Whether this node has granted the lease to another one, and is in contact with it.
+    fn sees_leader(&self, now: Instant) -> bool {
+        self.lease.granted_to(now).is_some_and(|leader| {
+            leader != self.register.id() && self.membership.contact(now, leader).is_some()
+        })
+    }
+
+    /// Proposes the next voters if they should be others and this node is to change them: one change at a time.
+    pub(super) fn adjust_voters(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let may_propose = !self.pending_jobs.has_voter_change()
             && self.has_quorum(now)
-            && self.lease.is_held_at(now, self.value_number());
+            && self.changes_voters(now)
+            && self.earlier_leases_are_void(now);
         if !may_propose {
             return;
         }
@@ -41,7 +63,7 @@
         let change = Change::Voters {
             base_number: base_value,
             voters,
-            epoch,
+            epoch: self.lease_epoch(now).unwrap_or(Epoch::NONE),
         };
         let deadline = now + VOTER_CHANGE_TIMEOUT_CALLS * CALL_TIMEOUT;
         self.drive_register(
@@ -53,9 +75,9 @@
         );
     }
 
-    /// Whether this node leads, and changes the voters, or will as soon as a standby's disk holds everything.
+    /// Whether this node changes the voters, or will as soon as a standby's disk holds everything.
     pub(super) fn is_reconfiguring(&self, now: Instant) -> bool {
-        self.is_leader(now)
+        self.changes_voters(now)
             && (self.pending_jobs.has_voter_change()
                 || !self.standbys(now).is_empty()
                 || next_voters(&self.voters_view(now, self.value_number())).is_some())
@@ -84,14 +106,20 @@
             id: self.register.id().0,
             address: self.config.control_address.clone(),
         });
-        let voters = self.register.voters();
-        self.membership
+        let mut standbys: Vec<Voter> = Vec::new();
+        let ready = self
+            .membership
             .eligible_voters(now)
             .filter(|peer| is_ready(peer.durable_value_number()))
-            .map(|peer| peer.hello().voter())
-            .chain(this_node)
-            .filter(|standby| voters.iter().all(|voter| voter.id != standby.id))
-            .collect()
+            .map(|peer| peer.hello().voter());
+        for standby in ready.chain(this_node) {
+            // There may be two sessions with a node.
+            let mut known = self.register.voters().iter().chain(&standbys);
+            if known.all(|voter| voter.id != standby.id) {
+                standbys.push(standby);
+            }
+        }
+        standbys
     }
 
     fn voters_view(&self, now: Instant, value_number: ValueNumber) -> VotersView {
--- a/crates/linenthread-control/src/reconfiguration.rs
+++ b/crates/linenthread-control/src/reconfiguration.rs
@@ -84,18 +84,64 @@
                 .all(|state| state.contact == VoterContact::InContact)
     }
 
-    /// Position of the voter whose place is to be given away: replaced, else lost, else shutting down.
+    /// The voters that are lost or replaced, each with a ready standby in its place: all at once, since the next loss may
+    /// come before another change. `None` if there is no such voter or no standby.
+    fn with_successors_of_lost(&self) -> Option<Vec<Voter>> {
+        let mut standbys = self.ready_standbys.clone();
+        let mut next: Vec<Voter> = self
+            .voters
+            .iter()
+            .map(|state| state.voter.clone())
+            .collect();
+        // A standby at the address of a voter is its successor; those at other addresses take the places that are left.
+        for (position, state) in self.voters.iter().enumerate() {
+            let successor = standbys
+                .iter()
+                .position(|standby| standby.address == state.voter.address);
+            if state.is_lost()
+                && let Some(successor) = successor
+            {
+                next[position] = standbys.remove(successor);
+            }
+        }
+        for (position, state) in self.voters.iter().enumerate() {
+            let has_place_left = next[position] == state.voter;
+            if state.contact == VoterContact::Lost && has_place_left && !standbys.is_empty() {
+                next[position] = standbys.remove(0);
+            }
+        }
+        let is_changed = self
+            .voters
+            .iter()
+            .zip(&next)
+            .any(|(state, voter)| state.voter != *voter);
+        is_changed.then_some(next)
+    }
+
+    /// Position of the voter that is removed, or replaced alone: lost, else shutting down.
     fn outgoing(&self) -> Option<usize> {
         let position = |which: &dyn Fn(&VoterState) -> bool| self.voters.iter().position(which);
-        position(&|state| state.replaced && self.standby_at(&state.voter.address).is_some())
-            .or_else(|| position(&|state| state.contact == VoterContact::Lost))
+        position(&|state| state.contact == VoterContact::Lost)
             .or_else(|| position(&|state| state.shutting_down))
     }
 }
 
-/// The next value's voters, at most one node different from the present ones; `None` if they are as they should be. A
-/// voter that shuts down is replaced by a standby, or removed if [`removes_voter_without_successor`] says so.
+impl VoterState {
+    fn is_lost(&self) -> bool {
+        self.replaced || self.contact == VoterContact::Lost
+    }
+}
+
+/// The next value's voters; `None` if they are as they should be. All voters that are lost are replaced at once, as far
+/// as there are standbys; apart from that one node is different from the present ones. A voter that shuts down is
+/// replaced by a standby, or removed if [`removes_voter_without_successor`] says so.
+///
+/// The next set is smaller than the present one by one voter at most, which the lease relies on (`LeaderLease` in
+/// `linenthread-consensus`).
 pub fn next_voters(view: &VotersView) -> Option<Vec<Voter>> {
+    if let Some(next) = view.with_successors_of_lost() {
+        return Some(next);
+    }
     let mut next: Vec<Voter> = view
         .voters
         .iter()
