Control: one node changes the voters; two of them do not reject each other for ever

Change: only the preferred leader changes the voters, leader or not; from the third rejection in a row on a change pauses for up to four phases.

--- a/crates/linenthread-consensus/src/backoff.rs
+++ b/crates/linenthread-consensus/src/backoff.rs
@@ -6,7 +6,10 @@
 use linenthread_time::{Instant, whole_millis};
 use oorandom::Rand64;
 
-use crate::timing::{BACKOFF_BASE, MAX_BACKOFF, MAX_BACKOFF_DOUBLINGS, MIN_BACKOFF};
+use crate::timing::{
+    BACKOFF_BASE, EAGER_REJECTIONS, MAX_BACKOFF, MAX_BACKOFF_DOUBLINGS, MIN_BACKOFF,
+    VOTER_CHANGE_PAUSE_PHASES,
+};
 
 /// Randomized exponential backoff that leaves a competing round the time it needs.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -57,11 +60,19 @@
 
     /// A round of this node was rejected in favour of another one. The competing round is left the time of one phase
     /// at least; not so by a change of the voters, since a second node may be lost before the successor of the first
-    /// one votes.
+    /// one votes. But after [`EAGER_REJECTIONS`] in a row the competing rounds may be changes of the voters as well, and
+    /// two proposers with slow voters that hardly pause would reject each other for ever.
     pub(crate) fn on_rejected(&mut self, now: Instant, is_voter_change: bool) {
         self.rejections = (self.rejections + 1).min(MAX_BACKOFF_DOUBLINGS);
         let pause = if is_voter_change {
-            self.jitter.below(BACKOFF_BASE)
+            let is_eager = self.rejections <= EAGER_REJECTIONS;
+            let phases = if is_eager {
+                0
+            } else {
+                VOTER_CHANGE_PAUSE_PHASES
+            };
+            let range = (phases * self.phase_latency).clamp(BACKOFF_BASE, MAX_BACKOFF);
+            self.jitter.below(range)
         } else {
             let range = self.phase_latency.max(BACKOFF_BASE);
             let range = range.saturating_mul(1 << self.rejections).min(MAX_BACKOFF);
--- a/crates/linenthread-consensus/src/lease.rs
+++ b/crates/linenthread-consensus/src/lease.rs
@@ -226,13 +226,6 @@
         }
     }
 
-    /// The node that this voter has granted the lease to, as long as that grant lasts.
-    pub fn granted_to(&self, now: Instant) -> Option<NodeId> {
-        self.grant
-            .filter(|grant| now < grant.expires_at)
-            .map(|grant| grant.candidate)
-    }
-
     /// The greatest epoch that was granted. It must be synced to disk before a grant under a new epoch is sent.
     pub fn epoch(&self) -> Epoch {
         self.epoch
--- a/crates/linenthread-consensus/src/timing.rs
+++ b/crates/linenthread-consensus/src/timing.rs
@@ -23,6 +23,13 @@
 /// Rejections in a row after which the range of the random pause grows no more.
 pub(crate) const MAX_BACKOFF_DOUBLINGS: u32 = 6;
 
+/// So many rejections in a row do not make a change of the voters pause for longer.
+pub(crate) const EAGER_REJECTIONS: u32 = 2;
+
+/// After more rejections, a change of the voters pauses for a random time of up to so many phases of a round: twice the
+/// time that a competing round needs.
+pub(crate) const VOTER_CHANGE_PAUSE_PHASES: u32 = 4;
+
 /// Bound of both parts of a pause, the random one and the time that is left to the competing round.
 pub(crate) const MAX_BACKOFF: Duration = BACKOFF_BASE.saturating_mul(1 << MAX_BACKOFF_DOUBLINGS);
 
--- a/crates/linenthread-consensus/tests/consensus/contention.rs
+++ b/crates/linenthread-consensus/tests/consensus/contention.rs
@@ -203,6 +203,38 @@
     }
 }
 
+/// Two proposers of changes of the voters, each rejected by the other again and again: with voters that take 130 ms for a
+/// phase their pauses spread over the time that a round needs, so that one of them gets through.
+#[test]
+fn rejected_changes_of_the_voters_spread_over_the_time_of_a_round() {
+    let pause = |seed, rejections| {
+        let mut register = register(seed);
+        let (mut now, mut last) = (1_000, 0);
+        let mut ballot =
+            started_round(&propose_other_voters(&mut register, now)).expect("a round starts");
+        for _ in 0..rejections {
+            for from in [2, 3] {
+                let promise = Promise {
+                    number: 1,
+                    ballot,
+                    accepted: None,
+                };
+                let promise = PeerMessage::Promise(promise);
+                register.on_message(at(now + 130), NodeId(from), promise, &mut Vec::new());
+            }
+            reject(&mut register, now + 140, 1, ballot);
+            let (restarted_at, next) = next_round(&mut register, now + 141);
+            last = restarted_at - (now + 140);
+            (now, ballot) = (restarted_at, next);
+        }
+        last
+    };
+    let longest = |rejections| (1..50).map(|seed| pause(seed, rejections)).max();
+    assert!(longest(2) <= Some(26), "{:?}", longest(2));
+    assert!(longest(3) >= Some(400), "{:?}", longest(3));
+    assert!(longest(8) <= Some(522), "{:?}", longest(8));
+}
+
 /// A round of another node that this one votes in is left its time, though not by a change of the voters.
 #[test]
 fn an_order_waits_for_a_competing_round() {
--- a/crates/linenthread-control/src/control_node/voters.rs
+++ b/crates/linenthread-control/src/control_node/voters.rs
@@ -19,12 +19,13 @@
         self.register.is_voter(self.register.id())
     }
 
-    /// Whether it is this node that changes the voters: the leader, or else the node that is preferred as the leader.
+    /// Whether it is this node that changes the voters: the one that is preferred as the leader, whether or not it leads
+    /// yet.
     ///
     /// That saves rounds, and is no condition of safety: the register decides between rivals. So no lease delays the
     /// replacement of a lost voter, not even of the leader itself.
     pub(super) fn changes_voters(&self, now: Instant) -> bool {
-        self.is_leader(now) || !self.sees_leader(now) && self.is_preferred_leader(now)
+        self.is_preferred_leader(now)
     }
 
     /// Whether nobody can hold the lease by grants of earlier voters than the present ones: they have granted it to this
@@ -33,13 +34,6 @@
         self.lease.is_held_at(now, self.value_number()) || self.voting.earlier_leases_are_over(now)
     }
 
-    /// Whether this node has granted the lease to another one, and is in contact with it.
-    fn sees_leader(&self, now: Instant) -> bool {
-        self.lease.granted_to(now).is_some_and(|leader| {
-            leader != self.register.id() && self.membership.contact(now, leader).is_some()
-        })
-    }
-
     /// Proposes the next voters if they should be others and this node is to change them: one change at a time.
     pub(super) fn adjust_voters(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let may_propose = !self.pending_jobs.has_voter_change()
