Control: one session a node, drains made known to new voters; ingress nodes leave silent control nodes sooner

Changes: the node of the lower address closes duplicate sessions; an acknowledgement of a drain counts while any session with that node stands; what a majority knew is forgotten when the voters change; a control node that says nothing at first is left after 0.7 s.

--- a/crates/linenthread-control/src/control_node.rs
+++ b/crates/linenthread-control/src/control_node.rs
@@ -109,6 +109,7 @@
         }
         self.voting.set_voter(self.is_voter());
         if let Some(value) = self.register.decided() {
+            self.voting.on_decided(now, value);
             self.lease.on_decided(value);
             self.lease.observe_epoch(Epoch::new(value.epoch));
         }
--- a/crates/linenthread-control/src/control_node/register_driver.rs
+++ b/crates/linenthread-control/src/control_node/register_driver.rs
@@ -165,7 +165,9 @@
             .iter()
             .any(|voter| NodeId::from(voter) == self.register.id());
         let was_voter = self.voting.set_voter(is_voter);
-        self.voting.on_decided(now, value);
+        if self.voting.on_decided(now, value) {
+            self.pending_drains.on_voters_changed();
+        }
         let became_voter = is_voter && (!was_voter || self.lease.skips_voter_change(value));
         self.lease.on_decided(value);
         self.lease.observe_epoch(Epoch::new(value.epoch));
--- a/crates/linenthread-control/src/control_node/sessions.rs
+++ b/crates/linenthread-control/src/control_node/sessions.rs
@@ -42,7 +42,9 @@
             }));
         }
         if let Some(peer) = self.membership.close(now, session) {
-            self.pending_drains.on_node_disconnected(peer.node_id());
+            if self.membership.session_with(peer.node_id()).is_none() {
+                self.pending_drains.on_node_disconnected(peer.node_id());
+            }
             effects.push(Effect::Log(ControlEvent::SessionClosed {
                 peer: peer.hello().name.clone(),
                 is_control_node: true,
--- a/crates/linenthread-control/src/control_node/ticks.rs
+++ b/crates/linenthread-control/src/control_node/ticks.rs
@@ -58,7 +58,10 @@
             .timed_out(now)
             .into_iter()
             .chain(self.ingress_nodes.timed_out(now));
-        for session in timed_out {
+        let duplicates = self
+            .membership
+            .duplicates(now, &self.config.control_address);
+        for session in timed_out.chain(duplicates) {
             self.drop_session(now, session, effects);
         }
         self.update_contact(now, effects);
--- a/crates/linenthread-control/src/membership.rs
+++ b/crates/linenthread-control/src/membership.rs
@@ -80,6 +80,25 @@
             .map(|(_, peer)| peer)
     }
 
+    /// Sessions with nodes that another session is with, too, and that messages have lately gone back and forth on. Of
+    /// those in contact the newest one is kept.
+    ///
+    /// To be closed by one of the two nodes only, or each might close the session that the other one keeps: by the one
+    /// of the lower address.
+    pub(crate) fn duplicates(&self, now: Instant, own_address: &str) -> Vec<SessionId> {
+        let kept = |node_id: NodeId| {
+            self.iter()
+                .filter(|(_, peer)| peer.node_id() == node_id && peer.in_contact(now))
+                .map(|(session, _)| session)
+                .last()
+        };
+        self.iter()
+            .filter(|(_, peer)| own_address < peer.hello().control_address.as_str())
+            .filter(|(session, peer)| kept(peer.node_id()).is_some_and(|kept| kept != *session))
+            .map(|(session, _)| session)
+            .collect()
+    }
+
     /// Sessions of earlier incarnations of a node: they are over, whatever their connections look like.
     pub(crate) fn superseded(&self, hello: &ControlNodeHello) -> Vec<SessionId> {
         self.iter()
--- a/crates/linenthread-control/src/pending_drains.rs
+++ b/crates/linenthread-control/src/pending_drains.rs
@@ -45,7 +45,7 @@
     pub(crate) response: Response,
 }
 
-/// The calls that wait, and the replicas that a majority knows to drain or to have departed.
+/// The calls that wait, and the replicas that a majority of the present voters knows to drain or to have departed.
 #[derive(Default)]
 pub(crate) struct PendingDrains {
     /// The oldest first.
@@ -69,6 +69,11 @@
         self.known_by_majority.remove(replica_id);
     }
 
+    /// The voters are others: what a majority of the former ones knew, a majority of these may not.
+    pub(crate) fn on_voters_changed(&mut self) {
+        self.known_by_majority.clear();
+    }
+
     /// Forgets the replicas for which `is_registered` does not hold.
     pub(crate) fn retain(&mut self, is_registered: impl Fn(&str) -> bool) {
         self.known_by_majority
--- a/crates/linenthread-control/src/voting_state.rs
+++ b/crates/linenthread-control/src/voting_state.rs
@@ -30,12 +30,14 @@
         }
     }
 
-    /// Notes the voters of a new value.
-    pub(crate) fn on_decided(&mut self, now: Instant, value: &Value) {
+    /// Notes the voters of a new value; whether they are others than before.
+    pub(crate) fn on_decided(&mut self, now: Instant, value: &Value) -> bool {
         let voters_since = ValueNumber::new(value.voters_since);
-        if voters_since > self.voters_since {
+        let are_others = voters_since > self.voters_since;
+        if are_others {
             (self.voters_since, self.voters_learned_at) = (voters_since, now);
         }
+        are_others
     }
 
     /// Whether all leases are over that earlier sets of voters granted.
--- a/crates/linenthread-control/tests/single_node.rs
+++ b/crates/linenthread-control/tests/single_node.rs
@@ -356,3 +356,75 @@
     }
     assert!(dialled_late.contains(&address(8)) && dialled_late.contains(&address(9)));
 }
+
+/// The sessions that the node closes among these effects.
+fn closed(effects: &[Effect]) -> Vec<SessionId> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Close(session) => Some(*session),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn of_two_sessions_with_a_node_the_one_of_the_lower_address_closes_the_older() {
+    let (mut control, mut effects) = (node(), Vec::new());
+    connect(&mut control, 0, 1, 2, VERSION);
+    connect(&mut control, 0, 5, 2, VERSION);
+    connect(&mut control, 0, 6, 0, VERSION);
+    connect(&mut control, 0, 7, 0, VERSION);
+    control.tick(at(200), &mut effects);
+    assert_eq!(closed(&effects), [SessionId(1)], "node 0 closes its own");
+}
+
+#[test]
+fn an_acknowledged_drain_counts_on_while_another_session_with_that_node_stands() {
+    let (mut control, mut effects) = (node_among(5), Vec::new());
+    connect(&mut control, 0, 1, 2, VERSION);
+    connect(&mut control, 0, 5, 2, VERSION);
+    connect(&mut control, 0, 3, 3, VERSION);
+    drain(&mut control, &mut effects);
+    acknowledge(&mut control, 10, 1, &mut effects);
+    control.on_session_closed(at(20), SessionId(1), &mut effects);
+    acknowledge(&mut control, 30, 3, &mut effects);
+    assert_eq!(
+        responses(&effects),
+        [&Response::Acknowledged { report_to: None }]
+    );
+}
+
+#[test]
+fn a_drain_is_made_known_again_once_the_voters_are_others() {
+    let (mut control, mut effects) = (node(), Vec::new());
+    connect(&mut control, 0, 1, 2, VERSION);
+    drain(&mut control, &mut effects);
+    acknowledge(&mut control, 10, 1, &mut effects);
+    assert_eq!(responses(&effects).len(), 1);
+    let voters = (1..=4).map(|n| Voter {
+        id: NodeId::genesis(&address(n)).0,
+        address: address(n),
+    });
+    let four_voters = Value {
+        number: 1,
+        voters: voters.collect(),
+        voters_since: 1,
+        ..Value::default()
+    };
+    connect(&mut control, 15, 4, 3, VERSION);
+    let decided = PeerMessage::Decided(four_voters);
+    control.on_message(at(20), SessionId(1), decided, &mut effects);
+    effects.clear();
+    let again = replica_heartbeat("draining", 2);
+    control.on_replica_heartbeat(at(30), CallId(2), "i", again, &mut effects);
+    assert!(
+        responses(&effects).is_empty(),
+        "two of four may not know it"
+    );
+    for session in [1, 4] {
+        let ack = PeerMessage::UpdateAck(UpdateAck { update_id: 2 });
+        control.on_message(at(40), SessionId(session), ack, &mut effects);
+    }
+    assert_eq!(responses(&effects).len(), 1);
+}
--- a/crates/linenthread-node/src/control_client/session.rs
+++ b/crates/linenthread-node/src/control_client/session.rs
@@ -22,6 +22,9 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// How long nothing may arrive from the control node, which sends heartbeats of its own, before the session ends.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// How long the first message of the control node may take, which introduces itself at once. One that is suspended, or
+/// can receive but not send, is left for another one sooner than after [`RECEIVE_TIMEOUT`].
+const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long the connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How many heartbeats in a row may say that the control node is without quorum before the session ends.
@@ -56,6 +59,8 @@
     client: &'a ControlClient,
     control_node: SocketAddr,
     last_received_at: Cell<Instant>,
+    /// Something was received on this connection.
+    has_received: Cell<bool>,
     heartbeats_without_quorum: Cell<u32>,
 }
 
@@ -65,6 +70,7 @@
             client,
             control_node,
             last_received_at: Cell::new(clock::now()),
+            has_received: Cell::new(false),
             heartbeats_without_quorum: Cell::new(0),
         }
     }
@@ -80,6 +86,7 @@
         let name = peer.to_string();
         let receive = |message| {
             self.last_received_at.set(clock::now());
+            self.has_received.set(true);
             self.on_message(message)
         };
         tokio::select! {
@@ -115,7 +122,7 @@
             }
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
             let now = clock::now();
-            if now > self.last_received_at.get() + RECEIVE_TIMEOUT {
+            if now > self.last_received_at.get() + self.receive_timeout() {
                 return SessionEnd::ReceiveTimeout;
             }
             if self.heartbeats_without_quorum.get() >= MAX_HEARTBEATS_WITHOUT_QUORUM {
@@ -124,6 +131,14 @@
         }
     }
 
+    fn receive_timeout(&self) -> Duration {
+        if self.has_received.get() {
+            RECEIVE_TIMEOUT
+        } else {
+            FIRST_MESSAGE_TIMEOUT
+        }
+    }
+
     /// Applies a message of the control node; whether the session goes on.
     fn on_message(&self, message: PeerMessage) -> ControlFlow<()> {
         match message {
--- a/crates/linenthread-simulation/src/system/ingress_node.rs
+++ b/crates/linenthread-simulation/src/system/ingress_node.rs
@@ -20,6 +20,8 @@
 pub(super) const INGRESS_NODES: usize = 4;
 /// An ingress node that got no message for longer ends its session.
 const SESSION_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// The same for one that got none at all on its session.
+const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_millis(700);
 /// After so many heartbeats in a row of a control node without a quorum its session is ended.
 const MAX_HEARTBEATS_WITHOUT_QUORUM: u32 = 2;
 
@@ -61,6 +63,8 @@
     /// Its configuration was confirmed as the newest one.
     pub(super) confirmed: bool,
     last_received_at: Instant,
+    /// Something was received on its session.
+    has_received: bool,
     /// Heartbeats in a row of a control node without a quorum.
     heartbeats_without_quorum: u32,
     /// When it last failed to reach each control node: the longest ago comes first.
@@ -84,6 +88,7 @@
             revision: Revision::NONE,
             confirmed: false,
             last_received_at: Instant::START,
+            has_received: false,
             heartbeats_without_quorum: 0,
             failed_at: BTreeMap::new(),
             without_session_since: None,
@@ -105,6 +110,7 @@
         self.session = Some(session);
         self.control = control;
         self.last_received_at = now;
+        self.has_received = false;
         self.heartbeats_without_quorum = 0;
     }
 
@@ -125,7 +131,12 @@
 
     /// Whether its session should end: the control node is silent, or has no quorum.
     pub(super) fn should_leave(&self, now: Instant) -> bool {
-        now > self.last_received_at + SESSION_TIMEOUT
+        let timeout = if self.has_received {
+            SESSION_TIMEOUT
+        } else {
+            FIRST_MESSAGE_TIMEOUT
+        };
+        now > self.last_received_at + timeout
             || self.heartbeats_without_quorum >= MAX_HEARTBEATS_WITHOUT_QUORUM
     }
 
@@ -158,6 +169,7 @@
         now: Instant,
     ) -> Result<(), OlderRevision> {
         self.last_received_at = now;
+        self.has_received = true;
         match message {
             PeerMessage::Heartbeat(heartbeat) if heartbeat.has_quorum => {
                 self.heartbeats_without_quorum = 0;
