Control: only a removal of a voter waits for the leases of earlier sets

Change: the argument (LeaderLease) needs the wait for removals alone: replaced and added voters wait themselves before they grant anything.

--- a/crates/linenthread-consensus/src/lease.rs
+++ b/crates/linenthread-consensus/src/lease.rs
@@ -91,12 +91,12 @@
 /// - a voter that has restarted, or has become a voter anew, waits for as long as grants it does not know of may last;
 /// - candidate and voter have the same newest value, and the voter has accepted no other one: the majorities of two
 ///   candidates are majorities of the same voters;
-/// - of two sets of voters that follow each other the later one is smaller by one at most. A majority of it that has not
-///   granted the lease to the holder includes a new voter, which still waits: its wait began after the later set was
-///   decided, when the earlier one had stopped to grant;
-/// - a set of voters is changed again only by the holder of a lease that this set has granted, or once the leases that
-///   earlier sets granted are over ([`LEASE_DURATION`]). Else two removals in a row could leave a majority that has
-///   granted nothing;
+/// - where the voters change while a lease lasts, fewer than half of the set that granted it have not granted it. So a
+///   majority of a later set, as long as that is smaller by one at most, includes a new voter, which still waits: its wait
+///   began after the later set was decided, when the earlier one had stopped to grant;
+/// - a set becomes smaller by one at a time, and only by the holder of a lease that the set itself has granted, or once the
+///   leases that earlier sets granted are over ([`LEASE_DURATION`]). Else two removals in a row could leave a majority that
+///   has granted nothing;
 /// - an epoch that is requested anew is above all of earlier eras (see [`Epoch`]).
 ///
 /// So a node that holds no lease may change the voters, too.
--- a/crates/linenthread-control/src/control_node/voters.rs
+++ b/crates/linenthread-control/src/control_node/voters.rs
@@ -29,7 +29,7 @@
     }
 
     /// Whether nobody can hold the lease by grants of earlier voters than the present ones: they have granted it to this
-    /// node, or enough time has passed. Else two changes in a row could lead to two holders.
+    /// node, or enough time has passed. Else two removals in a row could lead to two holders.
     fn earlier_leases_are_void(&self, now: Instant) -> bool {
         self.lease.is_held_at(now, self.value_number()) || self.voting.earlier_leases_are_over(now)
     }
@@ -38,8 +38,7 @@
     pub(super) fn adjust_voters(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let may_propose = !self.pending_jobs.has_voter_change()
             && self.has_quorum(now)
-            && self.changes_voters(now)
-            && self.earlier_leases_are_void(now);
+            && self.changes_voters(now);
         if !may_propose {
             return;
         }
@@ -49,6 +48,10 @@
         let Some(voters) = next_voters(&self.voters_view(now, base_value)) else {
             return;
         };
+        let is_smaller = voters.len() < self.register.voters().len();
+        if is_smaller && !self.earlier_leases_are_void(now) {
+            return;
+        }
         effects.push(Effect::Log(ControlEvent::VoterChangeProposed {
             base_value,
             voters: voters.iter().map(|voter| voter.address.clone()).collect(),
