--- a/crates/linenthread-control/src/reconfiguration.rs
+++ b/crates/linenthread-control/src/reconfiguration.rs
@@ -118,10 +118,13 @@
         is_changed.then_some(next)
     }
 
-    /// Position of the voter that is removed, or replaced alone: lost, else shutting down.
+    /// Position of the voter that is removed, or replaced alone: lost, else ended after a graceful shutdown, else still
+    /// shutting down. One that has ended holds nothing up any more, and may be gone for good.
     fn outgoing(&self) -> Option<usize> {
         let position = |which: &dyn Fn(&VoterState) -> bool| self.voters.iter().position(which);
+        let is_in_contact = |state: &VoterState| state.contact == VoterContact::InContact;
         position(&|state| state.contact == VoterContact::Lost)
+            .or_else(|| position(&|state| state.shutting_down && !is_in_contact(state)))
             .or_else(|| position(&|state| state.shutting_down))
     }
 }
--- a/crates/linenthread-control/tests/voters_and_shutdown.rs
+++ b/crates/linenthread-control/tests/voters_and_shutdown.rs
@@ -16,16 +16,16 @@
 }
 
 /// Voters 1, 2, 3 and so on: `+` as they should be, `s` silent for a moment, `l` lost, `g` leaving, `r`
-/// replaced at their address.
+/// replaced at their address, `e` ended after it had left.
 fn view(states: &str, standbys: &[u64], min_voters: usize) -> VotersView {
     let state = |(i, c): (usize, char)| VoterState {
         voter: voter(i as u64 + 1),
         contact: match c {
             'l' => VoterContact::Lost,
-            's' | 'r' => VoterContact::OutOfContact,
+            's' | 'r' | 'e' => VoterContact::OutOfContact,
             _ => VoterContact::InContact,
         },
-        shutting_down: c == 'g',
+        shutting_down: c == 'g' || c == 'e',
         replaced: c == 'r',
     };
     let standbys = standbys.iter().map(|id| voter(*id)).collect();
@@ -56,6 +56,8 @@
     two_leaving_of_five_that_bear_one_down = { "++gg+", &[], 3, Some(&[1, 2, 4, 5]) },
     two_leaving_of_nine_that_must_bear_three = { "++gg+++++", &[], 7, Some(&[1, 2, 4, 5, 6, 7, 8, 9]) },
     one_leaving_of_nine_that_must_bear_three = { "++g++++++", &[], 7, None },
+    ended_before_leaving = { "g++e+", &[], 3, Some(&[1, 2, 3, 5]) },
+    ended_before_leaving_for_a_standby = { "g+e", &[7], 3, Some(&[1, 2, 7]) },
     lost_before_leaving = { "+gl", &[7], 3, Some(&[1, 2, 7]) },
     replaced_with_no_standby_there = { "+r+", &[], 3, None },
 )]
