Simulation: the time from a loss to whole again as a rule; splits in halves; a closing loss

New rule whole-again: after the loss of one disk or machine and nothing else, all nodes vote again within a sum of named waits (recovery_time.rs). New faults: control nodes split in halves for some seconds, whatever the budget; at the end of the faults the disks that have lasted longest are lost while all other machines lose power, ingress nodes too.

--- a/crates/linenthread-simulation/src/system/execution.rs
+++ b/crates/linenthread-simulation/src/system/execution.rs
@@ -140,6 +140,7 @@
     /// The process ends and its disk is lost; it comes back empty, at the same address.
     pub(super) fn lose_disk(&mut self, node: usize, restart_in: Duration) {
         self.end_process(node, ProcessEnd::PowerLost, Some(restart_in));
+        self.begin_loss();
         let erased_until = self.now() + restart_in + CATCH_UP_TIME;
         let machine = &mut self.machines[node];
         machine.disk.erase();
@@ -229,6 +230,7 @@
         step(control, clock, &mut effects);
         self.check_decided(node);
         self.check_lease_holders();
+        self.check_recovery_time();
         for effect in effects {
             self.execute(node, effect);
         }
--- a/crates/linenthread-simulation/src/system/fault.rs
+++ b/crates/linenthread-simulation/src/system/fault.rs
@@ -14,6 +14,7 @@
     Partition,
     LongPartition,
     PartialPartition,
+    SplitInHalves,
     DiskLost,
     DiskLostAfterAcknowledgement,
     IngressPartition,
@@ -31,6 +32,7 @@
     AllOthersLosePower,
     BootstrapChanged,
     DiskSlow,
+    ClosingLoss,
 }
 
 impl fmt::Display for FaultKind {
@@ -47,6 +49,7 @@
             FaultKind::Partition => "partition",
             FaultKind::LongPartition => "long partition",
             FaultKind::PartialPartition => "partition in one direction, or from one node",
+            FaultKind::SplitInHalves => "control nodes split in halves",
             FaultKind::DiskLost => "disk lost",
             FaultKind::DiskLostAfterAcknowledgement => "disk lost after an acknowledgement",
             FaultKind::IngressPartition => "ingress node partitioned from a control node",
@@ -64,6 +67,7 @@
             FaultKind::AllOthersLosePower => "second loss: all others lose power",
             FaultKind::BootstrapChanged => "bootstrap addresses changed",
             FaultKind::DiskSlow => "disk slow",
+            FaultKind::ClosingLoss => "disks lost while all others lose power",
         })
     }
 }
--- a/crates/linenthread-simulation/src/system/faults/mod.rs
+++ b/crates/linenthread-simulation/src/system/faults/mod.rs
@@ -34,6 +34,7 @@
     Partition,
     PartialPartition,
     LongPartition,
+    Split,
     IngressPartition,
     Pause,
     LongPause,
@@ -43,7 +44,7 @@
 }
 
 /// Which faults are drawn, and with which weight.
-const FAULTS: [(Fault, u64); 17] = [
+const FAULTS: [(Fault, u64); 18] = [
     (Fault::Crash, 4),
     (Fault::DiskLost, 4),
     (Fault::UnplannedReplacement, 3),
@@ -55,6 +56,7 @@
     (Fault::Partition, 2),
     (Fault::PartialPartition, 3),
     (Fault::LongPartition, 1),
+    (Fault::Split, 2),
     (Fault::IngressPartition, 2),
     (Fault::Pause, 2),
     (Fault::LongPause, 1),
@@ -120,6 +122,7 @@
             Fault::Partition => self.partition_node(node),
             Fault::PartialPartition => self.partition_partly(node),
             Fault::LongPartition => self.partition_long(node),
+            Fault::Split => self.split_in_halves(),
             Fault::IngressPartition => self.partition_ingress(node),
             Fault::Pause => self.pause(node, PAUSE_MS, FaultKind::Pause),
             Fault::LongPause => self.pause(node, LONG_PAUSE_MS, FaultKind::LongPause),
--- a/crates/linenthread-simulation/src/system/faults/partitions.rs
+++ b/crates/linenthread-simulation/src/system/faults/partitions.rs
@@ -11,6 +11,8 @@
 
 /// The shortest partition.
 const MIN_DURATION: Duration = Duration::from_millis(300);
+/// A split in halves ends sooner than this after its shortest duration, in milliseconds.
+const SPLIT_MS: u64 = 6_000;
 /// The shortest long partition.
 const LONG_MIN_DURATION: Duration = Duration::from_millis(20_000);
 
@@ -44,6 +46,25 @@
         self.partition_from_others(node, until, directions);
     }
 
+    /// The control nodes are split in two halves for some seconds, whatever the loss budget says; ingress nodes reach
+    /// both. The smaller half misses what the other one decides meanwhile.
+    pub(super) fn split_in_halves(&mut self) {
+        self.count_fault(FaultKind::SplitInHalves);
+        let until = self.now() + MIN_DURATION + self.random.millis_below(SPLIT_MS);
+        let mut nodes: Vec<usize> = (0..self.machines.len())
+            .filter(|node| !self.machines[*node].decommissioned)
+            .collect();
+        self.random.shuffle(&mut nodes);
+        let smaller = nodes.split_off(nodes.len().div_ceil(2));
+        for node in smaller {
+            for other in &nodes {
+                let other = NodeIndex::Control(*other);
+                self.partition_pair(node, other, until, Directions::Both);
+            }
+            self.count_lost(node, until);
+        }
+    }
+
     pub(super) fn partition_partly(&mut self, node: usize) {
         self.count_fault(FaultKind::PartialPartition);
         let until = self.now() + MIN_DURATION + self.random.millis_below(9_000);
--- a/crates/linenthread-simulation/src/system/faults/replacements.rs
+++ b/crates/linenthread-simulation/src/system/faults/replacements.rs
@@ -19,6 +19,7 @@
         let successor = self.add_replacement();
         self.push_in(start_in, Event::StartProcess { node: successor });
         self.end_process(node, ProcessEnd::PowerLost, None);
+        self.begin_loss();
         self.count_lost(node, self.now() + start_in);
         let machine = &mut self.machines[node];
         machine.disk.erase();
--- a/crates/linenthread-simulation/src/system/faults/second_losses.rs
+++ b/crates/linenthread-simulation/src/system/faults/second_losses.rs
@@ -6,6 +6,7 @@
 
 use super::super::event::Event;
 use super::super::fault::FaultKind;
+use super::super::ingress_node::INGRESS_NODES;
 use super::super::machine::ProcessEnd;
 use super::super::world::World;
 
@@ -40,6 +41,31 @@
         }
     }
 
+    /// At the end of the faults, soon after a change was sent: the disks that have lasted longest are lost, as many as the
+    /// budget has left, and at the same moment all other machines lose power, ingress nodes too. Returns whether it came
+    /// about: that takes voters whose majority has the newest set on disk.
+    pub(in super::super) fn inject_closing_loss(&mut self) -> bool {
+        if !self.all_vote() {
+            return false;
+        }
+        self.count_fault(FaultKind::ClosingLoss);
+        let mut by_age: Vec<usize> = (0..self.machines.len())
+            .filter(|node| self.is_up(*node))
+            .collect();
+        by_age.sort_by_key(|node| self.machines[*node].erased_until);
+        for node in by_age {
+            if self.may_lose_one() {
+                let restart_in = Duration::from_millis(100) + self.random.millis_below(800);
+                self.lose_disk(node, restart_in);
+            }
+        }
+        self.end_all(ProcessEnd::PowerLost, FaultKind::AllMachinesLosePower);
+        for _ in 0..INGRESS_NODES {
+            self.restart_ingress();
+        }
+        true
+    }
+
     /// Right after an acknowledgement a disk is lost, and another process may end as well, or all lose power.
     pub(in super::super) fn inject_loss_after_acknowledgement(&mut self, node: usize) {
         let may_lose = self.down_or_erased() < self.max_lost;
--- a/crates/linenthread-simulation/src/system/invariant.rs
+++ b/crates/linenthread-simulation/src/system/invariant.rs
@@ -34,6 +34,9 @@
     BoundedState,
     /// Each disk opens again.
     AcknowledgedIsSynced,
+    /// After the loss of a disk or machine, and nothing else, all nodes vote again within a time that is the sum of named
+    /// waits.
+    WholeAgain,
     /// After the faults a change is acknowledged, read back, and in force at every ingress node.
     Recovers,
 }
@@ -56,6 +59,7 @@
             Invariant::CatchesUp => "catches-up",
             Invariant::BoundedState => "bounded-state",
             Invariant::AcknowledgedIsSynced => "acknowledged-is-synced",
+            Invariant::WholeAgain => "whole-again",
             Invariant::Recovers => "recovers",
         })
     }
--- a/crates/linenthread-simulation/src/system/loss_budget.rs
+++ b/crates/linenthread-simulation/src/system/loss_budget.rs
@@ -35,7 +35,7 @@
     }
 
     /// How many machines are lost now, or came back just now.
-    fn lost(&self) -> usize {
+    pub(super) fn lost(&self) -> usize {
         let now = self.now();
         let is_down = |machine: &Machine| !machine.decommissioned && !machine.is_running(now);
         self.machines
--- a/crates/linenthread-simulation/src/system/mod.rs
+++ b/crates/linenthread-simulation/src/system/mod.rs
@@ -9,7 +9,7 @@
 //! | layer | modules |
 //! | --- | --- |
 //! | a schedule and its events | [`simulation`] |
-//! | what is done to the system | [`faults`], [`recovery`], [`shutdown`], [`operators`], [`ingress`] |
+//! | what is done to the system | [`faults`], [`recovery`], [`recovery_time`], [`shutdown`], [`operators`], [`ingress`] |
 //! | a step of a control node | [`execution`], [`responses`] |
 //! | checks | [`checker`] |
 //! | all state, and what may be lost at once | [`world`], [`loss_budget`] |
@@ -35,6 +35,7 @@
 mod plan;
 mod random;
 mod recovery;
+mod recovery_time;
 mod replicas;
 mod report;
 mod requests;
--- a/crates/linenthread-simulation/src/system/network.rs
+++ b/crates/linenthread-simulation/src/system/network.rs
@@ -59,6 +59,11 @@
             .is_some_and(|until| *until > now)
     }
 
+    /// Whether any two nodes are partitioned now, in at least one direction.
+    pub(super) fn has_partition(&self, now: Instant) -> bool {
+        self.partitions.values().any(|until| *until > now)
+    }
+
     /// Whether nothing gets through in at least one direction.
     pub(super) fn is_partitioned(&self, a: NodeIndex, b: NodeIndex, now: Instant) -> bool {
         self.is_partitioned_from(a, b, now) || self.is_partitioned_from(b, a, now)
--- a/crates/linenthread-simulation/src/system/random.rs
+++ b/crates/linenthread-simulation/src/system/random.rs
@@ -7,6 +7,13 @@
 pub(super) struct Random(Rand64);
 
 impl Random {
+    /// Brings the items into a random order.
+    pub(super) fn shuffle<T>(&mut self, items: &mut [T]) {
+        for last in (1..items.len()).rev() {
+            items.swap(last, self.index(last + 1));
+        }
+    }
+
     pub(super) fn new(seed: u64) -> Random {
         Random(Rand64::new(u128::from(seed)))
     }
--- a/crates/linenthread-simulation/src/system/report.rs
+++ b/crates/linenthread-simulation/src/system/report.rs
@@ -25,6 +25,8 @@
     pub(super) max_catch_up_messages: usize,
     pub(super) max_catch_up_bytes: usize,
     pub(super) max_state_bytes: u64,
+    /// Times from a loss, and nothing else, until the control nodes were whole again, in milliseconds.
+    pub(super) recovery_ms: Vec<u64>,
     /// How often each kind of fault came.
     pub(super) faults: BTreeMap<FaultKind, usize>,
 }
@@ -41,6 +43,7 @@
         self.max_catch_up_messages = self.max_catch_up_messages.max(other.max_catch_up_messages);
         self.max_catch_up_bytes = self.max_catch_up_bytes.max(other.max_catch_up_bytes);
         self.max_state_bytes = self.max_state_bytes.max(other.max_state_bytes);
+        self.recovery_ms.extend(&other.recovery_ms);
         for (kind, count) in &other.faults {
             *self.faults.entry(*kind).or_default() += count;
         }
@@ -62,12 +65,28 @@
             self.max_catch_up_bytes,
             self.max_state_bytes
         );
+        self.print_recovery();
         for (kind, count) in &self.faults {
             println!("{kind}: {count}");
         }
     }
 }
 
+impl Coverage {
+    fn print_recovery(&self) {
+        let mut times = self.recovery_ms.clone();
+        times.sort_unstable();
+        let (Some(longest), Some(median)) = (times.last(), times.get(times.len() / 2)) else {
+            return;
+        };
+        let late = times[times.len() * 99 / 100];
+        println!(
+            "whole again after {} losses: {median} ms in the median, {late} at the 99th percentile, {longest} at most",
+            times.len()
+        );
+    }
+}
+
 /// What one schedule has reported so far.
 pub(super) struct Report {
     pub(super) violations: Vec<String>,
--- a/crates/linenthread-simulation/src/system/simulation.rs
+++ b/crates/linenthread-simulation/src/system/simulation.rs
@@ -22,6 +22,10 @@
 const RESTART_ONE_AFTER: Duration = Duration::from_millis(11_000);
 /// After the faults: when old changes are sent again to every machine.
 const RETRY_ALL_AFTER: Duration = Duration::from_millis(18_000);
+/// A closing loss comes so long after the other faults, at least.
+const MIN_CLOSING_DELAY: Duration = Duration::from_millis(5);
+/// And sooner than so many milliseconds later.
+const CLOSING_DELAY_MS: u64 = 395;
 /// Operators that send changes at the same time.
 const OPERATORS: usize = 2;
 /// How often control nodes are asked whether a timer is due.
@@ -105,6 +109,7 @@
     while world.is_fast() && world.now() < started_at + plan::LONGEST {
         world.run_until(world.now() + EXTENSION);
     }
+    world.close_with_loss();
     world.heal();
     let acknowledged_before = world.report.coverage.acknowledgements;
     world.plan.changes = None;
@@ -149,6 +154,20 @@
         }
     }
 
+    /// In half of the schedules the faults end with a loss, some time after operators have sent changes: they do so all
+    /// the time.
+    fn close_with_loss(&mut self) {
+        if !self.random.one_in(2) {
+            return;
+        }
+        let delay = MIN_CLOSING_DELAY + self.random.millis_below(CLOSING_DELAY_MS);
+        self.run_until(self.now() + delay);
+        if self.inject_closing_loss() {
+            let down = Duration::from_millis(200) + self.random.millis_below(1_500);
+            self.run_until(self.now() + down);
+        }
+    }
+
     fn run_until(&mut self, end: Instant) {
         while self.now() < end {
             let tick = self.now() + TICK;
--- a/crates/linenthread-simulation/src/system/world.rs
+++ b/crates/linenthread-simulation/src/system/world.rs
@@ -19,6 +19,7 @@
 use super::operator::Operator;
 use super::plan::Plan;
 use super::random::Random;
+use super::recovery_time::Loss;
 use super::replicas::Replicas;
 use super::report::Report;
 use super::requests::Calls;
@@ -44,6 +45,8 @@
     pub(super) bootstrap: Vec<String>,
     /// Machines that may be lost at once, see `loss_budget`.
     pub(super) max_lost: usize,
+    /// A loss after which the control nodes are not whole again yet.
+    pub(super) loss: Option<Loss>,
     /// When the faults ended.
     pub(super) healed_at: Option<Instant>,
 }
@@ -67,6 +70,7 @@
             genesis: genesis_value(&bootstrap),
             bootstrap,
             max_lost: (core - 1) / 2,
+            loss: None,
             healed_at: None,
         }
     }
@@ -147,6 +151,7 @@
     }
 
     pub(super) fn count_fault(&mut self, kind: FaultKind) {
+        self.disturb_recovery();
         self.report.count_fault(self.queue.now(), kind);
     }
 
