--- a/crates/linenthread-consensus/tests/consensus/lease.rs
+++ b/crates/linenthread-consensus/tests/consensus/lease.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 
 use linenthread_consensus::{Epoch, Incarnation, LeaderLease, LeaseProgress, NodeId, ValueNumber};
-use linenthread_messages::LeaseReply;
+use linenthread_messages::{LeaseReply, Value};
 use yare::parameterized;
 
-use crate::fixtures::{at, granted, lease_request};
+use crate::fixtures::{self, at, granted, lease_request};
 
 /// The incarnation of the node under test.
 const INCARNATION: Incarnation = Incarnation::new(9);
@@ -166,3 +166,46 @@
     assert_eq!(lease.held_epoch(at(5_000)), None);
     assert!(!lease.is_held_at(at(5_000), FIRST));
 }
+
+/// A value of this number whose voters were first named by the value of the number `voters_since`.
+fn value_with_voters_since(number: u64, voters_since: u64) -> Value {
+    Value {
+        voters_since,
+        ..fixtures::value(number)
+    }
+}
+
+#[test]
+fn an_epoch_that_is_requested_anew_is_above_all_earlier_eras() {
+    let mut lease = candidate();
+    let first = lease.tick(at(0), true, FIRST).expect("a request");
+    assert_eq!(Epoch::new(first.epoch), Epoch::FIRST);
+    let ninth = ValueNumber::new(9);
+    lease.on_decided(&value_with_voters_since(9, 7));
+    let next = lease.tick(at(10), true, ninth).expect("a request");
+    let era = Epoch::before_era(ValueNumber::new(7));
+    assert_eq!(Epoch::new(next.epoch), era.next());
+    // However high an epoch of an earlier era was, this one is above it.
+    let earlier = Epoch::before_era(ValueNumber::new(6));
+    assert!(Epoch::new(earlier.get() + u64::from(u32::MAX)) < Epoch::new(next.epoch));
+}
+
+#[test]
+fn a_lease_that_is_held_keeps_its_epoch_when_the_voters_change() {
+    let mut lease = candidate();
+    let first = lease.tick(at(0), true, FIRST).expect("a request");
+    for voter in [1, 2] {
+        lease.on_lease_reply(at(1), NodeId(voter), &granted(&first), FIRST, is_majority);
+    }
+    lease.on_decided(&value_with_voters_since(1, 1));
+    let renewal = lease.tick(at(500), true, ValueNumber::new(1));
+    assert_eq!(renewal.map(|request| request.epoch), Some(first.epoch));
+}
+
+#[parameterized(
+    first_era = { Epoch::new(5), "5" },
+    later_era = { Epoch::before_era(ValueNumber::new(7)).next(), "7.1" },
+)]
+fn an_epoch_is_shown_by_era_and_count(epoch: Epoch, text: &str) {
+    assert_eq!(epoch.to_string(), text);
+}
--- a/crates/linenthread-control/tests/nodes/contact.rs
+++ b/crates/linenthread-control/tests/nodes/contact.rs
@@ -437,3 +437,18 @@
     }
     assert!(!cluster.voters(leader).contains(&address(victim)));
 }
+
+#[test]
+fn a_lost_leader_is_replaced_before_another_one_leads() {
+    let mut cluster = Cluster::new(4, 3);
+    cluster.start(3);
+    cluster.run(ms(4_000));
+    let lost = cluster.leader().expect("a leader");
+    let survivor = (0..3).find(|n| *n != lost).expect("three voters");
+    cluster.wipe(lost);
+    let is_replaced = |c: &Cluster| !c.voters(survivor).contains(&address(lost));
+    assert!(cluster.run_until(ms(1_900), is_replaced));
+    assert_eq!(cluster.leader(), None, "no lease was waited for");
+    cluster.run(ms(4_500));
+    assert!(cluster.leader().is_some());
+}
