--- a/crates/linenthread-dataplane-sim/src/deployment.rs
+++ b/crates/linenthread-dataplane-sim/src/deployment.rs
@@ -21,15 +21,20 @@
 /// The most records of a merged response.
 pub(crate) const RECORD_LIMIT: usize = 7;
 /// The time-out of all routes, in milliseconds.
-pub(crate) const ROUTE_TIMEOUT_MS: u64 = 1_000;
+pub const ROUTE_TIMEOUT_MS: u64 = 1_000;
 /// The retries that the budget permits in each window: many, so that many are sent.
 pub(crate) const RETRY_ALLOWANCE: f64 = 1_000.0;
 
+/// The data plane of an ingress node that has no configuration yet. The clock starts anew.
+pub fn data_plane_without_configuration(seed: u64, network: Network) -> Rc<DataPlane<Network>> {
+    clock::restart();
+    DataPlane::new(Rc::new(settings()), seed, network)
+}
+
 /// The data plane of an ingress node that has its configuration and may send so many retries in each window. The clock
 /// starts anew.
 pub fn data_plane(seed: u64, network: Network, retries_per_window: f64) -> Rc<DataPlane<Network>> {
-    clock::restart();
-    let plane = DataPlane::new(Rc::new(settings()), seed, network);
+    let plane = data_plane_without_configuration(seed, network);
     plane.apply_configuration(configuration().as_bytes());
     plane.set_retry_quota(RetryQuota {
         retries_per_window,
--- a/crates/linenthread-dataplane/tests/server.rs
+++ b/crates/linenthread-dataplane/tests/server.rs
@@ -1,14 +1,16 @@
 //! From a client's connection to the replicas and back, in simulated time: one final response to each request,
 //! how often it is sent, and what its status promises.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use linenthread_dataplane::connection::HttpConnection;
 use linenthread_dataplane::{DataPlane, RetryQuota, UpdateScope, clock, serve};
-use linenthread_dataplane_sim::deployment::{HOST, data_plane};
+use linenthread_dataplane_sim::deployment::{
+    HOST, ROUTE_TIMEOUT_MS, data_plane, data_plane_without_configuration,
+};
 use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
@@ -29,6 +31,52 @@
     requests: Rc<Cell<usize>>,
 }
 
+/// Replicas that reset each request, and keep what they received and when.
+#[derive(Clone, Default)]
+struct RecordingReplicas(Rc<RefCell<Vec<(Instant, String)>>>);
+
+impl RecordingReplicas {
+    /// How long after `start` each request arrived, and the time in milliseconds that it left the replica.
+    fn remaining_times(&self, start: Instant) -> Vec<(u64, u64)> {
+        let received = self.0.borrow();
+        let remaining = |text: &str| {
+            let line = text
+                .lines()
+                .find_map(|line| line.strip_prefix("X-Remaining-Ms: "));
+            line.and_then(|ms| ms.parse().ok()).expect("a number")
+        };
+        received
+            .iter()
+            .map(|(at, text)| (millis(*at - start), remaining(text)))
+            .collect()
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).expect("a short time")
+}
+
+impl Listener for RecordingReplicas {
+    fn accept(&self) -> Option<Accepted> {
+        Some(Accepted {
+            after: Duration::ZERO,
+            peer: Box::new(self.clone()),
+        })
+    }
+}
+
+impl Peer for RecordingReplicas {
+    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
+        WriteFault::None
+    }
+
+    fn receive(&mut self, bytes: &[u8], inbound: &mut Inbound) {
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        self.0.borrow_mut().push((Instant::now(), text));
+        inbound.push(Duration::from_millis(40), InboundEvent::Reset);
+    }
+}
+
 impl Replicas {
     /// Replicas that answer each request.
     fn that_answer() -> Replicas {
@@ -63,17 +111,22 @@
 
 /// An ingress node with these replicas of both backends that are queried alone.
 fn ingress(replicas: Option<&Replicas>) -> Rc<DataPlane<Network>> {
+    match replicas {
+        Some(replicas) => ingress_with(&Rc::new(replicas.clone())),
+        None => data_plane(1, Network::default(), RETRIES_PER_WINDOW),
+    }
+}
+
+/// An ingress node with what listens here at all replicas.
+fn ingress_with<L: Listener + 'static>(replicas: &Rc<L>) -> Rc<DataPlane<Network>> {
     let network = Network::default();
     let plane = data_plane(1, network.clone(), RETRIES_PER_WINDOW);
-    let Some(replicas) = replicas else {
-        return plane;
-    };
     let listed = ["s1", "s4", "s1", "s4"]
         .iter()
         .zip(1u8..)
         .map(|(service, n)| {
             let address = SocketAddr::from(([10, 0, 0, n], 80));
-            network.listen(address, Rc::new(replicas.clone()));
+            network.listen(address, replicas.clone());
             linenthread_messages::Replica {
                 id: format!("i{n}"),
                 backend: (*service).into(),
@@ -324,3 +377,81 @@
     });
     assert_eq!(left, [5.0, 0.0, 0.0]);
 }
+
+#[test]
+fn without_a_configuration_every_request_is_rejected_for_now_and_none_as_unknown() {
+    let head = simulated(async {
+        let plane = data_plane_without_configuration(1, Network::default());
+        response_head_at(plane, "GET", "/no/such/route", "X-Attempt-Id: a\r\n").await
+    });
+    assert_eq!(head.status(), 503);
+    assert!(head.header("retry-after").is_some());
+}
+
+#[parameterized(
+    of_the_route = { "X-Remaining-Ms: 60000\r\n", ROUTE_TIMEOUT_MS },
+    of_the_client = { "X-Remaining-Ms: 300\r\n", 300 },
+)]
+fn a_request_that_no_replica_answers_has_its_final_answer_at_its_limit(
+    headers: &str,
+    limit_ms: u64,
+) {
+    let silent = Replicas {
+        reply: Vec::new(),
+        requests: Rc::default(),
+    };
+    let (status, elapsed) = simulated(async {
+        let start = Instant::now();
+        let headers = format!("X-Attempt-Id: a\r\n{headers}");
+        let status = status(Some(silent), "/one/x", &headers).await;
+        (status, millis(start.elapsed()))
+    });
+    assert_eq!(status, 502);
+    assert!(
+        elapsed >= limit_ms / 2 && elapsed <= limit_ms + 100,
+        "{elapsed} ms"
+    );
+}
+
+#[test]
+fn each_attempt_leaves_its_replica_no_more_time_than_the_client_has_left() {
+    let replicas = Rc::new(RecordingReplicas::default());
+    let times = simulated(async {
+        let start = Instant::now();
+        let headers = "X-Attempt-Id: a\r\nX-Remaining-Ms: 700\r\n";
+        let plane = ingress_with(&replicas);
+        response_head_at(plane, "GET", "/one/x", headers).await;
+        replicas.remaining_times(start)
+    });
+    assert!(times.len() > 1, "it is retried: {times:?}");
+    for (elapsed, remaining) in times {
+        assert!(
+            elapsed + remaining <= 700,
+            "{elapsed} ms after the start: {remaining} ms"
+        );
+    }
+}
+
+#[test]
+fn nothing_more_is_sent_for_a_client_that_has_left() {
+    let replicas = Rc::new(RecordingReplicas::default());
+    let requests = simulated(async {
+        let plane = ingress_with(&replicas);
+        let (client, server) = tokio::io::duplex(4_096);
+        spawn_local(serve(server, SocketAddr::from(([127, 0, 0, 1], 1)), plane));
+        let mut http = HttpConnection::new(client);
+        let request = format!("GET /one/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: a\r\n\r\n");
+        let deadline = Instant::now() + Duration::from_secs(1);
+        http.write(request.as_bytes(), deadline).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        drop(http);
+        let while_connected = replicas.0.borrow().len();
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        (while_connected, replicas.0.borrow().len())
+    });
+    assert_eq!(
+        requests,
+        (1, 1),
+        "the attempt in flight is reset later, and not retried"
+    );
+}
