No circles left between modules: fleet's errors, the co-ordinator's step

fleet: ConfigError stands with the other errors, so error does not need config. service: QueryDecision has a file of its own, and what passes on the decisions of a step holds what it needs instead of the driver; probes start after the step. Nothing else changed: the tests of both packages are as they were.

--- a/crates/linenthread-fleet/src/config.rs
+++ b/crates/linenthread-fleet/src/config.rs
@@ -4,30 +4,11 @@
 
 use linenthread_core::interface::TenthMillis;
 use linenthread_frames::Secrets;
-use snafu::{Snafu, ensure};
+use snafu::ensure;
 
+use crate::error::{ConfigError, DuplicateVoterSnafu, NoProbeIntervalSnafu, NotAmongVotersSnafu};
 use crate::node_identity::NodeIdentity;
 
-/// Why a configuration cannot be right.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-pub enum ConfigError {
-    /// Members would be probed without a pause.
-    #[snafu(display("the probe interval must be longer than 0"))]
-    NoProbeInterval,
-    /// Two voters have one name.
-    #[snafu(display("the voter {name} is listed twice"))]
-    DuplicateVoter {
-        /// The name.
-        name: String,
-    },
-    /// A voter is to be opened where none is configured.
-    #[snafu(display("{name} is to be a voter, but is not listed as one"))]
-    NotAmongVoters {
-        /// The process's name.
-        name: String,
-    },
-}
-
 /// Where another process is reached.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerAddress {
--- a/crates/linenthread-fleet/src/error.rs
+++ b/crates/linenthread-fleet/src/error.rs
@@ -4,9 +4,29 @@
 use linenthread_store::LogError;
 use snafu::Snafu;
 
-use crate::config::ConfigError;
 use crate::identifiers::{LogIndex, Term};
 
+/// Why a configuration cannot be right.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ConfigError {
+    /// Members would be probed without a pause.
+    #[snafu(display("the probe interval must be longer than 0"))]
+    NoProbeInterval,
+    /// Two voters have one name.
+    #[snafu(display("the voter {name} is listed twice"))]
+    DuplicateVoter {
+        /// The name.
+        name: String,
+    },
+    /// A voter is to be opened where none is configured.
+    #[snafu(display("{name} is to be a voter, but is not listed as one"))]
+    NotAmongVoters {
+        /// The process's name.
+        name: String,
+    },
+}
+
 /// Why bytes are no frame of the fleet, no record of a voter's disk, or no datagram. The text is sent to the peer whose
 /// frame it was: it is wire format.
 #[derive(Clone, Debug, PartialEq, Snafu)]
--- a/crates/linenthread-fleet/src/lib.rs
+++ b/crates/linenthread-fleet/src/lib.rs
@@ -42,9 +42,10 @@
 mod voter;
 mod voter_identity;
 
-pub use config::{ConfigError, FleetConfig, MembersConfig, PeerAddress, VoterConfig};
+pub use config::{FleetConfig, MembersConfig, PeerAddress, VoterConfig};
 pub use error::{
-    DatagramError, MessageError, OpenError, ProposeError, RecordError, StartError, StorageError,
+    ConfigError, DatagramError, MessageError, OpenError, ProposeError, RecordError, StartError,
+    StorageError,
 };
 pub use event::{ConnectionEvent, FleetEvent, VoterChange, VoterChangeKind};
 pub use fleet::{Fleet, FleetAction, Leader};
--- a/crates/linenthread-service/src/coordinator_driver/decision.rs
+++ b/crates/linenthread-service/src/coordinator_driver/decision.rs
@@ -1,42 +1,26 @@
-//! The coordinator's decisions on queries, and what passes on those of one step.
+//! What passes on the decisions of one step.
 
 use linenthread_core::DecisionSink;
 use linenthread_core::interface::{
     Completeness, QueryIndex, ReplicaIndex, SubRequestIndex, TenthMillis,
 };
 
-use super::CoordinatorDriver;
+use tokio::sync::Notify;
+
 use super::membership::Membership;
+use super::query_decision::QueryDecision;
 use super::query_table::QueryTable;
-
-/// A decision on one query.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum QueryDecision {
-    /// Make the next attempt at a sub-request.
-    Send {
-        sub_request: SubRequestIndex,
-        replica: ReplicaIndex,
-        timeout: TenthMillis,
-    },
-    /// Cancel an attempt.
-    Cancel {
-        sub_request: SubRequestIndex,
-        attempt: usize,
-    },
-    /// Answer with what has arrived.
-    Respond { completeness: Completeness },
-    /// Reject the query; it may be retried, after this time where it is given.
-    Reject { retry_after: Option<TenthMillis> },
-    /// Answer that the query has failed.
-    Fail,
-}
+use crate::transports::Transports;
 
 /// Passes on the decisions of one step: those on a query to its task, the others to the driver's own parts.
 pub(super) struct StepDecisions<'a> {
-    pub(super) driver: &'a CoordinatorDriver,
+    pub(super) transports: &'a Transports,
+    pub(super) membership_requested: &'a Notify,
     pub(super) queries: &'a mut QueryTable,
     pub(super) membership: &'a mut Membership,
     pub(super) wake_at: &'a mut Option<TenthMillis>,
+    /// Replicas to be probed after the step.
+    pub(super) probes: Vec<ReplicaIndex>,
 }
 
 impl DecisionSink for StepDecisions<'_> {
@@ -83,15 +67,15 @@
 
     fn probe(&mut self, replica: ReplicaIndex) {
         self.membership.replicas.start_probe(replica);
-        actix_rt::spawn(self.driver.clone().probe(replica));
+        self.probes.push(replica);
     }
 
     fn close_idle(&mut self, replica: ReplicaIndex) {
-        self.driver.0.transports.close_idle(replica);
+        self.transports.close_idle(replica);
     }
 
     fn watch_membership(&mut self) {
-        self.driver.0.membership_requested.notify_one();
+        self.membership_requested.notify_one();
     }
 
     fn wake_at(&mut self, at: TenthMillis) {
--- a/crates/linenthread-service/src/coordinator_driver/mod.rs
+++ b/crates/linenthread-service/src/coordinator_driver/mod.rs
@@ -4,6 +4,7 @@
 mod membership;
 mod membership_updates;
 mod peer_members;
+mod query_decision;
 mod query_table;
 mod zones;
 
@@ -22,9 +23,9 @@
 use crate::config::Config;
 use crate::transports::Transports;
 use crate::zone_routing::ZoneRouting;
-pub(crate) use decision::QueryDecision;
 use decision::StepDecisions;
 use membership::Membership;
+pub(crate) use query_decision::QueryDecision;
 use query_table::QueryTable;
 
 /// A query to be submitted, checked against the deployment.
@@ -149,12 +150,17 @@
         } = &mut *state;
         inputs.now = self.0.clock.now();
         let mut decisions = StepDecisions {
-            driver: self,
+            transports: &self.0.transports,
+            membership_requested: &self.0.membership_requested,
             queries,
             membership,
             wake_at,
+            probes: Vec::new(),
         };
         coordinator.step(inputs, &mut decisions);
+        for replica in decisions.probes {
+            actix_rt::spawn(self.clone().probe(replica));
+        }
         for ProbeResult { replica, .. } in &inputs.probes {
             membership.replicas.finish_probe(*replica);
         }
--- a/crates/linenthread-service/src/coordinator_driver/query_table.rs
+++ b/crates/linenthread-service/src/coordinator_driver/query_table.rs
@@ -3,7 +3,7 @@
 use linenthread_core::interface::QueryIndex;
 use tokio::sync::mpsc;
 
-use super::decision::QueryDecision;
+use super::query_decision::QueryDecision;
 
 /// An open query.
 struct QueryEntry {
