Simulation: operators correct settings that name no machine that is there

Change: when the faults end, such settings are corrected and read again (set_bootstrap, as SIGHUP does). The rule is as it was.

--- a/crates/linenthread-simulation/src/system/recovery.rs
+++ b/crates/linenthread-simulation/src/system/recovery.rs
@@ -20,10 +20,30 @@
         for node in 0..self.machines.len() {
             self.repair_disk(node);
             self.machines[node].paused_until = Instant::START;
+            self.correct_settings(node);
             self.push_in(START_DELAY, Event::StartProcess { node });
         }
     }
 
+    /// Operators correct the settings of a machine that name no machine that is there any more, and have a running process
+    /// read them again: with an empty disk it could not find the others, and they would not look for it.
+    fn correct_settings(&mut self, node: usize) {
+        let present: Vec<String> = self
+            .machines
+            .iter()
+            .enumerate()
+            .filter(|(other, machine)| *other != node && !machine.decommissioned)
+            .map(|(_, machine)| machine.address.clone())
+            .collect();
+        let machine = &mut self.machines[node];
+        let names_any = machine.bootstrap.iter().any(|a| present.contains(a));
+        if names_any || machine.decommissioned {
+            return;
+        }
+        machine.bootstrap.clone_from(&present);
+        self.run(node, |control, now, _| control.set_bootstrap(now, &present));
+    }
+
     /// The disk is as fast as others again, and has room.
     pub(super) fn repair_disk(&mut self, node: usize) {
         let disk = &mut self.machines[node].disk;
