--- a/crates/linenthread-control/src/membership.rs
+++ b/crates/linenthread-control/src/membership.rs
@@ -86,15 +86,18 @@
     /// To be closed by one of the two nodes only, or each might close the session that the other one keeps: by the one
     /// of the lower address.
     pub(crate) fn duplicates(&self, now: Instant, own_address: &str) -> Vec<SessionId> {
-        let kept = |node_id: NodeId| {
-            self.iter()
-                .filter(|(_, peer)| peer.node_id() == node_id && peer.in_contact(now))
-                .map(|(session, _)| session)
-                .last()
-        };
+        // Of several sessions with a node the last one stays in the map.
+        let kept: BTreeMap<NodeId, SessionId> = self
+            .iter()
+            .filter(|(_, peer)| peer.in_contact(now))
+            .map(|(session, peer)| (peer.node_id(), session))
+            .collect();
         self.iter()
             .filter(|(_, peer)| own_address < peer.hello().control_address.as_str())
-            .filter(|(session, peer)| kept(peer.node_id()).is_some_and(|kept| kept != *session))
+            .filter(|(session, peer)| {
+                let kept = kept.get(&peer.node_id());
+                kept.is_some_and(|kept| kept != session)
+            })
             .map(|(session, _)| session)
             .collect()
     }
--- a/crates/linenthread-control/src/reconfiguration.rs
+++ b/crates/linenthread-control/src/reconfiguration.rs
@@ -57,6 +57,11 @@
 }
 
 impl VotersView {
+    fn present_voters(&self) -> Vec<Voter> {
+        let states = self.voters.iter();
+        states.map(|state| state.voter.clone()).collect()
+    }
+
     fn standby_at(&self, address: &str) -> Option<&Voter> {
         self.ready_standbys
             .iter()
@@ -88,11 +93,7 @@
     /// come before another change. `None` if there is no such voter or no standby.
     fn with_successors_of_lost(&self) -> Option<Vec<Voter>> {
         let mut standbys = self.ready_standbys.clone();
-        let mut next: Vec<Voter> = self
-            .voters
-            .iter()
-            .map(|state| state.voter.clone())
-            .collect();
+        let mut next = self.present_voters();
         // A standby at the address of a voter is its successor; those at other addresses take the places that are left.
         for (position, state) in self.voters.iter().enumerate() {
             let successor = standbys
@@ -110,12 +111,7 @@
                 next[position] = standbys.remove(0);
             }
         }
-        let is_changed = self
-            .voters
-            .iter()
-            .zip(&next)
-            .any(|(state, voter)| state.voter != *voter);
-        is_changed.then_some(next)
+        (next != self.present_voters()).then_some(next)
     }
 
     /// Position of the voter that is removed, or replaced alone: lost, else ended after a graceful shutdown, else still
@@ -145,11 +141,7 @@
     if let Some(next) = view.with_successors_of_lost() {
         return Some(next);
     }
-    let mut next: Vec<Voter> = view
-        .voters
-        .iter()
-        .map(|state| state.voter.clone())
-        .collect();
+    let mut next = view.present_voters();
     let Some(outgoing) = view.outgoing() else {
         let added = view
             .ready_standbys
--- a/crates/linenthread-control/src/state_log.rs
+++ b/crates/linenthread-control/src/state_log.rs
@@ -200,15 +200,19 @@
 /// A join of two records could decode by chance. It would not encode to the same bytes again, so a record that does is
 /// preferred.
 fn decode_record(parts: &[&[u8]]) -> Result<(Record, usize), StateLogError> {
-    let mut result = Record::decode(&parts.concat()[..]).context(DecodeSnafu);
-    let mut abandoned_parts = 0;
+    if let [only] = parts {
+        return Ok((Record::decode(*only).context(DecodeSnafu)?, 0));
+    }
+    let mut fallback = None;
     for first in 0..parts.len() {
         let bytes = parts[first..].concat();
-        match Record::decode(&bytes[..]) {
+        let decoded = Record::decode(&bytes[..]).context(DecodeSnafu);
+        match decoded {
             Ok(record) if record.encode_to_vec() == bytes => return Ok((record, first)),
-            Ok(record) if result.is_err() => (result, abandoned_parts) = (Ok(record), first),
+            Ok(record) if !matches!(fallback, Some(Ok(_))) => fallback = Some(Ok((record, first))),
+            Err(error) if fallback.is_none() => fallback = Some(Err(error)),
             Ok(_) | Err(_) => {}
         }
     }
-    result.map(|record| (record, abandoned_parts))
+    fallback.unwrap_or_else(|| EmptyEntrySnafu.fail())
 }
--- a/crates/linenthread-control/tests/nodes/contact.rs
+++ b/crates/linenthread-control/tests/nodes/contact.rs
@@ -409,12 +409,18 @@
     assert!(cluster.run_until(ms(3_000), |c| c.control(leader).has_quorum(c.now)));
 }
 
-#[test]
-fn a_voter_that_connects_again_and_again_without_a_round_trip_is_replaced_all_the_same() {
+/// Three voters and a standby, and which of them leads.
+fn three_voters_and_a_standby() -> (Cluster, usize) {
     let mut cluster = Cluster::new(4, 3);
     cluster.start(3);
     cluster.run(ms(4_000));
     let leader = cluster.leader().expect("a leader");
+    (cluster, leader)
+}
+
+#[test]
+fn a_voter_that_connects_again_and_again_without_a_round_trip_is_replaced_all_the_same() {
+    let (mut cluster, leader) = three_voters_and_a_standby();
     let victim = (0..3).find(|n| *n != leader).expect("three voters");
     cluster.crash(victim);
     for attempt in 0..10 {
@@ -440,10 +446,7 @@
 
 #[test]
 fn a_lost_leader_is_replaced_before_another_one_leads() {
-    let mut cluster = Cluster::new(4, 3);
-    cluster.start(3);
-    cluster.run(ms(4_000));
-    let lost = cluster.leader().expect("a leader");
+    let (mut cluster, lost) = three_voters_and_a_standby();
     let survivor = (0..3).find(|n| *n != lost).expect("three voters");
     cluster.wipe(lost);
     let is_replaced = |c: &Cluster| !c.voters(survivor).contains(&address(lost));
--- a/crates/linenthread-control/tests/voters_and_shutdown.rs
+++ b/crates/linenthread-control/tests/voters_and_shutdown.rs
@@ -36,6 +36,12 @@
     }
 }
 
+/// The ids of the next voters, if they change.
+fn next_ids(states: &str, standbys: &[u64], min_voters: usize) -> Option<Vec<u64>> {
+    let next = next_voters(&view(states, standbys, min_voters))?;
+    Some(next.iter().map(|voter| voter.id).collect())
+}
+
 #[parameterized(
     nothing = { "+++", &[], 3, None },
     one_more_up_to_the_least = { "+++", &[7], 5, Some(&[1, 2, 3, 7]) },
@@ -67,8 +73,7 @@
     min_voters: usize,
     next: Option<&[u64]>,
 ) {
-    let ids = next_voters(&view(states, standbys, min_voters))
-        .map(|v| v.iter().map(|v| v.id).collect::<Vec<_>>());
+    let ids = next_ids(states, standbys, min_voters);
     assert_eq!(ids.as_deref(), next);
 }
 
@@ -96,8 +101,7 @@
     min_voters: usize,
     next: Option<&[u64]>,
 ) {
-    let ids = next_voters(&view(states, standbys, min_voters))
-        .map(|v| v.iter().map(|v| v.id).collect::<Vec<_>>());
+    let ids = next_ids(states, standbys, min_voters);
     assert_eq!(ids.as_deref(), next);
 }
 
--- a/crates/linenthread-ctl/src/client.rs
+++ b/crates/linenthread-ctl/src/client.rs
@@ -7,9 +7,7 @@
 
 use snafu::Snafu;
 
-use crate::control_api::{
-    FIRST_SERVER_ERROR, REQUEST_TIMEOUT, TEMPORARY_REDIRECT, TOO_MANY_REQUESTS,
-};
+use crate::control_api::{TEMPORARY_REDIRECT, is_final};
 use crate::request::{Request, RequestError, Response};
 
 /// So many redirects to addresses that the client was not given are followed in a round.
@@ -80,9 +78,9 @@
         let mut redirects = MAX_REDIRECTS;
         while let Some(address) = untried.pop_front() {
             let reason = match request.send_to(address, self.timeout) {
-                Ok(response) if is_final(&response) => return Some(response),
+                Ok(response) if is_final(response.status) => return Some(response),
                 Ok(response) => {
-                    if let Some(target) = redirect_target(&response) {
+                    if let Some(target) = response.redirect_target() {
                         try_next(&mut untried, target, &mut redirects, &self.addresses);
                     }
                     FailureReason::of(&response)
@@ -112,24 +110,6 @@
     }
 }
 
-/// Whether another control node would not respond any better.
-fn is_final(response: &Response) -> bool {
-    let may_pass = matches!(
-        response.status,
-        TEMPORARY_REDIRECT | REQUEST_TIMEOUT | TOO_MANY_REQUESTS
-    );
-    response.status < FIRST_SERVER_ERROR && !may_pass
-}
-
-/// The address that a redirect names.
-fn redirect_target(response: &Response) -> Option<SocketAddr> {
-    if response.status != TEMPORARY_REDIRECT {
-        return None;
-    }
-    let after_scheme = response.head.header("location")?.strip_prefix("http://")?;
-    after_scheme.split('/').next()?.parse().ok()
-}
-
 impl NoFinalResponse {
     /// Adds a failure, in place of the former one of its address.
     fn add(&mut self, failure: AddressFailure) {
@@ -172,7 +152,7 @@
 /// What came of each address; which one it was is said where there are several.
 fn failures_text(failures: &[AddressFailure]) -> String {
     match failures {
-        [] => "no address is given".to_owned(),
+        [] => RequestError::NoAddress.to_string(),
         [only] => only.reason.to_string(),
         several => {
             let texts: Vec<String> = several
--- a/crates/linenthread-ctl/src/control_api.rs
+++ b/crates/linenthread-ctl/src/control_api.rs
@@ -27,3 +27,13 @@
 pub const TOO_MANY_REQUESTS: u16 = 429;
 /// From here on the fault is the control node's: most often it has no contact with a majority.
 pub const FIRST_SERVER_ERROR: u16 = 500;
+
+/// Whether another control node would not respond any better, so that a response of this status says what is the case.
+/// A redirect, a status that may pass and a server error leave it open.
+pub fn is_final(status: u16) -> bool {
+    let may_pass = matches!(
+        status,
+        TEMPORARY_REDIRECT | REQUEST_TIMEOUT | TOO_MANY_REQUESTS
+    );
+    status < FIRST_SERVER_ERROR && !may_pass
+}
--- a/crates/linenthread-ctl/src/request.rs
+++ b/crates/linenthread-ctl/src/request.rs
@@ -9,6 +9,8 @@
 use linenthread_http::{BodyPresence, BodyReader, Head, ParseError, response_framing};
 use snafu::{ResultExt, Snafu};
 
+use crate::control_api::TEMPORARY_REDIRECT;
+
 /// The longest response head that is read, in bytes.
 const MAX_HEAD_BYTES: usize = 16_384;
 /// The longest response body that is read, in bytes: a list of all replicas fits many times over.
@@ -84,6 +86,15 @@
 }
 
 impl Response {
+    /// The address that a redirect names: that of `http://ADDRESS/path`.
+    pub fn redirect_target(&self) -> Option<SocketAddr> {
+        if self.status != TEMPORARY_REDIRECT {
+            return None;
+        }
+        let after_scheme = self.head.header("location")?.strip_prefix("http://")?;
+        after_scheme.split('/').next()?.parse().ok()
+    }
+
     /// The body as text.
     pub fn body_text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
--- a/crates/linenthread-dataplane/src/data_plane.rs
+++ b/crates/linenthread-dataplane/src/data_plane.rs
@@ -7,7 +7,6 @@
 use linenthread_config::{Configuration, Destination, ResolvedRoute, RoutingTable, Settings};
 use linenthread_core::interface::TenthMillis;
 use linenthread_hash::fnv1a_64;
-use linenthread_time::Instant;
 
 use crate::clock;
 use crate::counter::{Counter, CounterGuard};
@@ -177,17 +176,6 @@
         }
     }
 
-    /// Ends the retry quota if its time is over.
-    fn expire_retry_quota(&self, now: Instant) {
-        let quota = self.retry_quota.get();
-        if quota.expires_at <= now && quota.retries_per_window > 0.0 {
-            self.set_retry_quota(RetryQuota {
-                retries_per_window: 0.0,
-                ..quota
-            });
-        }
-    }
-
     /// The retry quota in force.
     pub fn retry_quota(&self) -> RetryQuota {
         self.retry_quota.get()
@@ -249,9 +237,16 @@
         dispatcher.dispatch(request, resolved, key, deadline)
     }
 
-    /// To be called several times a second, whether or not there is a control node: ends what lasts for a time only.
+    /// To be called several times a second, whether or not there is a control node: ends the retry quota if its time is
+    /// over.
     pub fn expire(&self) {
-        self.expire_retry_quota(clock::now());
+        let quota = self.retry_quota.get();
+        if quota.expires_at <= clock::now() && quota.retries_per_window > 0.0 {
+            self.set_retry_quota(RetryQuota {
+                retries_per_window: 0.0,
+                ..quota
+            });
+        }
     }
 
     /// To be called about once a second: closes connections that their replicas are about to close, and forgets
--- a/crates/linenthread-demo/src/client.rs
+++ b/crates/linenthread-demo/src/client.rs
@@ -4,8 +4,7 @@
 use std::time::{Duration, Instant};
 
 use linenthread_ctl::control_api::{
-    FIRST_SERVER_ERROR, MEMBERS_PATH, OK, READ_CONFIGURATION_PATH, REPLICAS_PATH, REQUEST_TIMEOUT,
-    TOO_MANY_REQUESTS,
+    MEMBERS_PATH, OK, READ_CONFIGURATION_PATH, REPLICAS_PATH, is_final,
 };
 use linenthread_ctl::{
     MembersStatus, ReplicaPhase, ReplicaStatus, Request, RequestError, Response,
@@ -14,10 +13,6 @@
 
 use crate::order::Order;
 
-/// Another control node serves the call.
-const TEMPORARY_REDIRECT: u16 = 307;
-/// Statuses below [`FIRST_SERVER_ERROR`] that leave open what is the case.
-const LEAVE_OPEN: [u16; 3] = [TEMPORARY_REDIRECT, REQUEST_TIMEOUT, TOO_MANY_REQUESTS];
 /// The time-out of one call at one address, where several are tried.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// A caller follows so many redirects one after another.
@@ -48,8 +43,7 @@
 
     /// Whether the response says what is the case. No response, a redirect, 5xx, 408 and 429 leave it open.
     pub fn is_clear(&self) -> bool {
-        self.status
-            .is_some_and(|status| status < FIRST_SERVER_ERROR && !LEAVE_OPEN.contains(&status))
+        self.status.is_some_and(is_final)
     }
 
     /// Whether the response is this status, or leaves open what is the case.
@@ -70,7 +64,7 @@
     match response {
         Ok(response) => CallOutcome {
             status: Some(response.status),
-            location: response.head.header("location").and_then(address_of),
+            location: response.redirect_target(),
             body: response.body,
             elapsed,
         },
@@ -81,12 +75,6 @@
     }
 }
 
-/// The address in `http://ADDRESS/path`.
-fn address_of(location: &str) -> Option<SocketAddr> {
-    let rest = location.strip_prefix("http://")?;
-    rest.split('/').next()?.parse().ok()
-}
-
 // --- operators, at one control node ---
 
 /// Sends an order to one control node.
@@ -175,7 +163,7 @@
 ) -> CallOutcome {
     let mut outcome = call(peer, timeout);
     for _ in 0..MAX_REDIRECTS {
-        let Some(next) = outcome.location.filter(|_| outcome.is(TEMPORARY_REDIRECT)) else {
+        let Some(next) = outcome.location else {
             break;
         };
         outcome = call(next, timeout);
--- a/crates/linenthread-node/src/control/mod.rs
+++ b/crates/linenthread-node/src/control/mod.rs
@@ -27,6 +27,7 @@
 
 use crate::error::{Error, io_context};
 use crate::incarnation;
+use crate::signals::SignalWatch;
 
 use command::{Command, ControlHandle};
 use state_writer::StateWriter;
@@ -68,20 +69,6 @@
         }
     }
 
-    /// Takes in settings that were read again, each time, for as long as it is polled.
-    pub(crate) async fn follow_settings(
-        &self,
-        mut settings: watch::Receiver<Option<Rc<Settings>>>,
-    ) {
-        while settings.changed().await.is_ok() {
-            let reloaded = settings.borrow_and_update().clone();
-            if let Some(settings) = reloaded {
-                let command = Command::SettingsReloaded(bootstrap_addresses(&settings));
-                self.handle.send(command).await;
-            }
-        }
-    }
-
     /// Closes all sessions, so that the others need not wait for a time-out.
     pub(crate) async fn stop(&self) {
         let (stopped, has_stopped) = oneshot::channel();
@@ -103,6 +90,7 @@
 pub(crate) async fn start(
     settings: &Rc<Settings>,
     address: SocketAddr,
+    signals: &SignalWatch,
 ) -> Result<ControlServer, Error> {
     let (synced, synced_records) = mpsc::unbounded_channel();
     let state_dir = settings.state_dir.as_deref().unwrap_or_default();
@@ -116,6 +104,7 @@
     let task = ControlTask::new(control, state_writer, handle.clone(), settings.peers_port);
     spawn_local(task.run(commands));
     spawn_local(forward_synced(synced_records, handle.clone()));
+    spawn_local(follow_settings(signals.settings(), handle.clone()));
     spawn_local(api::accept_calls(calls, handle.clone()));
     spawn_local(peer_sessions::accept_peers(peers, handle.clone()));
     Ok(ControlServer { handle })
@@ -137,6 +126,20 @@
     }
 }
 
+/// Takes settings that were read again to the task, each time.
+async fn follow_settings(
+    mut settings: watch::Receiver<Option<Rc<Settings>>>,
+    handle: ControlHandle,
+) {
+    while settings.changed().await.is_ok() {
+        let reloaded = settings.borrow_and_update().clone();
+        if let Some(settings) = reloaded {
+            let command = Command::SettingsReloaded(bootstrap_addresses(&settings));
+            handle.send(command).await;
+        }
+    }
+}
+
 /// Who this node is: its identity belongs to its disk, and what it starts from depends on whether that was empty.
 struct Identity {
     id: NodeId,
--- a/crates/linenthread-node/src/main.rs
+++ b/crates/linenthread-node/src/main.rs
@@ -144,23 +144,14 @@
 async fn serve(settings: Rc<Settings>, settings_path: PathBuf) -> Result<(), Error> {
     let signals = signals::listen(settings_path)?;
     let control = match settings.control_bind {
-        Some(address) => Some(control::start(&settings, address).await?),
+        Some(address) => Some(control::start(&settings, address, &signals).await?),
         None => None,
     };
     let data_plane = match settings.ingress_bind {
         Some(address) => Some(ingress::start(&settings, address, &signals).await?),
         None => None,
     };
-    let follow_settings = async {
-        match &control {
-            Some(control) => control.follow_settings(signals.settings()).await,
-            None => std::future::pending().await,
-        }
-    };
-    tokio::select! {
-        () = signals.shutdown_requested() => {}
-        () = follow_settings => signals.shutdown_requested().await,
-    }
+    signals.shutdown_requested().await;
     log::info!(node = settings.node_name; "event=stopping");
     let ingress_shutdown = async {
         if let Some(data_plane) = &data_plane {
--- a/crates/linenthread-service/src/coordinator_driver/decision.rs
+++ b/crates/linenthread-service/src/coordinator_driver/decision.rs
@@ -4,7 +4,6 @@
 use linenthread_core::interface::{
     Completeness, QueryIndex, ReplicaIndex, SubRequestIndex, TenthMillis,
 };
-
 use tokio::sync::Notify;
 
 use super::membership::Membership;
--- a/crates/linenthread-simulation/src/system/checker/convergence.rs
+++ b/crates/linenthread-simulation/src/system/checker/convergence.rs
@@ -114,7 +114,7 @@
             .history
             .newest_value()
             .map_or(0, |value| value.voters.len());
-        if voters != machines && !self.is_one_standby(voters, machines) {
+        if !self.all_vote_but_one_standby(voters, machines) {
             let details = format!("{voters} disks vote, {machines} machines are there");
             self.violation(Invariant::Recovers, &details);
         }
--- a/crates/linenthread-simulation/src/system/loss_budget.rs
+++ b/crates/linenthread-simulation/src/system/loss_budget.rs
@@ -79,7 +79,7 @@
             .filter(|machine| !machine.decommissioned)
             .collect();
         let voters = newest.voters.len();
-        if voters != machines.len() && !self.is_one_standby(voters, machines.len()) {
+        if !self.all_vote_but_one_standby(voters, machines.len()) {
             return false;
         }
         let disk_of = |voter: &Voter| {
@@ -96,8 +96,10 @@
         disks.len() == voters && disks.iter().filter(knows_voters).count() * 2 > voters
     }
 
-    /// One machine beside an odd number of voters that bears the budget is a standby: it takes the next free place.
-    pub(super) fn is_one_standby(&self, voters: usize, machines: usize) -> bool {
-        voters + 1 == machines && !voters.is_multiple_of(2) && voters > 2 * self.max_lost
+    /// Whether so many voters are all of so many machines, or all but a standby: one machine beside an odd number of voters
+    /// that bears the budget, which takes the next free place.
+    pub(super) fn all_vote_but_one_standby(&self, voters: usize, machines: usize) -> bool {
+        let bears_budget = !voters.is_multiple_of(2) && voters > 2 * self.max_lost;
+        voters == machines || voters + 1 == machines && bears_budget
     }
 }
--- a/crates/linenthread-simulation/src/system/recovery_time.rs
+++ b/crates/linenthread-simulation/src/system/recovery_time.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use linenthread_consensus::NodeId;
-use linenthread_control::ControlNode;
 use linenthread_time::{Instant, whole_millis};
 
 use super::invariant::Invariant;
@@ -105,15 +104,8 @@
         let Some(newest) = self.history.newest_value() else {
             return false;
         };
-        let running: Vec<NodeId> = self
-            .machines
-            .iter()
-            .filter_map(|machine| machine.control.as_ref())
-            .map(|control: &ControlNode| control.register().id())
-            .collect();
-        let voters = newest.voters.len();
-        let is_complete = voters == running.len() || self.is_one_standby(voters, running.len());
-        is_complete
+        let running: Vec<NodeId> = self.machines.iter().filter_map(Machine::voter_id).collect();
+        self.all_vote_but_one_standby(newest.voters.len(), running.len())
             && newest
                 .voters
                 .iter()
