--- a/review/standin.rs
+++ b/review/standin.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 mod case1;
+mod case2;
 
 /// Exit codes of a script.
 pub const HELD: i32 = 0;
@@ -31,6 +32,7 @@
     let record = Record::create(&Path::new(folder).join("record.txt"));
     let result = match case.as_str() {
         "1" => case1::run(&record, trouble),
+        "2" => case2::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match result {
@@ -654,7 +656,7 @@
         self.arrivals.lock().unwrap().push(arrival);
     }
 
-    fn heartbeat(&self, phase: &str) -> String {
+    pub fn heartbeat(&self, phase: &str) -> String {
         let count = 1 + self.call_count.fetch_add(1, Ordering::SeqCst);
         format!(
             "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"revision\":\"v1\",\"capacity\":3,\"phase\":\"{phase}\",\"warmup_ms\":0,\"call_count\":{count}}}",
