--- a/review/standin.rs
+++ b/review/standin.rs
@@ -153,6 +153,8 @@
         let _ = self.stream.set_read_timeout(Some(left));
         let mut bytes = [0; 16_384];
         match self.stream.read(&mut bytes) {
+            // A read with a time-out is interrupted when the process is stopped and goes on; it is repeated.
+            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => Ok(()),
             Ok(0) => Err(ReadError::Closed),
             Ok(count) => {
                 self.buffer.extend_from_slice(&bytes[..count]);
