--- a/review/standin.rs
+++ b/review/standin.rs
@@ -435,7 +435,7 @@
 
     pub fn signal(&self, name: &str, signal: &str) {
         if let Some(process) = &self.machines[self.index(name)].process {
-            let _ = Command::new("/bin/sh")
+            let _ = Command::new("sh")
                 .arg("-c")
                 .arg(format!("kill -{signal} {}", process.id()))
                 .status();
