--- a/review/standin.rs
+++ b/review/standin.rs
@@ -14,8 +14,7 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-mod case1;
-mod case2;
+mod mixed;
 
 /// Exit codes of a script.
 pub const HELD: i32 = 0;
@@ -31,8 +30,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&Path::new(folder).join("record.txt"));
     let result = match case.as_str() {
-        "1" => case1::run(&record, trouble),
-        "2" => case2::run(&record, trouble),
+        "1" => mixed::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match result {
@@ -256,6 +254,8 @@
 #[derive(Clone)]
 pub struct Bounds {
     pub further: String,
+    /// `limits_table.retry_allowance`, which grows with the size of a deployment.
+    pub retry_allowance: u32,
 }
 
 pub struct Deployment {
@@ -281,7 +281,7 @@
 limits_table.confirm_ms=5000\nlimits_table.sync_s=4\nlimits_table.drain_ms=3000\nlimits_table.grace_s=6\n\
 limits_table.loss_slack_ms=200\nlimits_table.apply_ms=3000\nlimits_table.revert_slack_ms=250\n\
 limits_table.stretch_ms=12000\nlimits_table.retry_ratio=0.2\nlimits_table.retry_window_s=10\n\
-limits_table.retry_allowance=54\nlimits_table.recovery_s=12\n";
+limits_table.recovery_s=12\n";
 
 impl Deployment {
     /// Places the machines on loopback addresses of a random network, with ports that are free there.
@@ -320,6 +320,7 @@
             ports,
             bounds: Bounds {
                 further: String::new(),
+                retry_allowance: 54,
             },
             program,
             record: record.clone(),
@@ -375,12 +376,13 @@
             ),
         };
         format!(
-            "node_name={}\nip_addr={ip}\nzone={}\narea=area-1\nzones.zone-1=area-1\nzones.zone-2=area-1\nzones.zone-3=area-1\nport_range={peers},{}\nbootstrap_peers={}\ninitial_boot={}\nmembership_source=registry\nentry_kind=virtual_ip\n{role}{EXAMPLE_LIMITS}{}",
+            "node_name={}\nip_addr={ip}\nzone={}\narea=area-1\nzones.zone-1=area-1\nzones.zone-2=area-1\nzones.zone-3=area-1\nport_range={peers},{}\nbootstrap_peers={}\ninitial_boot={}\nmembership_source=registry\nentry_kind=virtual_ip\n{role}{EXAMPLE_LIMITS}limits_table.retry_allowance={}\n{}",
             machine.name,
             machine.zone,
             peers + 15,
             seeds.join(","),
             machine.initial_boot,
+            self.bounds.retry_allowance,
             self.bounds.further,
         )
     }
@@ -720,6 +722,30 @@
     }
 }
 
+/// Sends a heartbeat each 1,200 ms for a replica that serves at `address`, to the co-ordinator that took the last one,
+/// or else to the next.
+pub fn register(ident: &str, backend: &str, zone: &str, address: SocketAddr, control: Vec<SocketAddr>) {
+    let path = format!("/Replicas.Heartbeat/{ident}");
+    let (backend, zone) = (backend.to_owned(), zone.to_owned());
+    spawn(move || {
+        let (mut next, mut count) = (0, 0);
+        loop {
+            for _ in 0..control.len() {
+                count += 1;
+                let body = format!(
+                    "{{\"backend\":\"{backend}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"revision\":\"v1\",\"capacity\":3,\"phase\":\"available\",\"warmup_ms\":0,\"call_count\":{count}}}"
+                );
+                let answer = call(control[next], "POST", &path, "", &body, Duration::from_secs(1));
+                if answer.is_some_and(|answer| (200..300).contains(&answer.status())) {
+                    break;
+                }
+                next = (next + 1) % control.len();
+            }
+            sleep(Duration::from_millis(1_200));
+        }
+    });
+}
+
 // --- clients ---
 
 /// What became of a client's request.
