Review: case 2, SIGTERM cuts orders that wait for a further try

Change: a script in which full replicas turn orders away, and one of two ingress machines gets SIGTERM.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -14,6 +14,7 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+mod lost;
 mod mixed;
 
 /// Exit codes of a script.
@@ -31,6 +32,7 @@
     let record = Record::create(&Path::new(folder).join("record.txt"));
     let result = match case.as_str() {
         "1" => mixed::run(&record, trouble),
+        "2" => lost::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match result {
