--- a/review/standin.rs
+++ b/review/standin.rs
@@ -14,6 +14,7 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+mod drain;
 mod lost;
 mod mixed;
 
@@ -33,6 +34,7 @@
     let result = match case.as_str() {
         "1" => mixed::run(&record, trouble),
         "2" => lost::run(&record, trouble),
+        "3" => drain::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match result {
