--- a/review/standin.rs
+++ b/review/standin.rs
@@ -14,9 +14,9 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-mod drain;
 mod lost;
 mod mixed;
+mod refused;
 
 /// Exit codes of a script.
 pub const HELD: i32 = 0;
@@ -32,9 +32,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&Path::new(folder).join("record.txt"));
     let result = match case.as_str() {
-        "1" => mixed::run(&record, trouble),
+        "1" => refused::run(&record, trouble),
         "2" => lost::run(&record, trouble),
-        "3" => drain::run(&record, trouble),
+        "3" => mixed::run(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match result {
