--- a/review/refused.rs
+++ b/review/refused.rs
@@ -12,8 +12,8 @@
 use crate::{BROKEN, Connection, Deployment, HELD, Message, Record, configuration, mix, register};
 
 const REPLICAS: usize = 12;
-/// How many of them the trouble strikes: a share of 0.5, where the site names up to 0.6.
-const IN_TROUBLE: usize = 6;
+/// How many of them the trouble strikes: a share of 0.58, where the site names up to 0.6.
+const IN_TROUBLE: usize = 7;
 /// How many of a thousand answers of those are spoilt (`x = 0.03`), and for how long (`for_s = 5.0`).
 const SPOILT_PER_MILLE: u64 = 30;
 const TROUBLE_LASTS: Duration = Duration::from_secs(5);
@@ -22,7 +22,9 @@
 const WORK: Duration = Duration::from_millis(5);
 /// Clients of each ingress machine, each with one order at a time, and their pause between two tries.
 const CLIENTS: usize = 45;
-const PAUSE: Duration = Duration::from_millis(25);
+const PAUSE: Duration = Duration::from_millis(20);
+/// How long a client waits for an answer (`X-Remaining-Ms` 5000).
+const REMAINING: Duration = Duration::from_secs(5);
 /// The statuses that promise that a request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
@@ -142,14 +144,20 @@
             break;
         }
         let mut order = Order { tries: Vec::new() };
+        let mut pause = PAUSE;
         for attempt in 0..2 {
-            sleep(PAUSE);
+            sleep(pause);
             let id = format!("{:016x}", mix(name, 2 * number + attempt));
-            let status = send(record, &mut open, ingress, name, &id);
+            let answer = send(record, &mut open, ingress, name, &id);
+            let status = answer.as_ref().map_or(0, Message::status);
             order.tries.push((id, status));
             if !PROMISES.contains(&status) {
                 break;
             }
+            // `Retry-After` is honoured, up to a third of the time that remains.
+            let retry_after = answer.and_then(|answer| answer.header("retry-after")?.parse().ok());
+            let retry_after = Duration::from_secs_f64(retry_after.unwrap_or(0.0)).min(REMAINING / 3);
+            pause = PAUSE.max(retry_after);
             open = None;
         }
         orders.push(order);
@@ -157,26 +165,23 @@
     orders
 }
 
-fn send(record: &Record, open: &mut Option<Connection>, ingress: SocketAddr, name: &str, id: &str) -> u16 {
+/// Sends one try of an order; returns the answer, if there is one.
+fn send(record: &Record, open: &mut Option<Connection>, ingress: SocketAddr, name: &str, id: &str) -> Option<Message> {
     let connected = open.take().or_else(|| Connection::connect(ingress, Duration::from_secs(1)).ok());
-    let Some(mut connection) = connected else {
-        return 0;
-    };
+    let mut connection = connected?;
     let text = format!("POST /shop/{id} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\nX-Remaining-Ms: 5000\r\nContent-Length: 5\r\n\r\norder");
-    if connection.write(text.as_bytes()).is_err() {
-        return 0;
-    }
-    match connection.read_message(Instant::now() + Duration::from_secs(6)) {
+    connection.write(text.as_bytes()).ok()?;
+    match connection.read_message(Instant::now() + REMAINING + Duration::from_secs(1)) {
         Ok(answer) => {
             record.line(format!("client {name} id {id} gets {:?} {:?}", answer.first, answer.headers));
             if answer.header("connection") != Some("close") {
                 *open = Some(connection);
             }
-            answer.status()
+            Some(answer)
         }
         Err(error) => {
             record.line(format!("client {name} id {id} gets no answer: {error:?}"));
-            0
+            None
         }
     }
 }
