Shutdown of an ingress node logs what its last requests wait for

Nothing told whether a request that is cut at the end of a shutdown was in flight at a replica, waited for the retry budget or waited for a replica. shutdown_progress tells, at the close and at the exit.

--- a/crates/linenthread-core/src/interface.rs
+++ b/crates/linenthread-core/src/interface.rs
@@ -19,6 +19,7 @@
 mod indices;
 mod inputs;
 mod membership;
+mod pending;
 mod query;
 
 pub use attempt::{AttemptOutcome, AttemptResult, ProbeResult};
@@ -30,6 +31,7 @@
 pub use indices::{QueryIndex, ReplicaIndex, SearchIndex, SubRequestIndex};
 pub use inputs::{Continuation, Inputs};
 pub use membership::{MembershipEntry, MembershipUpdate, Phase, ZoneRoute};
+pub use pending::PendingQueries;
 pub use query::{NewQuery, NewSubRequest};
 
 /// A point in time or a duration, in tenths of a millisecond (units of 100 µs).
--- a/crates/linenthread-core/src/policy/mod.rs
+++ b/crates/linenthread-core/src/policy/mod.rs
@@ -26,6 +26,7 @@
 //! | `query_of_death` | which queries may be crashing replicas |
 //! | `admission` | which queries are rejected on arrival |
 //! | `resolution` | when a query is responded to, rejected or failed |
+//! | `pending` | nothing: reports what open queries wait for |
 //!
 //! To explain the result of a query, start at `Coordinator::resolve` (in `resolution`), which each step runs once for
 //! each open query:
@@ -56,6 +57,7 @@
 mod latency;
 mod membership_update;
 mod natural_replica;
+mod pending;
 mod query_of_death;
 mod resolution;
 mod retry_budget;
--- a/crates/linenthread-dataplane/src/data_plane.rs
+++ b/crates/linenthread-dataplane/src/data_plane.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use linenthread_config::{Configuration, Destination, ResolvedRoute, RoutingTable, Settings};
+use linenthread_core::interface::PendingQueries;
 use linenthread_hash::fnv1a_64;
 use linenthread_messages::WindowCounts;
 use linenthread_time::{Instant, WallTime, WindowLength};
@@ -338,6 +339,15 @@
         self.requests.get()
     }
 
+    /// Returns how many requests have reached the decision module and have not ended, by what they wait for.
+    pub fn pending_queries(&self) -> PendingQueries {
+        let mut pending = PendingQueries::default();
+        for dispatcher in self.dispatchers.borrow().values() {
+            pending += dispatcher.pending_queries();
+        }
+        pending
+    }
+
     /// Returns the number of client connections.
     pub fn client_connections(&self) -> usize {
         self.clients.get()
--- a/crates/linenthread-dataplane/src/dispatcher.rs
+++ b/crates/linenthread-dataplane/src/dispatcher.rs
@@ -14,7 +14,7 @@
 use linenthread_config::{ResolvedRoute, Settings};
 use linenthread_core::interface::{
     AttemptOutcome, AttemptResult, MembershipEntry, MembershipUpdate, NewQuery, NewSubRequest,
-    Phase, ReplicaIndex, TenthMillis,
+    PendingQueries, Phase, ReplicaIndex, TenthMillis,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
@@ -179,6 +179,11 @@
         self.input_arrived.notify_one();
     }
 
+    /// Returns how many queries have not ended, by what they wait for.
+    pub(crate) fn pending_queries(&self) -> PendingQueries {
+        self.state.borrow().coordinator.pending_queries()
+    }
+
     /// Logs how many queries were abandoned, and frees the indices of departed replicas.
     pub(crate) fn maintain(&self) {
         let mut state = self.state.borrow_mut();
--- a/crates/linenthread-node/src/ingress.rs
+++ b/crates/linenthread-node/src/ingress.rs
@@ -90,17 +90,27 @@
     let drain_deadline = now + grace.saturating_sub(LAST_REQUESTS_MARGIN);
     tokio::time::sleep_until((now + DRAIN_ACCEPT_PERIOD).min(drain_deadline)).await;
     plane.close();
+    log_requests_in_flight("closing", &plane);
     // Lets the connection tasks run before the first check: requests that have arrived are counted as in flight, and
     // idle connections are closed.
     tokio::task::yield_now().await;
     while plane.requests_in_flight() > 0 && Instant::now() < drain_deadline {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
+    log_requests_in_flight("exiting", &plane);
     let report_deadline =
         (Instant::now() + USAGE_REPORT_TIMEOUT).min(drain_deadline + USAGE_REPORT_MARGIN);
     control_client.shut_down(report_deadline).await;
 }
 
+/// Logs how many requests are in flight at a step of the shutdown, and what they wait for.
+fn log_requests_in_flight(step: &str, plane: &DataPlane) {
+    let pending = plane.pending_queries();
+    log::info!(step = step, requests = plane.requests_in_flight(), in_flight = pending.in_flight,
+        awaiting_retry_budget = pending.awaiting_retry_budget,
+        awaiting_replica = pending.awaiting_replica; "event=shutdown_progress");
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address)
         .await
