--- a/crates/linenthread-node/src/ingress.rs
+++ b/crates/linenthread-node/src/ingress.rs
@@ -8,7 +8,7 @@
 use linenthread_control::Incarnation;
 use linenthread_dataplane::connection::HttpConnection;
 use linenthread_dataplane::transport::TcpConnector;
-use linenthread_dataplane::{DataPlane, log_rejected_input, serve};
+use linenthread_dataplane::{DataPlane, ShutdownSchedule, drain, log_rejected_input, serve};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -30,17 +30,10 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval at which the data plane checks whether the retry quota has expired.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// How long new connections are still accepted after a shutdown request. Load balancers check readiness once a second,
-/// so some still send clients here.
-const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2_600);
-/// How long before the end of the grace period the last requests are abandoned, to leave time for the process to exit.
-const LAST_REQUESTS_MARGIN: Duration = Duration::from_millis(600);
 /// The timeout for sending the last usage counts to a control node.
 const USAGE_REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// How much of [`LAST_REQUESTS_MARGIN`] sending the last usage counts may take.
+/// How long sending the last usage counts may take after the deadline for responses.
 const USAGE_REPORT_MARGIN: Duration = Duration::from_millis(300);
-/// The interval at which a shutdown checks whether all requests have completed.
-const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The running ingress role.
 pub(crate) struct Ingress {
@@ -78,39 +71,20 @@
     })
 }
 
-/// Shuts down gracefully: keeps serving for [`DRAIN_ACCEPT_PERIOD`] and until all requests in flight have completed,
-/// but not beyond the grace period minus [`LAST_REQUESTS_MARGIN`]. Then sends the last usage counts to a control node.
+/// Shuts down gracefully: completes the requests in flight within the grace period, then sends the last usage counts
+/// to a control node.
 pub(crate) async fn stop(ingress: Ingress, grace: Duration) {
     let Ingress {
         plane,
         control_client,
     } = ingress;
-    plane.begin_drain();
-    let now = Instant::now();
-    let drain_deadline = now + grace.saturating_sub(LAST_REQUESTS_MARGIN);
-    tokio::time::sleep_until((now + DRAIN_ACCEPT_PERIOD).min(drain_deadline)).await;
-    plane.close();
-    log_requests_in_flight("closing", &plane);
-    // Lets the connection tasks run before the first check: requests that have arrived are counted as in flight, and
-    // idle connections are closed.
-    tokio::task::yield_now().await;
-    while plane.requests_in_flight() > 0 && Instant::now() < drain_deadline {
-        tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-    }
-    log_requests_in_flight("exiting", &plane);
+    let schedule = ShutdownSchedule::new(grace);
+    drain(&plane, &schedule).await;
     let report_deadline =
-        (Instant::now() + USAGE_REPORT_TIMEOUT).min(drain_deadline + USAGE_REPORT_MARGIN);
+        (Instant::now() + USAGE_REPORT_TIMEOUT).min(schedule.respond_until + USAGE_REPORT_MARGIN);
     control_client.shut_down(report_deadline).await;
 }
 
-/// Logs how many requests are in flight at a step of the shutdown, and what they wait for.
-fn log_requests_in_flight(step: &str, plane: &DataPlane) {
-    let pending = plane.pending_queries();
-    log::info!(step = step, requests = plane.requests_in_flight(), in_flight = pending.in_flight,
-        awaiting_retry_budget = pending.awaiting_retry_budget,
-        awaiting_replica = pending.awaiting_replica; "event=shutdown_progress");
-}
-
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address)
         .await
