Requests that wait at an ingress node are answered before it exits

Cause: the decision module did not know of the shutdown. A query whose retry the budget does not permit waits for its own deadline; the process ended before, and nobody answered what was left.

Change: the shutdown is an input of the decision module (Inputs::shutdown_at) and a deadline of every query. Requests of which a part was read are closed before the last responses are waited for, so no request slips in between.

--- a/crates/linenthread-core/src/interface/decision.rs
+++ b/crates/linenthread-core/src/interface/decision.rs
@@ -7,6 +7,8 @@
 pub enum AbandonCause {
     /// The query's deadline has passed.
     DeadlineExceeded,
+    /// The process shuts down before the query's deadline.
+    ShuttingDown,
     /// The query may be crashing replicas.
     QueryOfDeath,
     /// Further attempts cannot reach the minimum share that a response needs.
--- a/crates/linenthread-core/src/interface/inputs.rs
+++ b/crates/linenthread-core/src/interface/inputs.rs
@@ -37,4 +37,7 @@
     pub probes: Vec<ProbeResult>,
     /// Queries whose client no longer waits for a response.
     pub cancelled: Vec<QueryIndex>,
+    /// The process has begun to shut down: all queries, also those that arrive from now on, must have ended by this
+    /// time. `None` in later steps changes nothing.
+    pub shutdown_at: Option<TenthMillis>,
 }
--- a/crates/linenthread-core/src/policy/arrival.rs
+++ b/crates/linenthread-core/src/policy/arrival.rs
@@ -10,7 +10,7 @@
 /// How long before its deadline a response is sent.
 ///
 /// Unit: 0.1 ms (15 ms). Reason: the response has to reach the client by the deadline.
-const DEADLINE_MARGIN: TenthMillis = 150;
+pub(super) const DEADLINE_MARGIN: TenthMillis = 150;
 
 impl Coordinator {
     pub(super) fn on_query(&mut self, new: &NewQuery) {
--- a/crates/linenthread-core/src/policy/coordinator.rs
+++ b/crates/linenthread-core/src/policy/coordinator.rs
@@ -38,6 +38,8 @@
     /// Queries that have not been released, oldest first.
     pub(super) open_queries: Vec<QueryIndex>,
     pub(super) timers: Timers,
+    /// When all queries must have ended; `None` unless the process shuts down.
+    pub(super) shutdown_at: Option<TenthMillis>,
 }
 
 impl Coordinator {
@@ -56,6 +58,7 @@
             queries: Vec::new(),
             open_queries: Vec::new(),
             timers: Timers::default(),
+            shutdown_at: None,
         };
         for index in indexes {
             coordinator.add_index(index);
@@ -119,6 +122,9 @@
         if let Some(zone_routes) = &inputs.zone_routes {
             self.zone_routes.clone_from(zone_routes);
         }
+        if let Some(shutdown_at) = inputs.shutdown_at {
+            self.on_shutdown(shutdown_at);
+        }
         self.count_accepted(inputs.queries.len() + inputs.sub_requests.len());
         for query in &inputs.queries {
             self.on_query(query);
--- a/crates/linenthread-core/src/policy/mod.rs
+++ b/crates/linenthread-core/src/policy/mod.rs
@@ -26,6 +26,7 @@
 //! | `query_of_death` | which queries may be crashing replicas |
 //! | `admission` | which queries are rejected on arrival |
 //! | `resolution` | when a query is responded to, rejected or failed |
+//! | `shutdown` | when queries end if the process shuts down |
 //! | `pending` | nothing: reports what open queries wait for |
 //!
 //! To explain the result of a query, start at `Coordinator::resolve` (in `resolution`), which each step runs once for
@@ -33,7 +34,7 @@
 //!
 //! | observed | decided by |
 //! | --- | --- |
-//! | rejected or failed, [`DeadlineExceeded`](AbandonCause::DeadlineExceeded) | `resolution`: `abandon_at` |
+//! | rejected or failed, [`DeadlineExceeded`](AbandonCause::DeadlineExceeded) or [`ShuttingDown`](AbandonCause::ShuttingDown) | `shutdown`: `abandon_at` |
 //! | rejected or failed, [`QueryOfDeath`](AbandonCause::QueryOfDeath) | `query_of_death`: `may_be_query_of_death` |
 //! | rejected or failed, [`Unanswerable`](AbandonCause::Unanswerable) | `resolution`: `is_unanswerable` |
 //! | rejected, [`ExpectedLate`](AbandonCause::ExpectedLate) | `admission`: `rejects_as_late` |
@@ -64,6 +65,7 @@
 mod score;
 mod send_guard;
 mod sending;
+mod shutdown;
 mod slow_start;
 mod windows;
 
--- a/crates/linenthread-core/src/policy/resolution.rs
+++ b/crates/linenthread-core/src/policy/resolution.rs
@@ -5,30 +5,15 @@
 use super::windows::WEIGHT_ROUNDING;
 use crate::conversion::to_tenth_millis;
 use crate::interface::{
-    AbandonCause, Completeness, DecisionSink, Idempotency, IndexConfig, QueryIndex,
-    SubRequestIndex, TenthMillis,
+    AbandonCause, Completeness, DecisionSink, Idempotency, QueryIndex, SubRequestIndex, TenthMillis,
 };
 use crate::state::{Query, QueryStage, SubRequest};
 
-/// Queries of a search index whose late responses earn no more than this are abandoned at their soft deadline.
-///
-/// Unit: share of the value. Reason: attempts of a late query delay queries that can still be in time.
-const MIN_LATE_VALUE_SHARE: f64 = 0.15;
-
 /// The time reserved for the fetch phase when the first response is given.
 ///
 /// Unit: slow response times. Reason: the fetch phase has to end by the soft deadline.
 const FETCH_PHASE_TIME: f64 = 1.4;
 
-/// Returns when a query is rejected or failed, regardless of attempts in flight.
-pub(super) fn abandon_at(query: &Query, index: &IndexConfig) -> TenthMillis {
-    if index.late_value_share > MIN_LATE_VALUE_SHARE {
-        query.hard_deadline
-    } else {
-        query.soft_deadline.min(query.hard_deadline)
-    }
-}
-
 /// Reports whether a share reaches a required share, within the rounding of weights.
 fn reaches(share: f64, required: f64) -> bool {
     share >= required - WEIGHT_ROUNDING / 2.0
@@ -106,7 +91,7 @@
         // If the search index allows partial responses, the fetch phase may be incomplete, too.
         let allows_partial_fetch = index.min_share < index.complete_share;
         Progress {
-            abandon_at: abandon_at(query, index),
+            abandon_at: self.abandon_at(query),
             complete_share: self.complete_share(query),
             min_share: if query.is_fetching() && !allows_partial_fetch {
                 1.0
@@ -122,7 +107,8 @@
     /// attempts left, or none of its shard's replicas can be reached in time.
     ///
     /// An exhausted retry budget is not a reason, because its window moves on: a sub-request that it blocks now may be
-    /// sent later. The query waits for it and is abandoned with [`AbandonCause::DeadlineExceeded`] if it is never sent.
+    /// sent later. The query waits for it and is abandoned with [`AbandonCause::DeadlineExceeded`] or
+    /// [`AbandonCause::ShuttingDown`] if it is never sent.
     fn is_unanswerable(&self, query: &Query, sub_request: &SubRequest) -> bool {
         !sub_request.succeeded
             && sub_request.in_flight() == 0
@@ -203,7 +189,11 @@
         let query = self.open_query(query_index);
         let is_query_of_death = || self.may_be_query_of_death(query, CrashEvidence::Proven);
         if self.now >= progress.abandon_at {
-            Some(AbandonCause::DeadlineExceeded)
+            Some(if self.ends_by_shutdown(query) {
+                AbandonCause::ShuttingDown
+            } else {
+                AbandonCause::DeadlineExceeded
+            })
         } else if is_query_of_death() && !query.is_in_flight() {
             Some(AbandonCause::QueryOfDeath)
         } else if !progress.can_reach_min() {
--- a/crates/linenthread-core/src/policy/send_guard.rs
+++ b/crates/linenthread-core/src/policy/send_guard.rs
@@ -2,7 +2,6 @@
 //! only here.
 
 use super::Coordinator;
-use super::resolution::abandon_at;
 use crate::interface::{Idempotency, ReplicaIndex, TenthMillis};
 use crate::state::{Outage, Query, SubRequest};
 
@@ -55,7 +54,7 @@
         replica_index: ReplicaIndex,
     ) -> bool {
         let replica = &self.replicas[replica_index];
-        let abandon_at = abandon_at(query, self.index_config(query));
+        let abandon_at = self.abandon_at(query);
         // With probes, a trial attempt may be sent to a replica whose outage has lasted long enough, even if no probe
         // has reached it, and that may happen before the query is abandoned. Without probes, only an attempt can detect
         // that a replica has recovered, so waiting reveals nothing and only the replica's current state counts.
--- a/crates/linenthread-core/src/policy/sending.rs
+++ b/crates/linenthread-core/src/policy/sending.rs
@@ -1,7 +1,6 @@
 //! Sends an attempt, and closes idle connections first if they tend to fail.
 
 use super::Coordinator;
-use super::resolution::abandon_at;
 use super::windows::{RETAINED_RESPONSES, SHORT_TIME_CONSTANT};
 use crate::interface::{DecisionSink, QueryIndex, ReplicaIndex, SubRequestIndex, TenthMillis};
 use crate::state::{Attempt, ConnectionUse};
@@ -28,8 +27,7 @@
             return;
         };
         let now = self.now;
-        let query = self.open_query(query_index);
-        let abandon_at = abandon_at(query, self.index_config(query));
+        let abandon_at = self.abandon_at(self.open_query(query_index));
         self.count_attempt(query_index, sub_request_index, replica_index);
         let connection = self.prepare_connection(replica_index, sink);
         let sub_request = &mut self.open_query_mut(query_index).sub_requests[sub_request_index];
--- a/crates/linenthread-core/tests/scenarios/main.rs
+++ b/crates/linenthread-core/tests/scenarios/main.rs
@@ -8,6 +8,7 @@
 //!   `delta c=a:0 ready` lists c under the former index of a; `unavailable` is a failure of service discovery;
 //! - `query L key 7 hard 4000 shards 0 1` starts a query, `sub-requests L 0 1` adds a fetch phase, and `abandoned L`
 //!   means that the client has left;
+//! - `shutdown 900` means that the process shuts down and that all queries must have ended by that time;
 //! - `routes 0/1000 1/500 1/0` is a routing table: for each zone (of a, b, c) its distance and the number of keys per
 //!   thousand for which the route is open; `routes` alone removes the table;
 //! - `continue L.0` repeats a sub-request that has succeeded;
@@ -31,7 +32,7 @@
 use crate::runner::Runner;
 
 /// The minimum number of scenarios, so that a missing one is noticed.
-const MIN_SCENARIOS: usize = 58;
+const MIN_SCENARIOS: usize = 59;
 
 /// Runs a scenario; an error includes the failing statement.
 fn run(name: &str, text: &str) -> Result<(), String> {
--- a/crates/linenthread-core/tests/scenarios/runner.rs
+++ b/crates/linenthread-core/tests/scenarios/runner.rs
@@ -96,6 +96,7 @@
                 let query = self.query_index(rest[0])?;
                 self.inputs.cancelled.push(query);
             }
+            "shutdown" => self.inputs.shutdown_at = Some(START_TIME + time(rest.first())?),
             "probed" => self.probed(rest)?,
             "serve" => self.serve(rest)?,
             "stream" => self.stream(rest)?,
--- a/crates/linenthread-dataplane/src/clock.rs
+++ b/crates/linenthread-dataplane/src/clock.rs
@@ -53,7 +53,12 @@
 
 /// Returns the current time in the unit of the decision module, tenths of a millisecond.
 pub fn now_tenth_millis() -> TenthMillis {
-    START_TENTHS + duration_to_tenth_millis(uptime())
+    to_tenth_millis_at(tokio::time::Instant::now())
+}
+
+/// Converts a time of tokio's clock to the unit of the decision module.
+pub(crate) fn to_tenth_millis_at(at: tokio::time::Instant) -> TenthMillis {
+    START_TENTHS + duration_to_tenth_millis(at.saturating_duration_since(start()))
 }
 
 /// Converts a time of the decision module to the clock that [`now`] reads; times before the clock's start become its
--- a/crates/linenthread-dataplane/src/data_plane.rs
+++ b/crates/linenthread-dataplane/src/data_plane.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use linenthread_config::{Configuration, Destination, ResolvedRoute, RoutingTable, Settings};
-use linenthread_core::interface::PendingQueries;
+use linenthread_core::interface::{PendingQueries, TenthMillis};
 use linenthread_hash::fnv1a_64;
 use linenthread_messages::WindowCounts;
 use linenthread_time::{Instant, WallTime, WindowLength};
@@ -17,7 +17,7 @@
 use crate::pool::ReplicaRequest;
 use crate::replica_table::{ReplicaTable, UpdateScope};
 use crate::retry_quota::RetryQuota;
-use crate::shutdown::{ClosingWatch, Shutdown};
+use crate::shutdown::{Shutdown, ShutdownWatch};
 use crate::transport::{Connector, TcpConnector};
 use crate::usage_counter::UsageCounter;
 use crate::zone_indices::ZoneIndices;
@@ -241,6 +241,9 @@
         let dispatcher = Dispatcher::new(backends, max_attempts, &self.settings, seed, usage);
         let pools = self.replicas.borrow().pools_of(&key.backends);
         dispatcher.update_replicas(&pools, &self.zones);
+        if let Some(respond_until) = self.shutdown.respond_until() {
+            dispatcher.shut_down(respond_until);
+        }
         self.dispatchers
             .borrow_mut()
             .insert(key, dispatcher.clone());
@@ -313,20 +316,29 @@
         self.usage.borrow_mut().take_changed()
     }
 
-    /// Begins the first step of a shutdown: the node is no longer ready, and each connection closes after its
-    /// next response.
-    pub fn begin_drain(&self) {
-        self.shutdown.begin_drain();
+    /// Begins the first step of a shutdown: the node is no longer ready, each connection closes after its next
+    /// response, and the decision module ends all requests by `respond_until`.
+    pub(crate) fn begin_drain(&self, respond_until: TenthMillis) {
+        self.shutdown.begin_drain(respond_until);
+        for dispatcher in self.dispatchers.borrow().values() {
+            dispatcher.shut_down(respond_until);
+        }
     }
 
     /// Begins the second step of a shutdown: no new connections are accepted, and connections without a request in
     /// flight close.
-    pub fn close(&self) {
+    pub(crate) fn close(&self) {
         self.shutdown.close();
     }
 
-    /// Returns a watch that completes on [`DataPlane::close`].
-    pub fn watch_closing(&self) -> ClosingWatch {
+    /// Begins the last step of a shutdown: connections on which a request has been read only in part close, so that no
+    /// further request is in flight.
+    pub(crate) fn finish(&self) {
+        self.shutdown.finish();
+    }
+
+    /// Returns a watch for the steps of the shutdown.
+    pub fn watch_shutdown(&self) -> ShutdownWatch {
         self.shutdown.watch()
     }
 
--- a/crates/linenthread-dataplane/src/dispatcher.rs
+++ b/crates/linenthread-dataplane/src/dispatcher.rs
@@ -95,6 +95,12 @@
         );
     }
 
+    /// Notifies the decision module that the process shuts down: all queries must have ended by `shutdown_at`.
+    pub(crate) fn shut_down(&self, shutdown_at: TenthMillis) {
+        self.state.borrow_mut().inputs.shutdown_at = Some(shutdown_at);
+        self.input_arrived.notify_one();
+    }
+
     /// Applies the status of replicas; replicas of other backends are ignored.
     pub(crate) fn update_replicas(&self, pools: &[Rc<ReplicaPool<C>>], zones: &ZoneIndices) {
         let mut state = self.state.borrow_mut();
@@ -191,7 +197,8 @@
         if !abandoned.is_empty() {
             let backend = self.backends.first().map_or("", |backend| backend);
             log::info!(backend = backend, backends = self.backends.len(),
-                deadline_exceeded = abandoned.deadline_exceeded, crash_suspected = abandoned.crash_suspected,
+                deadline_exceeded = abandoned.deadline_exceeded,
+                shutting_down = abandoned.shutting_down, crash_suspected = abandoned.crash_suspected,
                 unanswerable = abandoned.unanswerable, too_slow = abandoned.too_slow,
                 saturated = abandoned.saturated; "event=request_abandoned");
         }
--- a/crates/linenthread-dataplane/src/dispatcher/decisions.rs
+++ b/crates/linenthread-dataplane/src/dispatcher/decisions.rs
@@ -46,6 +46,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct AbandonedCounts {
     pub(super) deadline_exceeded: u64,
+    pub(super) shutting_down: u64,
     pub(super) crash_suspected: u64,
     pub(super) unanswerable: u64,
     pub(super) too_slow: u64,
@@ -84,6 +85,7 @@
     fn report_abandon_cause(&mut self, _query: QueryIndex, cause: AbandonCause) {
         *match cause {
             AbandonCause::DeadlineExceeded => &mut self.abandoned.deadline_exceeded,
+            AbandonCause::ShuttingDown => &mut self.abandoned.shutting_down,
             AbandonCause::QueryOfDeath => &mut self.abandoned.crash_suspected,
             AbandonCause::Unanswerable => &mut self.abandoned.unanswerable,
             AbandonCause::ExpectedLate => &mut self.abandoned.too_slow,
--- a/crates/linenthread-dataplane/src/lib.rs
+++ b/crates/linenthread-dataplane/src/lib.rs
@@ -43,6 +43,6 @@
 pub use replica_table::UpdateScope;
 pub use retry_quota::RetryQuota;
 pub use server::serve;
-pub use shutdown::ClosingWatch;
+pub use shutdown::ShutdownWatch;
 pub use usage_counter::UsageCounter;
 pub use usage_rule::{UsageRule, requests_to_count};
--- a/crates/linenthread-dataplane/src/server.rs
+++ b/crates/linenthread-dataplane/src/server.rs
@@ -38,19 +38,25 @@
 {
     let mut http = HttpConnection::new(stream);
     let _client = plane.count_client();
-    let mut closing = plane.watch_closing();
+    let mut shutdown = plane.watch_shutdown();
     loop {
         let limits = request_limits(&plane);
         let readable = tokio::select! {
             biased;
             readable = http.wait_for_data(limits.idle_timeout) => readable,
-            () = closing.wait_for_closing() => return,
+            () = shutdown.wait_for_closing() => return,
         };
         if readable.is_err() {
             return;
         }
         let _request = plane.count_request();
-        let persistence = match receive(&mut http, &limits).await {
+        let received = tokio::select! {
+            biased;
+            received = receive(&mut http, &limits) => received,
+            // The request has not been read completely, so the client may send it again.
+            () = shutdown.wait_for_finishing() => return,
+        };
+        let persistence = match received {
             Ok(request) => serve_request(&mut http, &request, &plane).await,
             Err(error) => {
                 reject(&mut http, peer, &error).await;
--- a/crates/linenthread-node/src/ingress.rs
+++ b/crates/linenthread-node/src/ingress.rs
@@ -32,8 +32,6 @@
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The timeout for sending the last usage counts to a control node.
 const USAGE_REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// How long sending the last usage counts may take after the deadline for responses.
-const USAGE_REPORT_MARGIN: Duration = Duration::from_millis(300);
 
 /// The running ingress role.
 pub(crate) struct Ingress {
@@ -81,7 +79,7 @@
     let schedule = ShutdownSchedule::new(grace);
     drain(&plane, &schedule).await;
     let report_deadline =
-        (Instant::now() + USAGE_REPORT_TIMEOUT).min(schedule.respond_until + USAGE_REPORT_MARGIN);
+        (Instant::now() + USAGE_REPORT_TIMEOUT).min(schedule.last_work_deadline());
     control_client.shut_down(report_deadline).await;
 }
 
@@ -93,10 +91,10 @@
 
 /// Accepts clients until the data plane closes.
 async fn accept_clients(listener: TcpListener, address: SocketAddr, plane: Rc<DataPlane>) {
-    let mut closing = plane.watch_closing();
+    let mut shutdown = plane.watch_shutdown();
     loop {
         let accepted = tokio::select! {
-            () = closing.wait_for_closing() => return,
+            () = shutdown.wait_for_closing() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
--- a/crates/linenthread-service/src/coordinator_driver/mod.rs
+++ b/crates/linenthread-service/src/coordinator_driver/mod.rs
@@ -254,6 +254,7 @@
         continuations,
         probes,
         cancelled,
+        shutdown_at,
     } = inputs;
     membership.clear();
     *zone_routes = None;
@@ -263,4 +264,5 @@
     continuations.clear();
     probes.clear();
     cancelled.clear();
+    *shutdown_at = None;
 }
