Logs tell what becomes of a departure across restarts

The three ingress nodes had present=4 at the departure (392.820); 0.8 s later core-3 starts with replicas=5 from its disk, and 100 ms after that each ingress node logs replica_returned id=i-desk-1 draining=false and present=5. It times out 4.5 s later.

--- a/crates/linenthread-control/src/control_node/replica_calls.rs
+++ b/crates/linenthread-control/src/control_node/replica_calls.rs
@@ -6,7 +6,8 @@
 
 use crate::pending_drains::{CompletedCall, UpdateId};
 use crate::{
-    CallId, ControlNode, Effect, HeartbeatOutcome, RegisteredReplica, ReplicaHeartbeat, Response,
+    CallId, ControlEvent, ControlNode, Effect, HeartbeatOutcome, RegisteredReplica,
+    ReplicaHeartbeat, Response,
 };
 
 impl ControlNode {
@@ -137,11 +138,18 @@
         let completed = self
             .pending_drains
             .take_completed(now, |nodes| register.is_majority(nodes.iter().copied()));
-        effects.extend(
-            completed
-                .into_iter()
-                .map(|CompletedCall { call, response }| Effect::Respond { call, response }),
-        );
+        for CompletedCall {
+            call,
+            replica_id,
+            response,
+        } in completed
+        {
+            if matches!(response, Response::Acknowledged { .. }) {
+                let event = ControlEvent::DrainAcknowledged { id: replica_id };
+                effects.push(Effect::Log(event));
+            }
+            effects.push(Effect::Respond { call, response });
+        }
     }
 
     /// Returns the control address that replicas of a zone should report to: this node's if it is in that zone, else the
--- a/crates/linenthread-control/src/event.rs
+++ b/crates/linenthread-control/src/event.rs
@@ -41,6 +41,11 @@
         /// The replica's id.
         id: String,
     },
+    /// A replica was told that its drain or its departure is recorded.
+    DrainAcknowledged {
+        /// The replica's id.
+        id: String,
+    },
     /// The process did not run for so long that its view of its peers is stale.
     ResumedAfterPause {
         /// For how long the process did not run.
@@ -118,6 +123,9 @@
             ControlEvent::ReplicaTimedOut { id } => {
                 write!(f, "event=replica_timed_out id={id}")
             }
+            ControlEvent::DrainAcknowledged { id } => {
+                write!(f, "event=drain_acknowledged id={id}")
+            }
             ControlEvent::ResumedAfterPause { paused } => write!(
                 f,
                 "event=resumed_after_pause paused_ms={}",
--- a/crates/linenthread-control/src/pending_drains.rs
+++ b/crates/linenthread-control/src/pending_drains.rs
@@ -43,6 +43,7 @@
 /// A completed call, with its response.
 pub(crate) struct CompletedCall {
     pub(crate) call: CallId,
+    pub(crate) replica_id: String,
     pub(crate) response: Response,
 }
 
@@ -140,6 +141,7 @@
             };
             completed.push(CompletedCall {
                 call: drain.call,
+                replica_id: drain.replica_id.clone(),
                 response,
             });
             false
--- a/crates/linenthread-dataplane/src/replica_table.rs
+++ b/crates/linenthread-dataplane/src/replica_table.rs
@@ -69,6 +69,9 @@
         if pool.status() == status {
             return None;
         }
+        if pool.status().departed && !status.departed {
+            log::info!(id = replica.id, draining = status.draining; "event=replica_returned");
+        }
         pool.set_status(status);
         Some(pool)
     }
--- a/crates/linenthread-node/src/control/mod.rs
+++ b/crates/linenthread-node/src/control/mod.rs
@@ -238,8 +238,8 @@
         retry_window: settings.retry_window,
         usage: settings.platform.as_ref().map(usage_config),
     };
-    log::info!(disk = identity.id.0, empty = identity.disk_is_empty, genesis = identity.is_genesis_voter;
-        "event=control_started");
+    log::info!(disk = identity.id.0, empty = identity.disk_is_empty, genesis = identity.is_genesis_voter,
+        replicas = durable_state.replicas.len(); "event=control_started");
     if identity.disk_is_empty {
         persist_identity(identity.id, genesis.clone(), state_writer);
     }
