A drain is acknowledged once it is on the disks of a majority

Cause: the acknowledgement rested on the memory of a majority.

Change: a drain or departure is a record of one replica in the state log (Record::drains), and a node acknowledges it, its own included, after the sync (the sync's completion sends the UpdateAck). Why this suffices: a node tells ingress nodes nothing before it is in contact with a majority, each contact begins with the peer's whole registry, and every majority has a disk with the record; in a merge an end, or the higher call count, prevails. Heartbeats wait for no disk, and the registry is not written at a drain.

Four tests of single_node.rs let the node's own disk sync, which now counts like any other; what they assert is as strict, and the first also asserts that one disk of three is too few.

--- a/crates/linenthread-consensus/src/durable_state.rs
+++ b/crates/linenthread-consensus/src/durable_state.rs
@@ -1,5 +1,7 @@
 //! The state on a node's disk, rebuilt from its records.
 
+use std::collections::BTreeMap;
+
 use linenthread_messages::{Accepted, Ballot, Record, Replica, Value};
 
 use crate::acceptor::Acceptor;
@@ -23,6 +25,9 @@
     pub epoch: Epoch,
     /// The replicas from the last record that lists or clears them.
     pub replicas: Vec<Replica>,
+    /// The replicas that drain or have ended, by id: those of the last record that lists or clears the replicas, and of
+    /// later records. They prevail over `replicas`.
+    pub drains: BTreeMap<String, Replica>,
 }
 
 impl DurableState {
@@ -32,7 +37,11 @@
         self.epoch = self.epoch.max(Epoch::new(record.epoch));
         if !record.replicas.is_empty() || record.replicas_cleared {
             self.replicas = record.replicas;
+            self.drains.clear();
         }
+        let drains = record.drains.into_iter();
+        self.drains
+            .extend(drains.map(|replica| (replica.id.clone(), replica)));
         self.order_log.extend(&record.order_log);
         if let Some(value) = record.decided {
             self.add_decided(value);
@@ -72,6 +81,7 @@
                 decided: self.decided.clone(),
                 epoch: self.epoch.get(),
                 replicas: self.replicas.clone(),
+                drains: self.drains.values().cloned().collect(),
                 order_log: self.order_log.iter().collect(),
                 ..Record::default()
             },
--- a/crates/linenthread-control/src/control_node.rs
+++ b/crates/linenthread-control/src/control_node.rs
@@ -87,6 +87,7 @@
         now: Instant,
     ) -> ControlNode {
         let replicas = std::mem::take(&mut durable_state.replicas);
+        let drains = std::mem::take(&mut durable_state.drains);
         let epoch = durable_state.epoch;
         let budget = RetryBudget::new(config.retry_allowance, config.retry_window);
         let mut control = ControlNode {
@@ -114,7 +115,9 @@
         };
         control.adopt_durable_value(now);
         // Replicas known before the restart may still be running: each gets the usual time to send a heartbeat.
-        control.registry.restore(now, &replicas);
+        control
+            .registry
+            .restore(now, replicas.iter().chain(drains.values()));
         control
     }
 
--- a/crates/linenthread-control/src/control_node/register_driver.rs
+++ b/crates/linenthread-control/src/control_node/register_driver.rs
@@ -148,6 +148,7 @@
         let own_id = self.register.id();
         match message {
             PeerMessage::LeaseReply(reply) => self.on_lease_reply(now, own_id, &reply, effects),
+            PeerMessage::UpdateAck(ack) => self.on_update_ack(now, own_id, &ack, effects),
             PeerMessage::LeaseRelease(release) => drop(self.lease.on_release(own_id, &release)),
             message => self
                 .register
--- a/crates/linenthread-control/src/control_node/replica_calls.rs
+++ b/crates/linenthread-control/src/control_node/replica_calls.rs
@@ -1,10 +1,11 @@
 //! Replica calls: heartbeats and departures.
 
-use linenthread_consensus::NodeId;
+use linenthread_consensus::{AfterSync, NodeId};
 use linenthread_messages::{ControlUpdate, PeerMessage, UpdateAck};
 use linenthread_time::Instant;
 
 use crate::pending_drains::{CompletedCall, UpdateId};
+use crate::replica_snapshot::drain_record;
 use crate::{
     CallId, ControlEvent, ControlNode, Effect, HeartbeatOutcome, RegisteredReplica,
     ReplicaHeartbeat, Response,
@@ -88,7 +89,7 @@
     }
 
     /// Sends the replica's state to the other control nodes, and delays the response to the call until more than half of
-    /// the voters have acknowledged it.
+    /// the voters have it on their disks.
     fn await_majority(
         &mut self,
         now: Instant,
@@ -96,9 +97,9 @@
         replica_id: &str,
         effects: &mut Vec<Effect>,
     ) {
-        let update_id = self
-            .pending_drains
-            .begin(now, call, replica_id, self.register.id());
+        let update_id = self.pending_drains.begin(now, call, replica_id);
+        let own_id = self.register.id();
+        self.persist_drains(now, [replica_id].into_iter(), own_id, update_id, effects);
         let replicas = self
             .registry
             .get(replica_id)
@@ -119,7 +120,34 @@
         self.complete_drains(now, effects);
     }
 
-    /// Handles another control node's acknowledgement of an update.
+    /// Persists which of these replicas drain or have ended, and acknowledges the update to `to` once that is durable.
+    /// Replicas that this node knows to be available again need no record.
+    pub(super) fn persist_drains<'a>(
+        &mut self,
+        now: Instant,
+        replica_ids: impl Iterator<Item = &'a str>,
+        to: NodeId,
+        update_id: UpdateId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let drained = replica_ids
+            .filter_map(|replica_id| self.registry.get(replica_id))
+            .filter(|known| known.is_draining_or_ended());
+        let record = drain_record(now, drained);
+        let message = PeerMessage::UpdateAck(UpdateAck {
+            update_id: update_id.get(),
+        });
+        if record.drains.is_empty() {
+            self.send_to_node(to, message, effects);
+        } else {
+            effects.push(Effect::Persist {
+                record,
+                after_sync: vec![AfterSync::Send { to, message }],
+            });
+        }
+    }
+
+    /// Handles a control node's acknowledgement of an update.
     pub(super) fn on_update_ack(
         &mut self,
         now: Instant,
--- a/crates/linenthread-control/src/control_node/replica_updates.rs
+++ b/crates/linenthread-control/src/control_node/replica_updates.rs
@@ -1,8 +1,9 @@
 //! Updates between control nodes: replicas, sessions of ingress nodes, and control addresses.
 
-use linenthread_messages::{ControlUpdate, PeerMessage, UpdateAck};
+use linenthread_messages::{ControlUpdate, PeerMessage};
 use linenthread_time::Instant;
 
+use crate::pending_drains::UpdateId;
 use crate::{ControlNode, Effect, HeartbeatOutcome, SessionId};
 
 impl ControlNode {
@@ -120,13 +121,10 @@
         if update.has_sessions {
             self.ingress_nodes.set_remote(session, update.sessions);
         }
-        if update.update_id > 0 {
-            effects.push(Effect::Send {
-                session,
-                message: PeerMessage::UpdateAck(UpdateAck {
-                    update_id: update.update_id,
-                }),
-            });
+        if let (1.., Some(peer)) = (update.update_id, self.membership.get(session)) {
+            let (node_id, update_id) = (peer.node_id(), UpdateId::new(update.update_id));
+            let replica_ids = update.replicas.iter().map(|replica| replica.id.as_str());
+            self.persist_drains(now, replica_ids, node_id, update_id, effects);
         }
         if any_changed {
             self.flush_changed_replicas(now, effects);
--- a/crates/linenthread-control/src/pending_drains.rs
+++ b/crates/linenthread-control/src/pending_drains.rs
@@ -1,5 +1,5 @@
 //! Pending calls of replicas that drain or depart. Each call is acknowledged once a majority of the voters have
-//! recorded it.
+//! recorded it on their disks, so that it outlasts a restart of all of them.
 
 use std::collections::BTreeSet;
 
@@ -9,7 +9,7 @@
 use crate::timing::CALL_TIMEOUT;
 use crate::{CallId, Response, UnavailableReason};
 
-/// Id of an update that the other control nodes acknowledge, unique within this node's incarnation and counted from 1.
+/// Id of an update that the control nodes acknowledge once it is on their disks, unique within this node's incarnation and counted from 1.
 /// Acknowledgements of other updates do not count.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct UpdateId(u64);
@@ -36,7 +36,7 @@
     /// Id of the update that was sent to the other control nodes.
     update_id: UpdateId,
     deadline: Instant,
-    /// Ids of the nodes that acknowledged the update.
+    /// Ids of the nodes, this one included, whose disks hold the update.
     acknowledged_by: BTreeSet<NodeId>,
 }
 
@@ -83,21 +83,16 @@
             .retain(|replica_id| is_registered(replica_id));
     }
 
-    /// Adds a pending call; returns the id of the update that the other nodes acknowledge.
-    pub(crate) fn begin(
-        &mut self,
-        now: Instant,
-        call: CallId,
-        replica_id: &str,
-        own_id: NodeId,
-    ) -> UpdateId {
+    /// Adds a pending call; returns the id of the update that all nodes, this one included, acknowledge once it is on
+    /// their disks.
+    pub(crate) fn begin(&mut self, now: Instant, call: CallId, replica_id: &str) -> UpdateId {
         self.last_update_id = self.last_update_id.next();
         self.pending.push(PendingDrain {
             call,
             replica_id: replica_id.to_owned(),
             update_id: self.last_update_id,
             deadline: now + CALL_TIMEOUT,
-            acknowledged_by: BTreeSet::from([own_id]),
+            acknowledged_by: BTreeSet::new(),
         });
         self.last_update_id
     }
--- a/crates/linenthread-control/src/replica_registry.rs
+++ b/crates/linenthread-control/src/replica_registry.rs
@@ -235,9 +235,13 @@
         is_complete && !was_complete
     }
 
-    /// Restores the replicas from disk. They are not logged as changes, since nobody has been sent an offset of this
-    /// log yet.
-    pub(crate) fn restore(&mut self, now: Instant, replicas: &[Replica]) {
+    /// Restores the replicas from disk; later ones prevail. They are not logged as changes, since nobody has been sent an
+    /// offset of this log yet.
+    pub(crate) fn restore<'a>(
+        &mut self,
+        now: Instant,
+        replicas: impl IntoIterator<Item = &'a Replica>,
+    ) {
         for replica in replicas {
             self.merge(now, replica);
         }
--- a/crates/linenthread-control/src/replica_snapshot.rs
+++ b/crates/linenthread-control/src/replica_snapshot.rs
@@ -5,9 +5,9 @@
 use linenthread_messages::{Record, Replica};
 use linenthread_time::Instant;
 
-use crate::ReplicaRegistry;
 use crate::change_log::ChangeLogOffset;
 use crate::timing::{SNAPSHOT_INTERVAL, SNAPSHOT_REWRITE_INTERVAL};
+use crate::{RegisteredReplica, ReplicaRegistry};
 
 /// A snapshot to be written.
 pub(crate) struct Snapshot {
@@ -72,20 +72,40 @@
     }
 }
 
-/// Builds the record of the present replicas.
+/// Builds the record of the present replicas, and of those that ended recently: other disks may list them as present.
 fn snapshot_record(now: Instant, registry: &ReplicaRegistry) -> Record {
-    let replicas: Vec<Replica> = registry
-        .iter()
-        .filter(|registered| !registered.replica.timed_out_or_ended)
-        .map(|registered| Replica {
-            age_ms: 0,
-            warmup_ms: 0,
-            ..registered.snapshot(now)
-        })
-        .collect();
+    let select = |is_selected: fn(&Replica) -> bool| -> Vec<Replica> {
+        registry
+            .iter()
+            .filter(|registered| is_selected(&registered.replica))
+            .map(|registered| durable_replica(now, registered))
+            .collect()
+    };
+    let replicas = select(|replica| !replica.timed_out_or_ended);
     Record {
         replicas_cleared: replicas.is_empty(),
         replicas,
+        drains: select(|replica| replica.ended),
         ..Record::default()
     }
 }
+
+/// Builds the record of replicas that drain or have ended.
+pub(crate) fn drain_record<'a>(
+    now: Instant,
+    drained: impl Iterator<Item = &'a RegisteredReplica>,
+) -> Record {
+    Record {
+        drains: drained.map(|known| durable_replica(now, known)).collect(),
+        ..Record::default()
+    }
+}
+
+/// Returns the state of a replica without its ages, which mean nothing after a restart.
+fn durable_replica(now: Instant, registered: &RegisteredReplica) -> Replica {
+    Replica {
+        age_ms: 0,
+        warmup_ms: 0,
+        ..registered.snapshot(now)
+    }
+}
--- a/crates/linenthread-control/tests/nodes/cluster.rs
+++ b/crates/linenthread-control/tests/nodes/cluster.rs
@@ -153,14 +153,20 @@
         self.nodes[n].control.as_ref().expect("the node is running")
     }
 
-    /// Starts a node from the synced records on its disk.
-    pub(crate) fn start(&mut self, n: usize) {
-        let incarnation = Incarnation::new(self.next_number() * 1_000 + 1);
+    /// Returns the state on a node's disk: that of the synced records.
+    pub(crate) fn disk_state(&self, n: usize) -> DurableState {
         let mut state = DurableState::default();
         self.nodes[n]
             .disk
             .iter()
             .for_each(|record| state.add(record.clone()));
+        state
+    }
+
+    /// Starts a node from the synced records on its disk.
+    pub(crate) fn start(&mut self, n: usize) {
+        let incarnation = Incarnation::new(self.next_number() * 1_000 + 1);
+        let state = self.disk_state(n);
         let is_first_start = state.id.is_none() && self.now == FIRST_START;
         let id = state.id.unwrap_or(if is_first_start {
             NodeId::genesis(&address(n))
--- a/crates/linenthread-control/tests/nodes/main.rs
+++ b/crates/linenthread-control/tests/nodes/main.rs
@@ -1,8 +1,9 @@
 //! Tests of several control nodes in one simulated cluster: loss of contact, pauses, shutdowns, replacement of voters,
-//! and usage reports.
+//! departures of replicas, and usage reports.
 
 mod cluster;
 mod contact;
+mod departures;
 mod orders_under_load;
 mod platform;
 mod shutdown;
--- a/crates/linenthread-control/tests/single_node.rs
+++ b/crates/linenthread-control/tests/single_node.rs
@@ -8,7 +8,8 @@
     SessionId,
 };
 use linenthread_messages::{
-    Heartbeat, Hello, PeerMessage, Record, UpdateAck, UsageUpdate, VERSION, Value, Voter,
+    ControlUpdate, Heartbeat, Hello, PeerMessage, Record, Replica, UpdateAck, UsageUpdate, VERSION,
+    Value, Voter,
 };
 use linenthread_time::{Instant, WallTime};
 
@@ -113,6 +114,19 @@
     control.on_replica_heartbeat(at(0), CallId(1), "i", heartbeat, effects);
 }
 
+/// Completes the sync of all records that the node has written with these effects.
+fn sync(control: &mut ControlNode, now: u64, effects: &mut Vec<Effect>) {
+    let written: Vec<AfterSync> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Persist { after_sync, .. } => Some(after_sync.clone()),
+            _ => None,
+        })
+        .flatten()
+        .collect();
+    control.on_synced(at(now), written, effects);
+}
+
 /// Acknowledges the first update on behalf of the peer of a session.
 fn acknowledge(control: &mut ControlNode, now: u64, session: u64, effects: &mut Vec<Effect>) {
     let ack = PeerMessage::UpdateAck(UpdateAck { update_id: 1 });
@@ -171,19 +185,47 @@
     assert!(responses(&effects).is_empty());
     let requests_ack = |effect: &Effect| matches!(effect, Effect::Send { message: PeerMessage::ControlUpdate(update), .. } if update.update_id == 1);
     assert!(effects.iter().any(requests_ack));
-    effects.clear();
     acknowledge(&mut control, 10, 1, &mut effects);
+    assert!(responses(&effects).is_empty(), "it is on one disk of three");
+    sync(&mut control, 12, &mut effects);
     assert_eq!(
         responses(&effects),
         [&Response::Acknowledged { report_to: None }]
     );
 }
 
+/// Guards against DRAIN of review case 3: another node acknowledged an update that only its memory held.
+#[test]
+fn a_drain_of_another_node_is_acknowledged_once_it_is_on_disk() {
+    let (mut control, mut effects) = (node(), Vec::new());
+    connect(&mut control, 0, 1, 2, VERSION);
+    let update = ControlUpdate {
+        replicas: vec![Replica {
+            id: "i".into(),
+            address: "10.9.0.1:1".into(),
+            call_count: 3,
+            draining: true,
+            ..Replica::default()
+        }],
+        update_id: 7,
+        ..ControlUpdate::default()
+    };
+    let message = PeerMessage::ControlUpdate(update);
+    control.on_message(at(5), SessionId(1), message, &mut effects);
+    let acknowledges = |effect: &Effect| matches!(effect, Effect::Send { session: SessionId(1), message: PeerMessage::UpdateAck(ack) } if ack.update_id == 7);
+    assert!(!effects.iter().any(acknowledges));
+    let is_recorded = |effect: &Effect| matches!(effect, Effect::Persist { record, .. } if record.drains.len() == 1 && record.replicas.is_empty());
+    assert!(effects.iter().any(is_recorded));
+    sync(&mut control, 10, &mut effects);
+    assert!(effects.iter().any(acknowledges));
+}
+
 #[test]
 fn a_drain_recorded_by_no_other_node_is_not_acknowledged() {
     let (mut control, mut effects) = (node(), Vec::new());
     connect(&mut control, 0, 1, 2, VERSION);
     drain(&mut control, &mut effects);
+    sync(&mut control, 2, &mut effects);
     control.on_session_closed(at(5), SessionId(1), &mut effects);
     acknowledge(&mut control, 10, 1, &mut effects);
     assert!(responses(&effects).is_empty());
@@ -201,6 +243,7 @@
         connect(&mut control, 0, n as u64, n, VERSION);
     }
     drain(&mut control, &mut effects);
+    sync(&mut control, 2, &mut effects);
     acknowledge(&mut control, 10, 2, &mut effects);
     control.on_session_closed(at(20), SessionId(2), &mut effects);
     acknowledge(&mut control, 30, 3, &mut effects);
@@ -391,6 +434,7 @@
     connect(&mut control, 0, 5, 2, VERSION);
     connect(&mut control, 0, 3, 3, VERSION);
     drain(&mut control, &mut effects);
+    sync(&mut control, 2, &mut effects);
     acknowledge(&mut control, 10, 1, &mut effects);
     control.on_session_closed(at(20), SessionId(1), &mut effects);
     acknowledge(&mut control, 30, 3, &mut effects);
@@ -405,6 +449,7 @@
     let (mut control, mut effects) = (node(), Vec::new());
     connect(&mut control, 0, 1, 2, VERSION);
     drain(&mut control, &mut effects);
+    sync(&mut control, 2, &mut effects);
     acknowledge(&mut control, 10, 1, &mut effects);
     assert_eq!(responses(&effects).len(), 1);
     let voters = (1..=4).map(|n| Voter {
@@ -427,6 +472,7 @@
         responses(&effects).is_empty(),
         "two of four voters may not have recorded it"
     );
+    sync(&mut control, 35, &mut effects);
     for session in [1, 4] {
         let ack = PeerMessage::UpdateAck(UpdateAck { update_id: 2 });
         control.on_message(at(40), SessionId(session), ack, &mut effects);
--- a/crates/linenthread-messages/src/agreement.rs
+++ b/crates/linenthread-messages/src/agreement.rs
@@ -127,6 +127,10 @@
     /// this.
     #[prost(bool, tag = "9")]
     pub replicas_cleared: bool,
+    /// Replicas that drain or have ended. Without a snapshot they are in addition to those of earlier records, with one
+    /// they replace them.
+    #[prost(message, repeated, tag = "10")]
+    pub drains: Vec<crate::Replica>,
 }
 
 /// Phase 1a: asks an acceptor to promise not to accept anything with a lower ballot.
--- a/crates/linenthread-messages/tests/golden.rs
+++ b/crates/linenthread-messages/tests/golden.rs
@@ -343,8 +343,9 @@
                 epoch: 50,
                 replicas: vec![replica("replica-4"), replica("replica-5")],
                 order_log: vec![order(300), order(302)],
-                // The version that wrote the files did not have this field.
+                // The version that wrote the files did not have these fields.
                 replicas_cleared: false,
+                drains: Vec::new(),
             },
         ),
         (
