The departure of a replica that no heartbeat has arrived of is recorded

Cause: an unknown replica had nothing to mark as ended, and the call was acknowledged all the same.

Change: the departure is recorded with the id alone, replicated and synced like any other, and goes after the registry's retention of 60 s: a heartbeat's caller gives up after a second, so nothing older is on its way. At most 4,096 of them are retained; beyond that the call gets 503 and nothing is promised.

--- a/crates/linenthread-control/src/control_node/replica_calls.rs
+++ b/crates/linenthread-control/src/control_node/replica_calls.rs
@@ -8,7 +8,7 @@
 use crate::replica_snapshot::drain_record;
 use crate::{
     CallId, ControlEvent, ControlNode, Effect, HeartbeatOutcome, RegisteredReplica,
-    ReplicaHeartbeat, Response,
+    ReplicaHeartbeat, Response, UnavailableReason,
 };
 
 impl ControlNode {
@@ -47,8 +47,8 @@
         }
     }
 
-    /// Handles a replica's announcement that it departs. If this node knows the replica, the call is acknowledged only
-    /// after a majority of the voters has acknowledged the departure.
+    /// Handles a replica's announcement that it departs. The call is acknowledged only after a majority of the voters has
+    /// recorded the departure, also if no heartbeat of the replica has arrived yet.
     pub fn on_replica_departure(
         &mut self,
         now: Instant,
@@ -61,13 +61,16 @@
             effects.push(Effect::Respond { call, response });
             return;
         }
+        if !self.registry.can_record_departure(replica_id) {
+            let response = Response::Unavailable(UnavailableReason::TooManyDepartures);
+            effects.push(Effect::Respond { call, response });
+            return;
+        }
         if self.registry.mark_departed(now, replica_id) {
             self.pending_drains.forget(replica_id);
             self.queue_for_peers(replica_id, &[]);
         }
-        // The replica may have departed earlier without an acknowledgement by a majority so far. For a replica that this
-        // node does not know there is nothing to announce: it never reached this node, or ended so long ago that its
-        // entry was removed. If another node still knows it, it times out there.
+        // The replica may have departed earlier without an acknowledgement by a majority so far.
         if self.needs_majority_ack(replica_id) {
             self.await_majority(now, call, replica_id, effects);
             self.flush_changed_replicas(now, effects);
--- a/crates/linenthread-control/src/replica_registry.rs
+++ b/crates/linenthread-control/src/replica_registry.rs
@@ -14,6 +14,9 @@
 /// How long an ended replica is retained, so that a late heartbeat does not add it again.
 const ENDED_RETENTION: Duration = Duration::from_millis(60_000);
 
+/// How many departures of replicas that never sent a heartbeat are retained.
+const MAX_UNKNOWN_DEPARTURES: usize = 4_096;
+
 /// How many changes of replicas are retained. An ingress node that lacks more is sent the whole registry.
 const MAX_LOGGED_CHANGES: usize = 4_096;
 
@@ -98,6 +101,24 @@
         self.replica.draining || self.replica.ended
     }
 
+    /// Returns a replica of which nothing but the id is known.
+    fn unknown(now: Instant, id: &str) -> RegisteredReplica {
+        RegisteredReplica {
+            replica: Replica {
+                id: id.to_owned(),
+                ..Replica::default()
+            },
+            last_heartbeat_at: now,
+            warmed_up_at: now,
+            ended_at: None,
+        }
+    }
+
+    /// Reports whether nothing but the departure of the replica is known.
+    fn is_unknown_departure(&self) -> bool {
+        self.replica.ended && self.replica.address.is_empty()
+    }
+
     fn end(&mut self, now: Instant) {
         self.replica.ended = true;
         self.replica.timed_out_or_ended = true;
@@ -313,17 +334,32 @@
         superseded
     }
 
-    /// Records that a replica announced its end; returns whether the replica was known and had not ended before.
+    /// Reports whether the departure of a replica can be recorded. That of an unknown one can't while too many such
+    /// departures are retained.
+    pub fn can_record_departure(&self, id: &str) -> bool {
+        self.replicas.contains_key(id)
+            || self
+                .replicas
+                .values()
+                .filter(|known| known.is_unknown_departure())
+                .count()
+                < MAX_UNKNOWN_DEPARTURES
+    }
+
+    /// Records that a replica announced its end; returns whether it had not ended before. An unknown replica is recorded,
+    /// too: its first heartbeat may still be on the way.
     pub fn mark_departed(&mut self, now: Instant, id: &str) -> bool {
-        match self.replicas.get_mut(id) {
-            Some(known) if !known.replica.ended => {
-                known.end(now);
-                self.changes.append(id);
-                self.digest.set(None);
-                true
-            }
-            _ => false,
+        let known = self
+            .replicas
+            .entry(id.to_owned())
+            .or_insert_with(|| RegisteredReplica::unknown(now, id));
+        if known.replica.ended {
+            return false;
         }
+        known.end(now);
+        self.changes.append(id);
+        self.digest.set(None);
+        true
     }
 
     /// Times out the replicas without a heartbeat for longer than `timeout`, and returns their ids. Times out none if
--- a/crates/linenthread-control/src/response.rs
+++ b/crates/linenthread-control/src/response.rs
@@ -36,6 +36,8 @@
     QuorumTimedOut,
     /// This node recorded the change, but a majority of the voters did not acknowledge it in time.
     NotReplicated,
+    /// Too many departures of replicas that never sent a heartbeat are retained: this one was not recorded.
+    TooManyDepartures,
     /// The node is shutting down, and knows no other node that accepts calls.
     ShuttingDown,
     /// Too many orders or reads are pending on this node: the call was not started.
@@ -69,6 +71,9 @@
             UnavailableReason::NotReplicated => {
                 "a majority of the voters did not acknowledge the change in time"
             }
+            UnavailableReason::TooManyDepartures => {
+                "too many departures of unknown replicas are retained"
+            }
             UnavailableReason::ShuttingDown => "the control node is shutting down",
             UnavailableReason::TooManyPending => "too many orders and reads are pending",
             UnavailableReason::Joining => "the control node has not learned the configuration yet",
--- a/crates/linenthread-control/tests/nodes/departures.rs
+++ b/crates/linenthread-control/tests/nodes/departures.rs
@@ -1,6 +1,6 @@
 //! Replicas that drain or depart, and losses of control nodes and disks around the acknowledgement.
 
-use linenthread_control::{CallId, ReplicaHeartbeat, Response};
+use linenthread_control::{CallId, ReplicaHeartbeat, ReplicaRegistry, Response};
 use linenthread_time::Instant;
 use yare::parameterized;
 
@@ -32,12 +32,16 @@
 }
 
 impl Deployment {
-    /// Starts the control nodes and registers the replica long enough ago that the disks list it.
-    fn with_replica(nodes: usize) -> Deployment {
-        let mut deployment = Deployment {
+    fn new(nodes: usize) -> Deployment {
+        Deployment {
             cluster: Cluster::new(nodes, nodes),
             last_call: 1_000_000,
-        };
+        }
+    }
+
+    /// Starts the control nodes and registers the replica long enough ago that the disks list it.
+    fn with_replica(nodes: usize) -> Deployment {
+        let mut deployment = Deployment::new(nodes);
         for call_count in 1..=4 {
             deployment.heartbeat(0, "available", call_count);
             deployment.cluster.run(ms(800));
@@ -178,6 +182,44 @@
     assert!(deployment.first_offer(500).is_some());
 }
 
+/// Guards against DRAIN of the review's late first heartbeat: the departure of a replica that no heartbeat had arrived of
+/// was acknowledged and not recorded, so that the heartbeat added the replica.
+#[parameterized(
+    at_the_called_node = { 0, false },
+    at_another_node = { 1, false },
+    after_a_restart = { 1, true },
+)]
+fn a_first_heartbeat_after_the_departure_adds_no_replica(n: usize, restarts: bool) {
+    let mut deployment = Deployment::new(3);
+    let response = deployment.leave(0, Leaving::Departure);
+    assert_eq!(response, Response::Acknowledged { report_to: None });
+    if restarts {
+        deployment.restart(&[0, 1, 2]);
+    }
+    deployment.cluster.run(ms(3_000));
+    deployment.heartbeat(n, "available", 1);
+    assert_eq!(deployment.first_offer(6_000), None);
+}
+
+/// Guards against memory that grows with calls of unknown replicas.
+#[test]
+fn departures_of_unknown_replicas_are_bounded() {
+    let mut registry = ReplicaRegistry::default();
+    let now = Instant::from_millis(1_000);
+    let mut recorded = 0;
+    while registry.can_record_departure(&format!("i-{recorded}")) {
+        assert!(registry.mark_departed(now, &format!("i-{recorded}")));
+        recorded += 1;
+    }
+    assert!(recorded > 1_000 && recorded < 10_000, "{recorded}");
+    assert!(
+        registry.can_record_departure("i-0"),
+        "it is recorded already"
+    );
+    registry.expire(now + ms(60_000), ms(4_000));
+    assert!(registry.is_empty());
+}
+
 /// Guards against records of departures that pile up on disk: the next snapshot replaces them, and forgets those that
 /// ended long ago.
 #[test]
