A pipelined request that was read gets its response when the node drains

The second has been read from the connection, too, but the first response says Connection: close, and nothing follows.

Cause: a draining node closes a connection after the response in progress, whatever it has read behind it.

Change: it closes once no byte of a further request has been read.

Test: pipelined_requests_that_were_read_get_responses, both cases failed before.

--- a/crates/linenthread-dataplane/src/connection.rs
+++ b/crates/linenthread-dataplane/src/connection.rs
@@ -108,6 +108,11 @@
         Ok(())
     }
 
+    /// Reports whether bytes of the next message have been read from the stream.
+    pub fn has_unread_bytes(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Reads a request head of at most `max_bytes` bytes. Its first byte must arrive within `idle_timeout`, and the
     /// rest within `head_timeout` after that.
     ///
--- a/crates/linenthread-dataplane/src/server.rs
+++ b/crates/linenthread-dataplane/src/server.rs
@@ -112,7 +112,9 @@
         },
         Err(response) => response,
     };
-    let persistence = if request.head.keeps_alive() && !plane.is_draining() {
+    // A further request that has been read, at least in part, is served even if the node drains.
+    let ends_by_shutdown = plane.is_draining() && !http.has_unread_bytes();
+    let persistence = if request.head.keeps_alive() && !ends_by_shutdown {
         Persistence::KeepAlive
     } else {
         Persistence::Close
--- a/crates/linenthread-dataplane/tests/graceful_shutdown.rs
+++ b/crates/linenthread-dataplane/tests/graceful_shutdown.rs
@@ -321,6 +321,27 @@
     }
 }
 
+/// Guards against LOST of requests that have been read behind another one: its response said that the connection closes,
+/// and they got none.
+#[parameterized(
+    both_succeed = { 200, 60, vec![200, 200] },
+    second_is_in_flight_at_the_exit = { 560, 560, vec![200, 502] },
+)]
+fn pipelined_requests_that_were_read_get_responses(
+    first_ms: u64,
+    second_ms: u64,
+    expected: Vec<u16>,
+) {
+    let (first, second) = (
+        StubReplica::responding(first_ms),
+        StubReplica::responding(second_ms),
+    );
+    let both = request("POST", "/once/x") + &request("GET", "/one/x");
+    let replicas = [("s4", &first), ("s1", &second)];
+    let seen = at_shutdown(MANY_RETRIES, &replicas, &both, GRACE);
+    assert_eq!(seen.statuses, expected);
+}
+
 /// Guards against a half-read request that is sent on, or that delays the exit: its client may send it again.
 #[test]
 fn a_request_that_is_not_complete_at_the_exit_is_not_sent() {
