--- a/crates/linenthread-dataplane-sim/src/checker.rs
+++ b/crates/linenthread-dataplane-sim/src/checker.rs
@@ -9,6 +9,7 @@
 //! | *key-never-forwarded* | neither a byte of a client's key nor an `Authorization` header reaches a replica |
 //! | *tenant-of-key* | a request reaches replicas only with the name of the tenant that owns its key, and is rejected with 401 only if no tenant owns it |
 //! | *complete-or-declared* | each request gets one response in time, which is complete or states the number of missing parts |
+//! | *answered-before-exit* | at a planned shutdown, each request that was read gets its response before the process exits |
 
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
@@ -23,6 +24,9 @@
 use crate::event_log::{Arrival, EventLog, Execution};
 use crate::tenants::{Identity, KeyHistory};
 
+/// A request that was written this long before its connection ended was read.
+const MAX_UNREAD_TIME: Duration = Duration::from_millis(200);
+
 /// A rule that the data plane must obey.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
@@ -42,6 +46,8 @@
     TenantOfKey,
     /// Each request gets one response in time, which is complete or states the number of missing parts.
     CompleteOrDeclared,
+    /// At a planned shutdown, each request that was read gets its response before the process exits.
+    AnsweredBeforeExit,
 }
 
 impl fmt::Display for Rule {
@@ -54,6 +60,7 @@
             Rule::KeyNeverForwarded => "key-never-forwarded",
             Rule::TenantOfKey => "tenant-of-key",
             Rule::CompleteOrDeclared => "complete-or-declared",
+            Rule::AnsweredBeforeExit => "answered-before-exit",
         })
     }
 }
@@ -90,6 +97,8 @@
     pub unauthorized: usize,
     /// Requests whose client gave up before the response.
     pub abandoned: usize,
+    /// Requests whose connection ended at a shutdown before they were read.
+    pub unread: usize,
 }
 
 impl AddAssign for Counts {
@@ -101,6 +110,7 @@
         self.rejected += other.rejected;
         self.unauthorized += other.unauthorized;
         self.abandoned += other.abandoned;
+        self.unread += other.unread;
     }
 }
 
@@ -150,6 +160,8 @@
     requests: Vec<ClientRequest>,
     /// Ids of requests that must not have been executed.
     rejected: Vec<String>,
+    /// Ids of requests whose connection ended at a shutdown and that must not have arrived at a replica.
+    unread: Vec<String>,
 }
 
 impl Checker {
@@ -162,6 +174,7 @@
             counts: Counts::default(),
             requests: Vec::new(),
             rejected: Vec::new(),
+            unread: Vec::new(),
         }
     }
 
@@ -261,6 +274,21 @@
         }
     }
 
+    /// Records that a connection ended at a shutdown before a response arrived. `pending` is the time since the last byte
+    /// of the request was written; `None` if not all of it was accepted.
+    pub(crate) fn on_closed_at_shutdown(
+        &mut self,
+        request: &ClientRequest,
+        pending: Option<Duration>,
+    ) {
+        self.counts.unread += 1;
+        self.unread.push(request.request_id.clone());
+        if let Some(pending) = pending.filter(|pending| *pending > MAX_UNREAD_TIME) {
+            let cause = format!("{} got no response within {pending:?}", request.request_id);
+            self.add_violation(Rule::AnsweredBeforeExit, cause);
+        }
+    }
+
     /// Records that a connection ended or stalled before a response arrived.
     pub(crate) fn on_missing_response(&mut self, request: &ClientRequest, cause: &str) {
         let cause = format!("{} got no response: {cause}", request.request_id);
@@ -338,7 +366,15 @@
             .iter()
             .map(|request| (request.request_id.as_str(), request))
             .collect();
+        let unread: BTreeSet<String> = std::mem::take(&mut self.unread).into_iter().collect();
         for arrival in self.log.take_arrivals() {
+            if unread.contains(&arrival.request_id) {
+                let cause = format!(
+                    "{} was sent to a replica and got no response",
+                    arrival.request_id
+                );
+                self.add_violation(Rule::AnsweredBeforeExit, cause);
+            }
             match by_id.get(arrival.request_id.as_str()) {
                 Some(request) => self.check_arrival(request, &arrival),
                 None => self.add_violation(Rule::TenantOfKey, format!("nobody sent {arrival:?}")),
--- a/crates/linenthread-dataplane-sim/src/lib.rs
+++ b/crates/linenthread-dataplane-sim/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod deployment;
 mod event_log;
 pub mod fault_plan;
+mod ingress_process;
 pub mod network;
 mod random;
 pub mod replica;
