A control node that missed a departure does not bring the replica back

Change: what a node knows only from its disk, or from before it lost contact or was paused, is unconfirmed (a flag in the messages between control nodes). A complete registry of another node drops what it does not list, and no node adds what another one has not confirmed. Every contact begins with complete registries, so each node has compared with a majority before it tells ingress nodes anything; so records of departures need not be kept for longer than late heartbeats need.

Tests: a_disk_that_is_older_than_all_records_of_a_departure_adds_no_replica (3 cases) and a_drained_replica_that_timed_out_is_not_added_by_a_node_that_missed_the_drain (2) failed before; replicas_that_all_disks_list_are_offered_right_after_a_restart_of_all_nodes held before and holds.

--- a/crates/linenthread-control/src/control_node/contact.rs
+++ b/crates/linenthread-control/src/control_node/contact.rs
@@ -37,6 +37,7 @@
             self.drop_session(now, session, effects);
         }
         self.contact.reset();
+        self.registry.mark_unconfirmed();
         self.complete_drains(now, effects);
         self.drive_register(
             now,
@@ -58,6 +59,7 @@
             }
             Some(ContactChange::Lost) => {
                 effects.push(Effect::Log(ControlEvent::QuorumLost));
+                self.registry.mark_unconfirmed();
                 self.drop_ingress_sessions(now, effects);
             }
             None => {}
--- a/crates/linenthread-control/src/control_node/replica_updates.rs
+++ b/crates/linenthread-control/src/control_node/replica_updates.rs
@@ -115,6 +115,9 @@
             any_changed |= observation.outcome == HeartbeatOutcome::Changed;
             self.forget_ended_drain(&replica.id);
         }
+        if update.complete {
+            self.registry.confirm(&update.replicas);
+        }
         for address in &update.control_addresses {
             self.address_book.learn(now, address);
         }
--- a/crates/linenthread-control/src/replica_registry.rs
+++ b/crates/linenthread-control/src/replica_registry.rs
@@ -1,7 +1,7 @@
 //! The registry of replicas: the state of each, merged from heartbeats in any order, and the log of changes.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use linenthread_hash::fnv1a_64;
@@ -101,6 +101,18 @@
         self.replica.draining || self.replica.ended
     }
 
+    /// Reports whether the replica is known to be present only from this node's disk, or from before it was out of contact.
+    fn is_unconfirmed(&self) -> bool {
+        self.replica.unconfirmed && !self.is_draining_or_ended()
+    }
+
+    /// Returns when the replica ended, or timed out while it drained; `None` if neither.
+    fn gone_since(&self, timeout: Duration) -> Option<Instant> {
+        let drained = self.replica.draining && self.replica.timed_out_or_ended;
+        self.ended_at
+            .or_else(|| drained.then(|| self.last_heartbeat_at + timeout))
+    }
+
     /// Returns a replica of which nothing but the id is known.
     fn unknown(now: Instant, id: &str) -> RegisteredReplica {
         RegisteredReplica {
@@ -127,6 +139,7 @@
 
     /// Merges a report of the same replica.
     fn merge(&mut self, now: Instant, report: &Replica) -> HeartbeatOutcome {
+        self.replica.unconfirmed &= report.unconfirmed;
         if self.replica.ended {
             return HeartbeatOutcome::Stale;
         }
@@ -257,19 +270,51 @@
     }
 
     /// Restores the replicas from disk; later ones prevail. They are not logged as changes, since nobody has been sent an
-    /// offset of this log yet.
+    /// offset of this log yet. See [`ReplicaRegistry::confirm`].
     pub(crate) fn restore<'a>(
         &mut self,
         now: Instant,
         replicas: impl IntoIterator<Item = &'a Replica>,
     ) {
         for replica in replicas {
-            self.merge(now, replica);
+            let restored = Replica {
+                unconfirmed: true,
+                ..replica.clone()
+            };
+            self.merge(now, &restored);
+        }
+    }
+
+    /// Marks the present replicas as unconfirmed, after the node was out of contact: they may have departed.
+    pub(crate) fn mark_unconfirmed(&mut self) {
+        for known in self.replicas.values_mut() {
+            known.replica.unconfirmed = true;
         }
     }
 
-    /// Merges a report of a replica, sent by itself or by another control node, and logs the changes.
+    /// Removes the unconfirmed replicas that the complete registry of another node does not list. They may have departed,
+    /// and the other node may have known that and have forgotten it by now. A replica that is running sends its next
+    /// heartbeat soon.
+    pub(crate) fn confirm(&mut self, complete: &[Replica]) {
+        let listed: BTreeSet<&str> = complete.iter().map(|replica| replica.id.as_str()).collect();
+        let count = self.replicas.len();
+        self.replicas
+            .retain(|id, known| !known.is_unconfirmed() || listed.contains(id.as_str()));
+        if self.replicas.len() < count {
+            self.digest.set(None);
+        }
+    }
+
+    /// Merges a report of a replica, sent by itself or by another control node, and logs the changes. A replica that is
+    /// present and unconfirmed at another node is not added.
     pub fn observe(&mut self, now: Instant, report: &Replica) -> Observation {
+        let is_unconfirmed = report.unconfirmed && !report.draining && !report.ended;
+        if is_unconfirmed && !self.replicas.contains_key(&report.id) {
+            return Observation {
+                outcome: HeartbeatOutcome::Stale,
+                superseded: Vec::new(),
+            };
+        }
         let observation = self.merge(now, report);
         if observation.outcome == HeartbeatOutcome::Changed {
             for id in observation.superseded.iter().chain([&report.id]) {
@@ -364,12 +409,12 @@
 
     /// Times out the replicas without a heartbeat for longer than `timeout`, and returns their ids. Times out none if
     /// more than half would time out at once, since the cause is then more likely a loss of heartbeats. Also removes
-    /// replicas that ended long ago.
+    /// replicas that ended, or timed out while they drained, long ago.
     pub fn expire(&mut self, now: Instant, timeout: Duration) -> Vec<String> {
         self.replicas.retain(|_, known| {
             known
-                .ended_at
-                .is_none_or(|ended_at| now < ended_at + ENDED_RETENTION)
+                .gone_since(timeout)
+                .is_none_or(|gone_since| now < gone_since + ENDED_RETENTION)
         });
         let timed_out = |known: &RegisteredReplica| {
             !known.replica.timed_out_or_ended && now > known.last_heartbeat_at + timeout
--- a/crates/linenthread-control/src/replica_snapshot.rs
+++ b/crates/linenthread-control/src/replica_snapshot.rs
@@ -72,7 +72,8 @@
     }
 }
 
-/// Builds the record of the present replicas, and of those that ended recently: other disks may list them as present.
+/// Builds the record of the present replicas, and of those that drained or ended recently: other disks may list them as
+/// present.
 fn snapshot_record(now: Instant, registry: &ReplicaRegistry) -> Record {
     let select = |is_selected: fn(&Replica) -> bool| -> Vec<Replica> {
         registry
@@ -85,7 +86,7 @@
     Record {
         replicas_cleared: replicas.is_empty(),
         replicas,
-        drains: select(|replica| replica.ended),
+        drains: select(|replica| replica.ended || replica.draining && replica.timed_out_or_ended),
         ..Record::default()
     }
 }
@@ -106,6 +107,7 @@
     Replica {
         age_ms: 0,
         warmup_ms: 0,
+        unconfirmed: false,
         ..registered.snapshot(now)
     }
 }
--- a/crates/linenthread-control/tests/golden.rs
+++ b/crates/linenthread-control/tests/golden.rs
@@ -109,6 +109,8 @@
         age_ms: 1_234,
         warmup_ms: 56_789,
         ended: false,
+        // The version that wrote the files did not have this field.
+        unconfirmed: false,
     }
 }
 
--- a/crates/linenthread-control/tests/nodes/departures.rs
+++ b/crates/linenthread-control/tests/nodes/departures.rs
@@ -12,8 +12,12 @@
 const CALL_TIMEOUT_MS: u64 = 900;
 
 fn heartbeat(phase: &str, call_count: u64) -> ReplicaHeartbeat {
+    heartbeat_from("10.9.0.1:1", phase, call_count)
+}
+
+fn heartbeat_from(address: &str, phase: &str, call_count: u64) -> ReplicaHeartbeat {
     let text = format!(
-        r#"{{"backend":"s","address":"10.9.0.1:1","zone":"z","phase":"{phase}","call_count":{call_count}}}"#
+        r#"{{"backend":"s","address":"{address}","zone":"z","phase":"{phase}","call_count":{call_count}}}"#
     );
     serde_json::from_str(&text).unwrap()
 }
@@ -63,6 +67,20 @@
         call
     }
 
+    /// Sends the first heartbeat of another replica to a control node.
+    fn register_another(&mut self) {
+        self.register_another_at("10.9.0.2:1", "i-2", 1);
+    }
+
+    /// Sends a heartbeat of another replica to a control node.
+    fn register_another_at(&mut self, address: &str, id: &str, call_count: u64) {
+        let call = self.next_call();
+        self.cluster.run_on(0, |control, now, effects| {
+            let heartbeat = heartbeat_from(address, "available", call_count);
+            control.on_replica_heartbeat(now, call, id, heartbeat, effects);
+        });
+    }
+
     /// Announces at a control node that the replica leaves, and waits for the response.
     fn leave(&mut self, n: usize, how: Leaving) -> Response {
         let call = match how {
@@ -159,6 +177,37 @@
     assert_eq!(deployment.first_offer(6_000), None);
 }
 
+/// Guards against the same loss after the departure has been forgotten everywhere: a disk that stalled for longer than ended
+/// replicas are retained still lists the replica.
+#[parameterized(
+    of_another_node = { 2, &[2, 0, 1] },
+    which_starts_with_one_other = { 2, &[2, 1] },
+    which_starts_last = { 2, &[0, 1, 2] },
+)]
+fn a_disk_that_is_older_than_all_records_of_a_departure_adds_no_replica(
+    stalled: usize,
+    order: &[usize],
+) {
+    let mut deployment = Deployment::with_replica(3);
+    deployment.cluster.nodes[stalled].sync_time = ms(600_000);
+    deployment.leave(0, Leaving::Departure);
+    deployment.cluster.run(ms(62_000));
+    // A change, so that the other disks hold a snapshot that does not know the replica any more.
+    deployment.register_another();
+    deployment.cluster.run(ms(3_000));
+    assert!(deployment.cluster.disk_state(1).drains.is_empty());
+    deployment.restart(order);
+    assert_eq!(deployment.first_offer(6_000), None);
+}
+
+/// Guards against a restart of all nodes that makes ingress nodes wait for heartbeats: what the disks agree on is offered.
+#[test]
+fn replicas_that_all_disks_list_are_offered_right_after_a_restart_of_all_nodes() {
+    let mut deployment = Deployment::with_replica(3);
+    deployment.restart(&[0, 1, 2]);
+    assert!(deployment.first_offer(200).is_some());
+}
+
 /// Guards against a promise that rests on memory alone: without a majority of the disks there is no acknowledgement.
 #[test]
 fn a_departure_on_one_of_three_disks_is_not_acknowledged() {
@@ -229,14 +278,48 @@
     deployment.cluster.run(ms(5_000));
     assert_eq!(deployment.cluster.disk_state(1).drains.len(), 1);
     deployment.cluster.run(ms(60_000));
-    let heartbeat =
-        r#"{"backend":"s","address":"10.9.0.2:1","zone":"z","phase":"available","call_count":1}"#;
-    let heartbeat: ReplicaHeartbeat = serde_json::from_str(heartbeat).unwrap();
-    let call = deployment.next_call();
-    deployment.cluster.run_on(0, |control, now, effects| {
-        control.on_replica_heartbeat(now, call, "i-2", heartbeat, effects);
-    });
+    deployment.register_another();
     deployment.cluster.run(ms(3_000));
     let disk = deployment.cluster.disk_state(1);
     assert_eq!((disk.replicas.len(), disk.drains.len()), (1, 0));
 }
+
+/// Guards against DRAIN after a drained replica has timed out: the snapshots forgot it, and a node that had been paused
+/// since before the drain added it as available.
+#[parameterized(
+    killed = { false },
+    paused = { true },
+)]
+fn a_drained_replica_that_timed_out_is_not_added_by_a_node_that_missed_the_drain(paused: bool) {
+    let mut deployment = Deployment::with_replica(3);
+    let others_heartbeat = |deployment: &mut Deployment, count| {
+        deployment.register_another_at("10.9.0.3:1", "i-3", count);
+        deployment.register_another_at("10.9.0.4:1", "i-4", count);
+        deployment.cluster.run(ms(800));
+    };
+    others_heartbeat(&mut deployment, 1);
+    if paused {
+        deployment.cluster.nodes[2].paused = true;
+    } else {
+        deployment.cluster.crash(2);
+    }
+    assert_eq!(
+        deployment.leave(0, Leaving::Drain),
+        Response::Acknowledged { report_to: None }
+    );
+    for count in 2..14 {
+        others_heartbeat(&mut deployment, count);
+    }
+    let known = deployment.cluster.control(1).registry().get(REPLICA);
+    assert!(known.is_some_and(|known| known.replica.timed_out_or_ended));
+    for n in [0, 1] {
+        deployment.cluster.crash(n);
+        deployment.cluster.start(n);
+    }
+    if paused {
+        deployment.cluster.resume(2, |_, _, _| {});
+    } else {
+        deployment.cluster.start(2);
+    }
+    assert_eq!(deployment.first_offer(6_000), None);
+}
--- a/crates/linenthread-messages/src/sessions.rs
+++ b/crates/linenthread-messages/src/sessions.rs
@@ -43,6 +43,10 @@
     /// The replica has departed, or another one has taken its address; it will not return.
     #[prost(bool, tag = "12")]
     pub ended: bool,
+    /// The sender knows the replica only from its disk, or from before it lost contact with the other control nodes: since
+    /// then neither it nor a control node that it has heard from has received a heartbeat of the replica.
+    #[prost(bool, tag = "13")]
+    pub unconfirmed: bool,
 }
 
 /// The availability of a replica, as known to the control node that sends it.
