--- a/crates/linenthread-dataplane/src/pool.rs
+++ b/crates/linenthread-dataplane/src/pool.rs
@@ -63,6 +63,8 @@
     status: Cell<ReplicaStatus>,
     /// When the status last changed.
     status_changed_at: Cell<Instant>,
+    /// The number of the replica's last heartbeat before its end; `None` unless an update said that it had ended.
+    ended_after_call: Cell<Option<u64>>,
     max_connections: Cell<usize>,
     idle_connections: RefCell<Vec<IdleConnection<C>>>,
     in_use: Counter,
@@ -87,6 +89,7 @@
                 departed: replica.timed_out_or_ended,
             }),
             status_changed_at: Cell::new(Instant::START),
+            ended_after_call: Cell::new(None),
             max_connections: Cell::new(usize::MAX),
             idle_connections: RefCell::default(),
             in_use: Counter::default(),
@@ -119,6 +122,18 @@
         self.status_changed_at.set(clock::now());
     }
 
+    /// Records that the replica ended, and the number of its last heartbeat before.
+    pub fn set_ended(&self, call_count: u64) {
+        self.ended_after_call.set(Some(call_count));
+    }
+
+    /// Reports whether an update tells of a time before the replica's end. A control node that has lost its disk may not
+    /// know of the end.
+    pub fn is_older_than_end(&self, update: &linenthread_messages::Replica) -> bool {
+        let ended_after_call = self.ended_after_call.get();
+        !update.ended && ended_after_call.is_some_and(|last| update.call_count <= last)
+    }
+
     /// Sets the address from an update that names the replica. The former address gets no new requests, and
     /// connections to it end with the requests in flight.
     pub fn set_address(&self, address: SocketAddr) {
--- a/crates/linenthread-dataplane/src/replica_table.rs
+++ b/crates/linenthread-dataplane/src/replica_table.rs
@@ -63,6 +63,12 @@
                 self.add(replica)
             };
         };
+        if pool.is_older_than_end(replica) {
+            return None;
+        }
+        if replica.ended {
+            pool.set_ended(replica.call_count);
+        }
         if let Ok(address) = replica.address.parse() {
             pool.set_address(address);
         }
--- a/crates/linenthread-dataplane/tests/server.rs
+++ b/crates/linenthread-dataplane/tests/server.rs
@@ -353,6 +353,40 @@
     );
 }
 
+/// Guards against DRAIN of review case 3: an ingress node gave up what it knew of a departure for an older record.
+#[parameterized(
+    older = { 6, 503 },
+    same_heartbeat = { 7, 503 },
+    newer = { 8, 200 },
+)]
+fn a_departure_is_not_given_up_for_an_older_record(call_count: u64, expected: u16) {
+    let statuses = in_simulated_time(async {
+        let network = Network::default();
+        let plane = data_plane(1, network.clone(), RETRIES_PER_WINDOW);
+        let address = SocketAddr::from(([10, 0, 0, 1], 80));
+        network.listen(address, Rc::new(Replicas::responding()));
+        let present = |call_count| linenthread_messages::Replica {
+            id: "i1".into(),
+            backend: "s1".into(),
+            address: address.to_string(),
+            call_count,
+            ..Default::default()
+        };
+        let ended = linenthread_messages::Replica {
+            timed_out_or_ended: true,
+            ended: true,
+            ..present(7)
+        };
+        let mut statuses = Vec::new();
+        for update in [present(7), ended, present(call_count)] {
+            plane.update_replicas(&[update], UpdateScope::Changes);
+            statuses.push(status_at(plane.clone(), "/one/x").await);
+        }
+        statuses
+    });
+    assert_eq!(statuses, [200, 503, expected]);
+}
+
 #[test]
 fn a_retry_quota_expires_without_contact_to_control_nodes() {
     let left = in_simulated_time(async {
