Simulation of the system: departures, late heartbeats, and losses right after a drain

Replicas also depart; departures repeat, and heartbeats that were sent before may arrive after them, even the first one. One first acknowledgement of a drain in 30 is followed, within 1.3 s, by the end of all processes, a loss of power or the loss of a disk. New rule acknowledged-drain-lasts: 3 s after the acknowledgement no ingress node is told that the replica is available, whatever nodes are lost, paused or cut off.

--- a/crates/linenthread-simulation/src/system/checker/replicas.rs
+++ b/crates/linenthread-simulation/src/system/checker/replicas.rs
@@ -1,9 +1,10 @@
-//! Checks that an acknowledged drain is known to a majority of the voters.
+//! Checks that an acknowledged drain is known to a majority of the voters, and is never forgotten.
 
 use std::time::Duration;
 
 use linenthread_control::ControlNode;
-use linenthread_messages::Voter;
+use linenthread_messages::{IngressUpdate, ReplicaState, Voter};
+use linenthread_time::Instant;
 
 use super::super::invariant::Invariant;
 use super::super::world::World;
@@ -11,7 +12,30 @@
 /// A process that has run for less than this may have known a drain before it was restarted.
 const RECENT_START_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time from the acknowledgement of a drain within which ingress nodes may still be told that the replica is available.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(3_000);
+
 impl World {
+    /// Checks [`Invariant::AcknowledgedDrainLasts`] for an update sent to an ingress node.
+    pub(in super::super) fn check_offered(
+        &mut self,
+        index: usize,
+        sent_at: Instant,
+        update: &IngressUpdate,
+    ) {
+        for replica in &update.replicas {
+            let acknowledged_at = self.replicas.acknowledged_at(&replica.id);
+            let is_late = acknowledged_at.is_some_and(|at| sent_at > at + DRAIN_TIMEOUT);
+            if is_late && replica.state() == ReplicaState::Available {
+                let details = format!(
+                    "ingress node {index} is told that {} is available",
+                    replica.id
+                );
+                self.violation(Invariant::AcknowledgedDrainLasts, &details);
+            }
+        }
+    }
+
     /// Checks [`Invariant::DrainsAreKnown`].
     pub(in super::super) fn check_drain(&mut self, node: usize, replica_id: &str) {
         self.report.coverage.drains += 1;
--- a/crates/linenthread-simulation/src/system/event.rs
+++ b/crates/linenthread-simulation/src/system/event.rs
@@ -94,6 +94,10 @@
     LossAfterAcknowledgement {
         node: usize,
     },
+    /// Processes or a disk are lost shortly after this node acknowledged a drain.
+    LossAfterDrain {
+        node: usize,
+    },
     SecondLoss,
     /// A machine is shut down permanently after its successor has started.
     Decommission {
--- a/crates/linenthread-simulation/src/system/fault.rs
+++ b/crates/linenthread-simulation/src/system/fault.rs
@@ -8,6 +8,7 @@
     TornWrite,
     WriteRejected,
     AllProcessesKilled,
+    AllProcessesKilledAfterAcknowledgement,
     AllMachinesLosePower,
     AllMachinesLosePowerAfterAcknowledgement,
     ProcessKilled,
@@ -46,6 +47,9 @@
             FaultKind::TornWrite => "write cut off by a crash",
             FaultKind::WriteRejected => "write rejected by the disk",
             FaultKind::AllProcessesKilled => "all processes killed",
+            FaultKind::AllProcessesKilledAfterAcknowledgement => {
+                "all processes killed after an acknowledgement"
+            }
             FaultKind::AllMachinesLosePower => "all machines lose power",
             FaultKind::AllMachinesLosePowerAfterAcknowledgement => {
                 "all machines lose power after an acknowledgement"
--- a/crates/linenthread-simulation/src/system/faults/second_losses.rs
+++ b/crates/linenthread-simulation/src/system/faults/second_losses.rs
@@ -100,4 +100,22 @@
             _ => {}
         }
     }
+
+    /// Ends all processes after a drain was acknowledged, or loses a disk.
+    pub(in super::super) fn inject_loss_after_drain(&mut self, node: usize) {
+        if self.is_healed() {
+            return;
+        }
+        match self.random.below(4) {
+            0 | 1 => self.end_all(
+                ProcessEnd::Killed,
+                FaultKind::AllProcessesKilledAfterAcknowledgement,
+            ),
+            2 => self.end_all(
+                ProcessEnd::PowerLost,
+                FaultKind::AllMachinesLosePowerAfterAcknowledgement,
+            ),
+            _ => self.inject_loss_after_acknowledgement(node),
+        }
+    }
 }
--- a/crates/linenthread-simulation/src/system/ingress.rs
+++ b/crates/linenthread-simulation/src/system/ingress.rs
@@ -94,6 +94,13 @@
     /// Delivers input to the current process of an ingress node.
     pub(super) fn deliver_to_ingress(&mut self, index: usize, delivery: Delivery) {
         let now = self.now();
+        if let Delivery::Message {
+            sent_at, message, ..
+        } = &delivery
+            && let PeerMessage::IngressUpdate(update) = &**message
+        {
+            self.check_offered(index, *sent_at, update);
+        }
         let ingress = &mut self.ingress.nodes[index];
         match delivery {
             Delivery::Message {
--- a/crates/linenthread-simulation/src/system/invariant.rs
+++ b/crates/linenthread-simulation/src/system/invariant.rs
@@ -20,6 +20,8 @@
     MonotonicState,
     /// A majority of the voters knows each acknowledged drain.
     DrainsAreKnown,
+    /// Once a drain was acknowledged, no ingress node is told any more that the replica is available.
+    AcknowledgedDrainLasts,
     /// At most one node holds the lease at any time, and no two incarnations hold it under the same epoch.
     OneLeaseHolderPerEpoch,
     /// The retries that all ingress nodes together may use stay within the retry allowance.
@@ -71,6 +73,7 @@
             Invariant::ReadsAreNewest => "reads-are-newest",
             Invariant::MonotonicState => "monotonic-state",
             Invariant::DrainsAreKnown => "drains-are-known",
+            Invariant::AcknowledgedDrainLasts => "acknowledged-drain-lasts",
             Invariant::OneLeaseHolderPerEpoch => "one-lease-holder-per-epoch",
             Invariant::GrantsWithinAllowance => "grants-within-allowance",
             Invariant::NoResponseWithoutQuorum => "no-response-without-quorum",
--- a/crates/linenthread-simulation/src/system/mod.rs
+++ b/crates/linenthread-simulation/src/system/mod.rs
@@ -39,6 +39,7 @@
 mod random;
 mod recovery;
 mod recovery_time;
+mod replica_calls;
 mod replicas;
 mod report;
 mod requests;
--- a/crates/linenthread-simulation/src/system/operators.rs
+++ b/crates/linenthread-simulation/src/system/operators.rs
@@ -173,39 +173,7 @@
         if let Some(call) = self.send_read(node, 0) {
             self.run_read(node, call);
         }
-        self.send_replica_heartbeat(node);
-    }
-}
-
-// --- replicas ---
-
-impl World {
-    /// Sends a heartbeat of a replica to any node, and schedules the next one.
-    pub(super) fn step_replica(&mut self) {
-        let wait = Duration::from_millis(40) + self.random.millis_below(100);
-        self.push_in(wait, Event::ReplicaHeartbeat);
-        let node = self.random_machine();
-        if self.is_running(node) {
-            self.send_replica_heartbeat(node);
-        }
-    }
-
-    fn send_replica_heartbeat(&mut self, node: usize) {
-        let now = self.now();
-        let drawn = self.replicas.draw_heartbeat(&mut self.random, now);
-        let replica_id = drawn.replica_id;
-        let request = if drawn.is_draining {
-            Request::Drain {
-                replica_id: replica_id.clone(),
-            }
-        } else {
-            Request::Heartbeat
-        };
-        if let Some(call) = self.add_call(node, request) {
-            self.run(node, |control, now, effects| {
-                control.on_replica_heartbeat(now, call, &replica_id, drawn.heartbeat, effects);
-            });
-        }
+        self.send_replica_call(node);
     }
 }
 
@@ -213,7 +181,7 @@
 
 impl World {
     /// Records a call; returns `None` if the node has no process.
-    fn add_call(&mut self, node: usize, request: Request) -> Option<CallId> {
+    pub(super) fn add_call(&mut self, node: usize, request: Request) -> Option<CallId> {
         self.is_up(node).then(|| self.calls.add(node, request))
     }
 
--- a/crates/linenthread-simulation/src/system/requests.rs
+++ b/crates/linenthread-simulation/src/system/requests.rs
@@ -25,7 +25,7 @@
         operator: usize,
         acknowledged: Revision,
     },
-    /// A heartbeat of a draining replica.
+    /// A heartbeat of a draining replica, or a departure.
     Drain {
         replica_id: String,
     },
--- a/crates/linenthread-simulation/src/system/responses.rs
+++ b/crates/linenthread-simulation/src/system/responses.rs
@@ -14,6 +14,12 @@
 /// The same while operators send changes in quick succession.
 const LOSS_AFTER_FAST_ACKNOWLEDGEMENT_ONE_IN: u64 = 120;
 
+/// A loss follows the first acknowledgement of one drain in this many.
+const LOSS_AFTER_DRAIN_ONE_IN: u64 = 30;
+/// Exclusive upper bound of the time from a drain's acknowledgement to that loss, in milliseconds. It exceeds the interval
+/// at which control nodes write their replicas to disk.
+const LOSS_AFTER_DRAIN_RANGE_MS: u64 = 1_300;
+
 impl World {
     /// Handles the response to a call; ignored if nobody waits for it any more.
     pub(super) fn on_response(&mut self, node: usize, call: CallId, response: Response) {
@@ -50,12 +56,23 @@
                 self.operators[operator].revision = Revision::of(&value);
             }
             (Request::Drain { replica_id }, Response::Acknowledged { .. }) => {
-                self.check_drain(node, &replica_id);
+                self.on_drain_acknowledged(node, &replica_id);
             }
             _ => {}
         }
     }
 
+    fn on_drain_acknowledged(&mut self, node: usize, replica_id: &str) {
+        self.check_drain(node, replica_id);
+        let now = self.now();
+        let is_first = self.replicas.on_drain_acknowledged(replica_id, now);
+        if !is_first || self.is_healed() || !self.random.one_in(LOSS_AFTER_DRAIN_ONE_IN) {
+            return;
+        }
+        let delay = Duration::from_millis(1) + self.random.millis_below(LOSS_AFTER_DRAIN_RANGE_MS);
+        self.push_in(delay, Event::LossAfterDrain { node });
+    }
+
     fn check_response_has_quorum(&mut self, node: usize, response: &Response) {
         match response {
             // Only decided changes are acknowledged, see `check_acknowledgement`. A node that has just started may have
--- a/crates/linenthread-simulation/src/system/simulation.rs
+++ b/crates/linenthread-simulation/src/system/simulation.rs
@@ -222,6 +222,7 @@
             Event::LossAfterAcknowledgement { node } => {
                 self.inject_loss_after_acknowledgement(node);
             }
+            Event::LossAfterDrain { node } => self.inject_loss_after_drain(node),
             Event::SecondLoss => self.inject_second_loss(),
             Event::Decommission { node, successor } => self.decommission(node, successor),
             Event::CheckShutdown { node, incarnation } => self.check_shutdown(node, incarnation),
