--- a/crates/linenthread-demo/src/machine.rs
+++ b/crates/linenthread-demo/src/machine.rs
@@ -66,6 +66,8 @@
     Continue,
     /// Asks the process to shut down.
     Terminate,
+    /// Asks the process to read its settings again.
+    Reload,
 }
 
 impl Signal {
@@ -75,6 +77,7 @@
             Signal::Stop => "-STOP",
             Signal::Continue => "-CONT",
             Signal::Terminate => "-TERM",
+            Signal::Reload => "-HUP",
         }
     }
 }
--- a/crates/linenthread-node/tests/system.rs
+++ b/crates/linenthread-node/tests/system.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use linenthread_demo::{Cluster, records};
+use linenthread_demo::{Cluster, Signal, records};
 
 /// The timeout for an expected log line.
 const LOG_TIMEOUT: Duration = Duration::from_secs(20);
@@ -207,6 +207,27 @@
     assert!(shutdown.join().unwrap().1);
 }
 
+/// Guards against a request that is cut because the signal comes again, or another one.
+#[test]
+fn a_second_sigterm_and_a_sighup_do_not_cut_a_request() {
+    let mut cluster = start_cluster(1, 1);
+    complete_response(&cluster, "ingress-1", "/all/x", "a").expect("a complete response");
+    let mut open = TcpStream::connect(cluster.ingress_address("ingress-1").unwrap()).unwrap();
+    let request = "GET /s1/x HTTP/1.1\r\nHost: index.example\r\nX-Attempt-Id: b\r\nX-Remaining-Ms: 5000\r\n\r\n";
+    open.write_all(&request.as_bytes()[..20]).unwrap();
+    for signal in [Signal::Terminate, Signal::Reload, Signal::Terminate] {
+        assert!(cluster.signal("ingress-1", signal));
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    open.write_all(&request.as_bytes()[20..]).unwrap();
+    let mut response = Vec::new();
+    open.read_to_end(&mut response).unwrap();
+    let response = String::from_utf8_lossy(&response).into_owned();
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let status = cluster.wait_for_exit("ingress-1", LOG_TIMEOUT);
+    assert!(status.is_some_and(|status| status.success()));
+}
+
 /// Returns invalid requests to an ingress node, each with the expected status.
 fn invalid_requests() -> Vec<(String, &'static str)> {
     let host = "Host: index.example\r\nX-Remaining-Ms: 900\r\n";
