--- a/crates/linenthread-control/src/replica_registry.rs
+++ b/crates/linenthread-control/src/replica_registry.rs
@@ -165,7 +165,6 @@
             // same warm-up, and those forwarded by another control node arrive later than they were made.
             age_ms: 0,
             warmup_ms: 0,
-            timed_out_or_ended: false,
             ..report.clone()
         };
         if changed {
@@ -349,7 +348,7 @@
             replica: Replica {
                 age_ms: 0,
                 warmup_ms: 0,
-                timed_out_or_ended: report.ended,
+                timed_out_or_ended: report.ended || report.timed_out_or_ended,
                 ..report.clone()
             },
             last_heartbeat_at: reported_at(now, report),
--- a/crates/linenthread-control/tests/replica_registry.rs
+++ b/crates/linenthread-control/tests/replica_registry.rs
@@ -113,6 +113,27 @@
     }
 }
 
+/// Guards against a node that has just joined and offers replicas that the others know to be silent.
+#[parameterized(
+    unknown = { None },
+    known_from_an_older_heartbeat = { Some(1) },
+)]
+fn a_replica_that_timed_out_at_another_node_is_not_present(known: Option<u64>) {
+    let mut registry = ReplicaRegistry::default();
+    if let Some(call_count) = known {
+        registry.observe(at(1_000), &report("a", call_count, "x"));
+    }
+    let timed_out = Replica {
+        timed_out_or_ended: true,
+        age_ms: 6_000,
+        ..report("a", 2, "x")
+    };
+    registry.observe(at(9_000), &timed_out);
+    assert!(registry.get("a").unwrap().replica.timed_out_or_ended);
+    registry.observe(at(9_100), &report("a", 3, "x"));
+    assert!(!registry.get("a").unwrap().replica.timed_out_or_ended);
+}
+
 #[test]
 fn changes_are_logged_together_with_superseded_replicas() {
     let mut registry = ReplicaRegistry::default();
