--- a/crates/linenthread-consensus/src/effects.rs
+++ b/crates/linenthread-consensus/src/effects.rs
@@ -10,6 +10,10 @@
 /// An action for the driver of a [`crate::Register`]. The driver executes effects in the order in which it receives
 /// them.
 #[derive(Clone, Debug, PartialEq)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "effects live for one step, and a box would cost an allocation for each record"
+)]
 pub enum Effect {
     /// Send a message to a node, possibly to this one.
     Send {
--- a/crates/linenthread-control/src/effect.rs
+++ b/crates/linenthread-control/src/effect.rs
@@ -8,6 +8,10 @@
 /// An action that the driver of a control node must carry out. Effects are carried out in the order in which they were
 /// returned.
 #[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "effects live for one step, and a box would cost an allocation for each record"
+)]
 pub enum Effect {
     /// Send a message on a session. The message may be lost.
     Send {
--- a/crates/linenthread-messages/src/sessions.rs
+++ b/crates/linenthread-messages/src/sessions.rs
@@ -6,6 +6,10 @@
 
 /// The state of a replica, as known to the control node that sends it.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "fields of a message; each has its own tag and may be set beside any other"
+)]
 pub struct Replica {
     /// The replica's id.
     #[prost(string, tag = "1")]
