--- a/crates/linenthread-control/src/replica_registry.rs
+++ b/crates/linenthread-control/src/replica_registry.rs
@@ -154,7 +154,7 @@
         if report.call_count == self.replica.call_count {
             return HeartbeatOutcome::Stale;
         }
-        let changed = self.replica.timed_out_or_ended
+        let changed = self.replica.timed_out_or_ended != report.timed_out_or_ended
             || self.replica.draining != report.draining
             || self.replica.address != report.address
             || self.replica.backend != report.backend
--- a/crates/linenthread-control/tests/replica_registry.rs
+++ b/crates/linenthread-control/tests/replica_registry.rs
@@ -128,7 +128,8 @@
         age_ms: 6_000,
         ..report("a", 2, "x")
     };
-    registry.observe(at(9_000), &timed_out);
+    let observation = registry.observe(at(9_000), &timed_out);
+    assert_eq!(observation.outcome, HeartbeatOutcome::Changed);
     assert!(registry.get("a").unwrap().replica.timed_out_or_ended);
     registry.observe(at(9_100), &report("a", 3, "x"));
     assert!(!registry.get("a").unwrap().replica.timed_out_or_ended);
