--- a/crates/linenthread-control/src/lib.rs
+++ b/crates/linenthread-control/src/lib.rs
@@ -16,7 +16,7 @@
 //! | contact with a quorum, and which calls are answered without it | `quorum_contact` | `contact`, `admission`, `heartbeats` |
 //! | hello messages and heartbeats, by kind of peer | `peer_hello`, `peer_heartbeat` | `sessions`, `heartbeats` |
 //! | the other control nodes | `membership`, `control_peer`, `address_book` | `heartbeats`, `replica_updates` |
-//! | replicas | `replica_registry`, `change_log`, `pending_drains`, `replica_snapshot` | `replica_calls`, `replica_updates` |
+//! | replicas | `replica_heartbeat`, `replica_registry`, `registered_replica`, `change_log`, `pending_drains`, `replica_snapshot` | `replica_calls`, `replica_updates` |
 //! | operators | | `operator_calls`, `status` |
 //! | ingress nodes | `ingress_nodes`, `ingress_peer` | `ingress_updates` |
 //! | wall-clock time, for usage report windows only | `agreed_time` | `heartbeats` |
@@ -48,6 +48,8 @@
 mod quorum_contact;
 mod quota_allocator;
 pub mod reconfiguration;
+mod registered_replica;
+mod replica_heartbeat;
 mod replica_registry;
 mod replica_snapshot;
 mod response;
@@ -70,10 +72,9 @@
 pub use ingress_nodes::IngressIncarnation;
 pub use platform_call::{PlatformCall, PlatformCallId, PlatformOutcome};
 pub use quota_allocator::QuotaRequestNumber;
-pub use replica_registry::{
-    HeartbeatOutcome, Observation, RegisteredReplica, ReplicaHeartbeat, ReplicaRegistry,
-    ReportedPhase,
-};
+pub use registered_replica::{HeartbeatOutcome, RegisteredReplica};
+pub use replica_heartbeat::{ReplicaHeartbeat, ReportedPhase};
+pub use replica_registry::{Observation, ReplicaRegistry};
 pub use response::{Response, UnavailableReason};
 pub use retry_budget::{EarlierGrants, RetryBudget};
 pub use state_log::{OpenedState, StateLog, StateLogError};
--- a/crates/linenthread-control/src/replica_registry.rs
+++ b/crates/linenthread-control/src/replica_registry.rs
@@ -6,10 +6,10 @@
 
 use linenthread_hash::fnv1a_64;
 use linenthread_messages::Replica;
-use linenthread_time::{Instant, whole_millis};
-use serde::Deserialize;
+use linenthread_time::Instant;
 
 use crate::ChangeLog;
+use crate::registered_replica::{HeartbeatOutcome, RegisteredReplica};
 
 /// How long an ended replica is retained, so that a late heartbeat does not add it again.
 const ENDED_RETENTION: Duration = Duration::from_millis(60_000);
@@ -20,181 +20,6 @@
 /// How many changes of replicas are retained. An ingress node that lacks more is sent the whole registry.
 const MAX_LOGGED_CHANGES: usize = 4_096;
 
-/// The body of a replica's heartbeat call, in JSON.
-#[derive(Clone, Debug, Deserialize)]
-pub struct ReplicaHeartbeat {
-    /// Name of the backend that the replica belongs to.
-    pub backend: String,
-    /// `host:port` at which the replica serves requests.
-    pub address: String,
-    /// The failure domain in which the replica runs.
-    pub zone: String,
-    /// The revision of the replica's software.
-    #[serde(default)]
-    pub revision: String,
-    /// How many requests the replica processes concurrently; 0 if it is not reported.
-    #[serde(default)]
-    pub capacity: u32,
-    /// Whether the replica accepts requests.
-    pub phase: ReportedPhase,
-    /// The remaining time of the replica's warm-up, in milliseconds. Only the value in the first heartbeat is used.
-    #[serde(default)]
-    pub warmup_ms: u32,
-    /// The replica's count of its calls to control nodes, which orders the calls.
-    pub call_count: u64,
-}
-
-impl ReplicaHeartbeat {
-    /// Converts the heartbeat to the form that control nodes send to each other.
-    pub(crate) fn into_replica(self, id: &str) -> Replica {
-        Replica {
-            id: id.to_owned(),
-            backend: self.backend,
-            address: self.address,
-            zone: self.zone,
-            revision: self.revision,
-            capacity: self.capacity,
-            call_count: self.call_count,
-            draining: self.phase == ReportedPhase::Draining,
-            warmup_ms: self.warmup_ms,
-            ..Replica::default()
-        }
-    }
-}
-
-/// Whether a replica accepts requests, as reported in its heartbeats.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum ReportedPhase {
-    /// The replica accepts requests.
-    Available,
-    /// The replica accepts no new requests and is about to end.
-    Draining,
-}
-
-/// One incarnation of a replica in the registry.
-#[derive(Clone, Debug)]
-pub struct RegisteredReplica {
-    /// The merged state of the replica, without ages, which [`RegisteredReplica::snapshot`] sets.
-    pub replica: Replica,
-    /// When the newest heartbeat was received, here or at another control node.
-    last_heartbeat_at: Instant,
-    /// When the warm-up ends.
-    warmed_up_at: Instant,
-    /// When the replica ended, if it has.
-    ended_at: Option<Instant>,
-}
-
-impl RegisteredReplica {
-    /// Returns the state of the replica, with ages as of now.
-    pub fn snapshot(&self, now: Instant) -> Replica {
-        Replica {
-            age_ms: saturating_millis(now.since(self.last_heartbeat_at)),
-            warmup_ms: saturating_millis(self.warmed_up_at.since(now)),
-            ..self.replica.clone()
-        }
-    }
-
-    /// Reports whether the replica drains or has ended. A majority must know this before the replica is told that it
-    /// may stop.
-    pub(crate) fn is_draining_or_ended(&self) -> bool {
-        self.replica.draining || self.replica.ended
-    }
-
-    /// Reports whether the replica is known to be present only from this node's disk, or from before it was out of contact.
-    fn is_unconfirmed(&self) -> bool {
-        self.replica.unconfirmed && !self.is_draining_or_ended()
-    }
-
-    /// Returns when the replica ended, or timed out while it drained; `None` if neither.
-    fn gone_since(&self, timeout: Duration) -> Option<Instant> {
-        let drained = self.replica.draining && self.replica.timed_out_or_ended;
-        self.ended_at
-            .or_else(|| drained.then(|| self.last_heartbeat_at + timeout))
-    }
-
-    /// Returns a replica of which nothing but the id is known.
-    fn unknown(now: Instant, id: &str) -> RegisteredReplica {
-        RegisteredReplica {
-            replica: Replica {
-                id: id.to_owned(),
-                ..Replica::default()
-            },
-            last_heartbeat_at: now,
-            warmed_up_at: now,
-            ended_at: None,
-        }
-    }
-
-    /// Reports whether nothing but the departure of the replica is known.
-    fn is_unknown_departure(&self) -> bool {
-        self.replica.ended && self.replica.address.is_empty()
-    }
-
-    fn end(&mut self, now: Instant) {
-        self.replica.ended = true;
-        self.replica.timed_out_or_ended = true;
-        self.ended_at = Some(now);
-    }
-
-    /// Merges a report of the same replica.
-    fn merge(&mut self, now: Instant, report: &Replica) -> HeartbeatOutcome {
-        self.replica.unconfirmed &= report.unconfirmed;
-        if self.replica.ended {
-            return HeartbeatOutcome::Stale;
-        }
-        if report.ended {
-            self.end(now);
-            return HeartbeatOutcome::Changed;
-        }
-        if report.call_count < self.replica.call_count {
-            return HeartbeatOutcome::Stale;
-        }
-        self.last_heartbeat_at = self.last_heartbeat_at.max(reported_at(now, report));
-        if report.call_count == self.replica.call_count {
-            return HeartbeatOutcome::Stale;
-        }
-        let changed = self.replica.timed_out_or_ended != report.timed_out_or_ended
-            || self.replica.draining != report.draining
-            || self.replica.address != report.address
-            || self.replica.backend != report.backend
-            || self.replica.capacity != report.capacity
-            || self.replica.zone != report.zone;
-        self.replica = Replica {
-            // Set by `snapshot`. `warmed_up_at` keeps its value from the first report: later reports count down the
-            // same warm-up, and those forwarded by another control node arrive later than they were made.
-            age_ms: 0,
-            warmup_ms: 0,
-            ..report.clone()
-        };
-        if changed {
-            HeartbeatOutcome::Changed
-        } else {
-            HeartbeatOutcome::Refreshed
-        }
-    }
-}
-
-fn saturating_millis(duration: Duration) -> u32 {
-    u32::try_from(whole_millis(duration)).unwrap_or(u32::MAX)
-}
-
-/// Returns when the heartbeat behind a report was received.
-fn reported_at(now: Instant, report: &Replica) -> Instant {
-    now.saturating_sub(Duration::from_millis(u64::from(report.age_ms)))
-}
-
-/// The change that a report of a replica made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HeartbeatOutcome {
-    /// The report is not newer than the known state.
-    Stale,
-    /// The replica is still running. Ingress nodes need not be notified.
-    Refreshed,
-    /// The state changed, and ingress nodes must be notified.
-    Changed,
-}
-
 /// The result of [`ReplicaRegistry::observe`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Observation {
@@ -344,17 +169,7 @@
     /// Adds an unknown replica; returns the ids of other replicas that it shows to have ended.
     fn insert(&mut self, now: Instant, report: &Replica) -> Vec<String> {
         let mut superseded = Vec::new();
-        let mut new = RegisteredReplica {
-            replica: Replica {
-                age_ms: 0,
-                warmup_ms: 0,
-                timed_out_or_ended: report.ended || report.timed_out_or_ended,
-                ..report.clone()
-            },
-            last_heartbeat_at: reported_at(now, report),
-            warmed_up_at: now + Duration::from_millis(u64::from(report.warmup_ms)),
-            ended_at: report.ended.then_some(now),
-        };
+        let mut new = RegisteredReplica::new(now, report);
         // Of two incarnations at one address, the one with the newer heartbeat is running. A report of an ended
         // incarnation tells nothing about others.
         for other in self
