--- a/crates/linenthread-fakes/src/scenarios/zones.rs
+++ b/crates/linenthread-fakes/src/scenarios/zones.rs
@@ -13,8 +13,8 @@
 const LONG_SERVICE_TIME: Duration = Duration::from_millis(40);
 
 /// Injects no faults, with two coordinators in each zone. Sub-requests must stay in the client's zone if it holds their
-/// shard, except those that avoid a replica because of its score. Without a preference for the local zone, almost a third
-/// leave it.
+/// shard, except those that avoid a replica because of its score. Without a preference for the local zone, almost a
+/// third leave it.
 pub(super) fn stay_in_zone(exe: &str, seed: u64) -> Rig {
     let rig = start_serving(
         exe,
--- a/crates/linenthread-zones/src/controller/evidence.rs
+++ b/crates/linenthread-zones/src/controller/evidence.rs
@@ -65,6 +65,18 @@
         Opinion::new(&self.stats(route), coordinators)
     }
 
+    /// Reports whether sub-requests failed on a route in the interval.
+    pub(super) fn has_failures(&self, route: ZonePair) -> bool {
+        let stats = self.stats(route);
+        stats.succeeded < stats.completed
+    }
+
+    /// Reports whether sub-requests failed on any route to a zone in the interval.
+    pub(super) fn has_failures_to(&self, to: ZoneIndex) -> bool {
+        self.zones()
+            .any(|from| self.has_failures(ZonePair { from, to }))
+    }
+
     /// Reports whether a zone reaches no zone, not even itself: it is then cut off, and has no vote on others.
     fn is_isolated(&self, from: ZoneIndex) -> bool {
         let mut routes = self.zones().map(|to| ZonePair { from, to });
--- a/crates/linenthread-zones/src/controller/mod.rs
+++ b/crates/linenthread-zones/src/controller/mod.rs
@@ -5,7 +5,7 @@
 //! | healthy | open | ejected, if majorities find it down in two consecutive evaluations; slow, if they find it slow in as many |
 //! | slow | open as far as its capacity at its current latency allows | ejected, as above; healthy, if it is not found slow again for the duration of a first ejection |
 //! | ejected | closed | returning, after the ejection time; that doubles with each recent ejection, up to a maximum |
-//! | returning | open to 5, 15, then 40 % of keys, each for the duration of a step | healthy, after the last step; ejected, if found down |
+//! | returning | open to 5, 15, then 40 % of keys, each for the duration of a step, or until no earlier failures count against it | healthy, after the last step; ejected, if found down and sub-requests failed in the interval |
 //! | drained | closed | returning, when the operator ends the drain |
 //!
 //! A pair of zones is partitioned if the remote zone is serving but a majority of the local coordinators find it down;
@@ -27,7 +27,7 @@
 
 use crate::MAX_ZONES;
 use crate::config::{ConfigError, FailoverConfig};
-use crate::health::{Health, State};
+use crate::health::{Finding, Health, State};
 use crate::report::Report;
 use crate::table::{RoutingTable, Row};
 use crate::topology::{Topology, Zone};
@@ -161,7 +161,8 @@
             let votes = evidence.votes(to);
             let is_down = evidence.is_down(to, votes);
             let health = &mut self.health[to.position()];
-            health.evaluate(now, is_down, &self.config);
+            let finding = Finding::new(is_down, evidence.has_failures_to(to));
+            health.evaluate(now, finding, &self.config);
             health.evaluate_latency(now, evidence.is_slow(to), &self.config);
             let is_serving = health.state.is_serving() && !is_down;
             for from in ZoneIndex::all(count) {
@@ -170,18 +171,19 @@
                 let may_be_partitioned = from != to || votes.reachable > votes.down;
                 let is_partitioned =
                     is_serving && may_be_partitioned && evidence.opinion(pair) == Opinion::Down;
-                self.evaluate_pair(pair, is_partitioned, now);
+                let finding = Finding::new(is_partitioned, evidence.has_failures(pair));
+                self.evaluate_pair(pair, finding, now);
             }
         }
     }
 
-    fn evaluate_pair(&mut self, pair: ZonePair, is_partitioned: bool, now: TenthMillis) {
-        if !is_partitioned && !self.pairs.contains_key(&pair) {
+    fn evaluate_pair(&mut self, pair: ZonePair, finding: Finding, now: TenthMillis) {
+        if !finding.is_down() && !self.pairs.contains_key(&pair) {
             return;
         }
         let healthy = Health::new(State::Healthy, now);
         let health = self.pairs.entry(pair).or_insert(healthy);
-        health.evaluate(now, is_partitioned, &self.config);
+        health.evaluate(now, finding, &self.config);
         if health.is_fully_recovered() {
             self.pairs.remove(&pair);
         }
--- a/crates/linenthread-zones/src/health.rs
+++ b/crates/linenthread-zones/src/health.rs
@@ -55,6 +55,30 @@
     }
 }
 
+/// What an evaluation found about a zone, or about the route between a pair of zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Finding {
+    NotDown,
+    /// Observers still find it down because of earlier failures, but nothing failed there in the interval.
+    DownBefore,
+    /// Observers find it down, and sub-requests failed there in the interval.
+    Down,
+}
+
+impl Finding {
+    pub(crate) fn new(is_down: bool, has_failures: bool) -> Finding {
+        match (is_down, has_failures) {
+            (false, _) => Finding::NotDown,
+            (true, false) => Finding::DownBefore,
+            (true, true) => Finding::Down,
+        }
+    }
+
+    pub(crate) fn is_down(self) -> bool {
+        self != Finding::NotDown
+    }
+}
+
 /// The state of a zone, or of the route between a pair of zones, and the evidence for its next one.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Health {
@@ -111,8 +135,12 @@
     }
 
     /// Applies the finding of one evaluation, and the transitions that are due by now.
-    pub(crate) fn evaluate(&mut self, now: TenthMillis, is_down: bool, config: &FailoverConfig) {
-        self.down_count = if is_down { self.down_count + 1 } else { 0 };
+    pub(crate) fn evaluate(&mut self, now: TenthMillis, finding: Finding, config: &FailoverConfig) {
+        self.down_count = if finding.is_down() {
+            self.down_count + 1
+        } else {
+            0
+        };
         match self.state {
             State::Healthy | State::Slow { .. } if self.down_count >= CONFIRMATIONS => {
                 self.eject(now, config);
@@ -128,7 +156,9 @@
                 self.state = State::returning(now, config);
             }
             // Few keys are routed here, so one evaluation is enough.
-            State::Returning { .. } if is_down => self.eject(now, config),
+            State::Returning { .. } if finding == Finding::Down => self.eject(now, config),
+            // The failures may be older than the return: it neither ends nor advances until observers forget them.
+            State::Returning { .. } if finding == Finding::DownBefore => {}
             State::Returning { step, until } if now >= until => {
                 if step + 1 < RETURN_SHARES.len() {
                     self.state = State::returning_at(step + 1, now, config);
--- a/crates/linenthread-zones/tests/failover.rs
+++ b/crates/linenthread-zones/tests/failover.rs
@@ -146,6 +146,54 @@
     assert_eq!(all_routes_to(table, 0), [Route::OPEN, Route::OPEN, closed]);
 }
 
+/// Returns the report of an interval in which nothing ended on the routes between zones 0 and 2, while the coordinators
+/// of both remember that the other zone was down.
+fn report_of_remembered_partition() -> Report {
+    let between = |from, to| (from, to) == (0, 2) || (from, to) == (2, 0);
+    let mut report = report(between);
+    for (route, stats) in &mut report.routes {
+        if between(route.from.position(), route.to.position()) {
+            stats.completed = 0;
+        }
+    }
+    report
+}
+
+// Guards against a route that closes again right after its return because of failures from before it.
+#[test]
+fn failures_from_before_a_return_do_not_end_it() {
+    let mut controller = controller(None, 0);
+    let partitioned = report(|from, to| (from, to) == (0, 2) || (from, to) == (2, 0));
+    run(&mut controller, &partitioned, 2);
+    let until_return = EJECTION_TIME / EVALUATION_INTERVAL;
+    let remembered = report_of_remembered_partition();
+    let tables = run(&mut controller, &remembered, until_return + 4);
+    let shares: Vec<u16> = tables
+        .iter()
+        .map(|(_, table)| table.rows[0].routes[2].share)
+        .collect();
+    assert_eq!(shares, [50], "the return neither ends nor advances");
+    let tables = run(&mut controller, &report(|_, _| false), 6);
+    let shares: Vec<u16> = tables
+        .iter()
+        .map(|(_, table)| table.rows[0].routes[2].share)
+        .collect();
+    assert_eq!(shares, [150, 400, ALL_KEYS], "it advances without them");
+}
+
+#[test]
+fn a_failure_during_a_return_ends_it() {
+    let mut controller = controller(None, 0);
+    let partitioned = report(|from, to| (from, to) == (0, 2) || (from, to) == (2, 0));
+    let until_return = 2 + EJECTION_TIME / EVALUATION_INTERVAL;
+    let tables = run(&mut controller, &partitioned, until_return + 1);
+    let shares: Vec<u16> = tables
+        .iter()
+        .map(|(_, table)| table.rows[0].routes[2].share)
+        .collect();
+    assert_eq!(shares, [0, 50, 0]);
+}
+
 #[test]
 fn a_new_leader_keeps_the_former_leaders_ejections_for_a_first_ejection() {
     let mut former = controller(None, 0);
