--- a/crates/linenthread-ci/src/check.rs
+++ b/crates/linenthread-ci/src/check.rs
@@ -56,10 +56,12 @@
         status: i32,
     },
     /// A test failed that is not listed as a known failure.
-    #[snafu(display("{test} failed"))]
+    #[snafu(display("{test} failed{}", describe(message)))]
     Failed {
         /// The test, as `package::target::test`.
         test: String,
+        /// The first line of its panic message, if it printed one.
+        message: Option<String>,
     },
     /// A listed test passed: it was fixed, or it is flaky.
     #[snafu(display("{test} is listed as known to fail but passed: remove its line"))]
@@ -81,6 +83,12 @@
     },
 }
 
+fn describe(message: &Option<String>) -> String {
+    message
+        .as_ref()
+        .map_or_else(String::new, |message| format!(": {message}"))
+}
+
 /// The result of the check.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
@@ -113,7 +121,7 @@
     for (program, run) in &runs {
         add_run(program, run, &mut report);
     }
-    check_tests(known, &outcomes_by_full_name(&runs), &mut report);
+    check_tests(known, &results_by_full_name(&runs), &mut report);
     check_exit_status(output, exit_status, &mut report.violations);
     report
 }
@@ -186,26 +194,36 @@
     }
 }
 
+/// What one test printed.
+struct TestResult {
+    outcome: TestOutcome,
+    message: Option<String>,
+}
+
 /// Maps `package::target::test` to the outcome of the test.
-fn outcomes_by_full_name(runs: &BTreeMap<String, &ProgramRun>) -> BTreeMap<String, TestOutcome> {
-    let mut outcomes = BTreeMap::new();
+fn results_by_full_name(runs: &BTreeMap<String, &ProgramRun>) -> BTreeMap<String, TestResult> {
+    let mut results = BTreeMap::new();
     for (program, run) in runs {
         for (test, outcome) in &run.tests {
-            outcomes.insert(format!("{program}::{test}"), *outcome);
+            let result = TestResult {
+                outcome: *outcome,
+                message: run.messages.get(test).cloned(),
+            };
+            results.insert(format!("{program}::{test}"), result);
         }
     }
-    outcomes
+    results
 }
 
 /// Reports listed tests that did not fail and failed tests that are not listed.
 fn check_tests(
     known: &[KnownFailure],
-    outcomes: &BTreeMap<String, TestOutcome>,
+    results: &BTreeMap<String, TestResult>,
     report: &mut Report,
 ) {
     for failure in known {
         let test = failure.test.clone();
-        match outcomes.get(&test) {
+        match results.get(&test).map(|result| result.outcome) {
             Some(TestOutcome::Failed) => report.known.push(failure.clone()),
             Some(TestOutcome::Passed) => report
                 .violations
@@ -218,12 +236,13 @@
                 .push(Violation::KnownFailureMissing { test }),
         }
     }
-    for (test, outcome) in outcomes {
+    for (test, result) in results {
         let is_listed = known.iter().any(|failure| failure.test == *test);
-        if *outcome == TestOutcome::Failed && !is_listed {
-            report
-                .violations
-                .push(Violation::Failed { test: test.clone() });
+        if result.outcome == TestOutcome::Failed && !is_listed {
+            report.violations.push(Violation::Failed {
+                test: test.clone(),
+                message: result.message.clone(),
+            });
         }
     }
 }
--- a/crates/linenthread-ci/src/test_output.rs
+++ b/crates/linenthread-ci/src/test_output.rs
@@ -4,6 +4,9 @@
 
 use crate::test_programs::{TestProgram, file_name};
 
+/// The maximum length of a failure's message, in characters; tests print whole logs.
+const MAX_MESSAGE_LENGTH: usize = 400;
+
 /// The outcome of one test.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TestOutcome {
@@ -35,6 +38,8 @@
     pub documentation: bool,
     /// The outcome of each test, by test name.
     pub tests: BTreeMap<String, TestOutcome>,
+    /// The first line of the panic message of each failed test that printed one, by test name.
+    pub messages: BTreeMap<String, String>,
     /// The counts of the summary; `None` if the program ended before it printed one.
     pub summary: Option<TestCounts>,
     /// The summary line as printed; empty if there is none.
@@ -56,16 +61,28 @@
     pub failed_targets: usize,
 }
 
+/// The position in the captured output of a failed test.
+#[derive(Default)]
+struct FailureSection {
+    /// The name of the test.
+    test: String,
+    /// Whether the previous line says where the test panicked; the message follows it.
+    has_panicked: bool,
+}
+
 /// Parses the output of `cargo test`: its standard output and standard error in one text.
 pub fn parse_test_output(text: &str) -> TestOutput {
     let mut output = TestOutput::default();
+    let mut section = FailureSection::default();
     for line in text.lines() {
         if let Some(run) = parse_program(line) {
             output.runs.push(run);
+            section = FailureSection::default();
         } else if let Some(count) = parse_failed_targets(line) {
             output.failed_targets = count;
         } else if let Some(run) = output.runs.last_mut().filter(|run| run.summary.is_none()) {
             add_line(run, line);
+            add_message(run, &mut section, line);
         }
     }
     output
@@ -110,6 +127,29 @@
     }
 }
 
+/// Adds the line after `thread 'name' panicked at file.rs:1:2:` in the section of a failed test as its message. The
+/// section begins with `---- name stdout ----`.
+fn add_message(run: &mut ProgramRun, section: &mut FailureSection, line: &str) {
+    if let Some(test) = parse_section(line) {
+        *section = FailureSection {
+            test: test.to_owned(),
+            has_panicked: false,
+        };
+    } else if section.has_panicked {
+        let message = line.chars().take(MAX_MESSAGE_LENGTH).collect();
+        run.messages.entry(section.test.clone()).or_insert(message);
+        section.has_panicked = false;
+    } else {
+        let is_panic = line.starts_with("thread '") && line.contains(" panicked at ");
+        section.has_panicked = is_panic && !section.test.is_empty();
+    }
+}
+
+/// Parses `---- name stdout ----`.
+fn parse_section(line: &str) -> Option<&str> {
+    line.strip_prefix("---- ")?.strip_suffix(" stdout ----")
+}
+
 /// Parses `test name ... ok`.
 fn parse_test(line: &str) -> Option<(String, TestOutcome)> {
     let (name, outcome) = line.strip_prefix("test ")?.rsplit_once(" ... ")?;
--- a/crates/linenthread-ci/tests/known_red.rs
+++ b/crates/linenthread-ci/tests/known_red.rs
@@ -92,6 +92,7 @@
 fn failed(test: &str) -> Violation {
     Violation::Failed {
         test: test.to_owned(),
+        message: None,
     }
 }
 
@@ -123,6 +124,19 @@
     );
 }
 
+// Guards against a failure in CI whose cause cannot be seen because only a part of its output is kept.
+#[test]
+fn a_failed_test_is_reported_with_its_panic_message() {
+    let section = "failures:\n\n---- a stdout ----\na line of its log\n\n\
+        thread 'a' (7) panicked at tests/system.rs:3:5:\n135 of 625 left\nstack backtrace:\n\n\ntest result: ";
+    let text = program("system-1", A_FAILS).replacen("test result: ", section, 1)
+        + &program("system-2", ALL_PASS)
+        + "error: 1 target failed:\n";
+    let violations = report_on_text("", &text, 101).violations;
+    let violations: Vec<String> = violations.iter().map(Violation::to_string).collect();
+    assert_eq!(violations, ["left::system::a failed: 135 of 625 left"]);
+}
+
 #[parameterized(
     empty = { "" },
     compile_error = { "error[E0308]: mismatched types\nerror: could not compile `left` (lib test)\n" },
