Test: a hedged request at the exit gets its response

docs/incidents/review-lost.md said 'hedged or not' of requests in flight at the exit, without a test of hedged ones. With both replicas silent, one late, or one full: 502, 200, 502, before the exit, with an attempt at each replica. With the deadline of the shutdown taken out of the module the two cases without a late response fail: the client gets none.

--- a/crates/linenthread-dataplane/tests/graceful_shutdown.rs
+++ b/crates/linenthread-dataplane/tests/graceful_shutdown.rs
@@ -275,6 +275,30 @@
     assert!(seen.drained_after < GRACE, "{seen:?}");
 }
 
+/// Guards against LOST and REFUSED of a request with a hedged attempt: while either replica may respond it is waited for,
+/// and it gets no 503, since either may have run it.
+#[parameterized(
+    neither_responds = { StubReplica::silent(), 502 },
+    hedged_attempt_responds_late = { StubReplica::responding(200), 200 },
+    hedged_attempt_is_rejected = { StubReplica::full(), 502 },
+)]
+fn a_request_with_a_hedged_attempt_in_flight_gets_its_response_before_the_exit(
+    second: StubReplica,
+    expected: u16,
+) {
+    let silent = StubReplica::silent();
+    // Which replica comes first depends on a hash of the request.
+    for (first, hedged) in [(&silent, &second), (&second, &silent)] {
+        first.requests.set(0);
+        hedged.requests.set(0);
+        let replicas = [("s1", first), ("s1", hedged)];
+        let seen = at_shutdown(MANY_RETRIES, &replicas, &request("GET", "/one/x"), GRACE);
+        assert_eq!(seen.statuses, [expected]);
+        assert!(first.requests.get() > 0 && hedged.requests.get() > 0);
+        assert!(seen.drained_after < GRACE, "{seen:?}");
+    }
+}
+
 /// Guards against an exchange that is cut while its replica works.
 #[test]
 fn a_response_that_arrives_shortly_before_the_deadline_is_forwarded() {
