Tests of the data plane: stub replicas accept connections in one line

The same listener and the same missing write fault stood in nine test files. Accepted::immediately and a default of Peer::write_fault stand in linenthread-dataplane-sim in their place; no check is changed.

--- a/crates/linenthread-dataplane-sim/src/network.rs
+++ b/crates/linenthread-dataplane-sim/src/network.rs
@@ -68,7 +68,9 @@
 /// The remote end of a connection.
 pub trait Peer {
     /// Returns the fault that the ingress node encounters when it writes these bytes.
-    fn write_fault(&mut self, bytes: &[u8]) -> WriteFault;
+    fn write_fault(&mut self, _bytes: &[u8]) -> WriteFault {
+        WriteFault::None
+    }
     /// Handles bytes that have arrived. Responses are sent through `inbound`.
     fn receive(&mut self, bytes: &[u8], inbound: &mut Inbound);
     /// Called when the ingress node has closed its end.
@@ -83,6 +85,16 @@
     pub peer: Box<dyn Peer>,
 }
 
+impl Accepted {
+    /// Creates a connection that is established at once.
+    pub fn immediately(peer: impl Peer + 'static) -> Accepted {
+        Accepted {
+            after: Duration::ZERO,
+            peer: Box::new(peer),
+        }
+    }
+}
+
 /// A listener at an address.
 pub trait Listener {
     /// Accepts a new connection. Returns `None` if the connection is refused.
--- a/crates/linenthread-dataplane/tests/golden.rs
+++ b/crates/linenthread-dataplane/tests/golden.rs
@@ -12,7 +12,6 @@
 
 use linenthread_dataplane::{DataPlane, UpdateScope, serve};
 use linenthread_dataplane_sim::deployment::data_plane;
-use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
 };
@@ -130,18 +129,11 @@
 
 impl Listener for Replica {
     fn accept(&self) -> Option<Accepted> {
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(self.clone()),
-        })
+        Some(Accepted::immediately(self.clone()))
     }
 }
 
 impl Peer for Replica {
-    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
-        WriteFault::None
-    }
-
     fn receive(&mut self, bytes: &[u8], inbound: &mut Inbound) {
         self.received
             .borrow_mut()
--- a/crates/linenthread-dataplane/tests/graceful_shutdown.rs
+++ b/crates/linenthread-dataplane/tests/graceful_shutdown.rs
@@ -8,7 +8,6 @@
 
 use linenthread_dataplane::{DataPlane, ShutdownSchedule, UpdateScope, drain, serve};
 use linenthread_dataplane_sim::deployment::{HOST, data_plane};
-use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
 };
@@ -81,18 +80,11 @@
 
 impl Listener for StubReplica {
     fn accept(&self) -> Option<Accepted> {
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(self.clone()),
-        })
+        Some(Accepted::immediately(self.clone()))
     }
 }
 
 impl Peer for StubReplica {
-    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
-        WriteFault::None
-    }
-
     fn receive(&mut self, bytes: &[u8], inbound: &mut Inbound) {
         self.requests.set(self.requests.get() + 1);
         let head = String::from_utf8_lossy(bytes);
--- a/crates/linenthread-dataplane/tests/keyed_ingress/mod.rs
+++ b/crates/linenthread-dataplane/tests/keyed_ingress/mod.rs
@@ -9,7 +9,6 @@
 use linenthread_dataplane::connection::HttpConnection;
 use linenthread_dataplane::{DataPlane, RetryQuota, UpdateScope, serve};
 use linenthread_dataplane_sim::deployment::data_plane_without_configuration;
-use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
 };
@@ -38,18 +37,11 @@
 
 impl Listener for Replicas {
     fn accept(&self) -> Option<Accepted> {
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(self.clone()),
-        })
+        Some(Accepted::immediately(self.clone()))
     }
 }
 
 impl Peer for Replicas {
-    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
-        WriteFault::None
-    }
-
     fn receive(&mut self, _: &[u8], inbound: &mut Inbound) {
         self.requests.set(self.requests.get() + 1);
         let response = Message {
--- a/crates/linenthread-dataplane/tests/pool.rs
+++ b/crates/linenthread-dataplane/tests/pool.rs
@@ -38,10 +38,7 @@
     fn accept(&self) -> Option<Accepted> {
         self.opened.set(self.opened.get() + 1);
         let next = self.connections.borrow_mut().pop_front()?;
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(next),
-        })
+        Some(Accepted::immediately(next))
     }
 }
 
--- a/crates/linenthread-dataplane/tests/revoked_keys.rs
+++ b/crates/linenthread-dataplane/tests/revoked_keys.rs
@@ -9,7 +9,6 @@
 use linenthread_dataplane::connection::HttpConnection;
 use linenthread_dataplane::{DataPlane, RetryQuota, UpdateScope, serve};
 use linenthread_dataplane_sim::deployment::{HOST, data_plane_without_configuration};
-use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
 };
@@ -77,18 +76,11 @@
 
 impl Listener for Replicas {
     fn accept(&self) -> Option<Accepted> {
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(self.clone()),
-        })
+        Some(Accepted::immediately(self.clone()))
     }
 }
 
 impl Peer for Replicas {
-    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
-        WriteFault::None
-    }
-
     fn receive(&mut self, bytes: &[u8], inbound: &mut Inbound) {
         let text = String::from_utf8_lossy(bytes).into_owned();
         let mut received = self.0.borrow_mut();
--- a/crates/linenthread-dataplane/tests/server.rs
+++ b/crates/linenthread-dataplane/tests/server.rs
@@ -11,7 +11,6 @@
 use linenthread_dataplane_sim::deployment::{
     HOST, ROUTE_TIMEOUT_MS, data_plane, data_plane_without_configuration,
 };
-use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
 };
@@ -59,18 +58,11 @@
 
 impl Listener for RecordingReplicas {
     fn accept(&self) -> Option<Accepted> {
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(self.clone()),
-        })
+        Some(Accepted::immediately(self.clone()))
     }
 }
 
 impl Peer for RecordingReplicas {
-    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
-        WriteFault::None
-    }
-
     fn receive(&mut self, bytes: &[u8], inbound: &mut Inbound) {
         let text = String::from_utf8_lossy(bytes).into_owned();
         self.0.borrow_mut().push((Instant::now(), text));
@@ -90,18 +82,11 @@
 
 impl Listener for Replicas {
     fn accept(&self) -> Option<Accepted> {
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(self.clone()),
-        })
+        Some(Accepted::immediately(self.clone()))
     }
 }
 
 impl Peer for Replicas {
-    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
-        WriteFault::None
-    }
-
     fn receive(&mut self, _: &[u8], inbound: &mut Inbound) {
         self.requests.set(self.requests.get() + 1);
         self.reply
--- a/crates/linenthread-dataplane/tests/starved_tenants.rs
+++ b/crates/linenthread-dataplane/tests/starved_tenants.rs
@@ -10,7 +10,6 @@
 use linenthread_dataplane::pool::ReplicaRequest;
 use linenthread_dataplane::{DataPlane, QueryParameters, UpdateScope, clock};
 use linenthread_dataplane_sim::deployment::{HOST, data_plane};
-use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
 };
@@ -53,10 +52,7 @@
 
 impl Listener for Replica {
     fn accept(&self) -> Option<Accepted> {
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(self.clone()),
-        })
+        Some(Accepted::immediately(self.clone()))
     }
 }
 
@@ -70,10 +66,6 @@
 }
 
 impl Peer for Replica {
-    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
-        WriteFault::None
-    }
-
     fn receive(&mut self, bytes: &[u8], inbound: &mut Inbound) {
         let request = String::from_utf8_lossy(bytes);
         let id = header(&request, "X-Attempt-Id");
--- a/crates/linenthread-dataplane/tests/tenant_keys.rs
+++ b/crates/linenthread-dataplane/tests/tenant_keys.rs
@@ -11,7 +11,6 @@
 use linenthread_dataplane::connection::HttpConnection;
 use linenthread_dataplane::{DataPlane, UpdateScope, clock, serve};
 use linenthread_dataplane_sim::deployment::{self, HOST, data_plane};
-use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
 };
@@ -113,18 +112,11 @@
 
 impl Listener for ReplicaListener {
     fn accept(&self) -> Option<Accepted> {
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(ReplicaListener(self.0.clone())),
-        })
+        Some(Accepted::immediately(ReplicaListener(self.0.clone())))
     }
 }
 
 impl Peer for ReplicaListener {
-    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
-        WriteFault::None
-    }
-
     fn receive(&mut self, bytes: &[u8], inbound: &mut Inbound) {
         let ReplicaListener(replicas) = self;
         let text = String::from_utf8_lossy(bytes).into_owned();
--- a/crates/linenthread-dataplane/tests/usage.rs
+++ b/crates/linenthread-dataplane/tests/usage.rs
@@ -9,7 +9,6 @@
 use linenthread_dataplane::pool::ReplicaRequest;
 use linenthread_dataplane::{DataPlane, QueryParameters, UpdateScope, clock};
 use linenthread_dataplane_sim::deployment::{HOST, data_plane};
-use linenthread_dataplane_sim::fault_plan::WriteFault;
 use linenthread_dataplane_sim::network::{
     Accepted, Inbound, InboundEvent, Listener, Network, Peer,
 };
@@ -41,18 +40,11 @@
 
 impl Listener for Replicas {
     fn accept(&self) -> Option<Accepted> {
-        Some(Accepted {
-            after: Duration::ZERO,
-            peer: Box::new(self.clone()),
-        })
+        Some(Accepted::immediately(self.clone()))
     }
 }
 
 impl Peer for Replicas {
-    fn write_fault(&mut self, _: &[u8]) -> WriteFault {
-        WriteFault::None
-    }
-
     fn receive(&mut self, _: &[u8], inbound: &mut Inbound) {
         let n = self.requests.replace(self.requests.get() + 1);
         let (after, events) = &self.replies[n.min(self.replies.len() - 1)];
