--- a/crates/linenthread-control/src/pending_drains.rs
+++ b/crates/linenthread-control/src/pending_drains.rs
@@ -9,7 +9,8 @@
 use crate::timing::CALL_TIMEOUT;
 use crate::{CallId, Response, UnavailableReason};
 
-/// Id of an update that the control nodes acknowledge once it is on their disks, unique within this node's incarnation and counted from 1.
+/// Id of an update that the control nodes acknowledge once it is on their disks, unique within this node's incarnation
+/// and counted from 1.
 /// Acknowledgements of other updates do not count.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct UpdateId(u64);
--- a/crates/linenthread-control/src/registered_replica.rs
+++ b/crates/linenthread-control/src/registered_replica.rs
@@ -5,6 +5,11 @@
 use linenthread_messages::Replica;
 use linenthread_time::{Instant, whole_millis};
 
+/// Reports whether a node reports a replica as present without having been able to learn of its departure.
+pub(crate) fn is_present_unconfirmed(report: &Replica) -> bool {
+    report.unconfirmed && !report.draining && !report.ended
+}
+
 /// One incarnation of a replica in the registry.
 #[derive(Clone, Debug)]
 pub struct RegisteredReplica {
@@ -34,9 +39,10 @@
         self.replica.draining || self.replica.ended
     }
 
-    /// Reports whether the replica is known to be present only from this node's disk, or from before it was out of contact.
+    /// Reports whether it is known only from this node's disk, or from before a loss of contact, that the replica is
+    /// present.
     pub(crate) fn is_unconfirmed(&self) -> bool {
-        self.replica.unconfirmed && !self.is_draining_or_ended()
+        is_present_unconfirmed(&self.replica)
     }
 
     /// Returns when the replica ended, or timed out while it drained; `None` if neither.
--- a/crates/linenthread-control/src/replica_registry.rs
+++ b/crates/linenthread-control/src/replica_registry.rs
@@ -9,7 +9,7 @@
 use linenthread_time::Instant;
 
 use crate::ChangeLog;
-use crate::registered_replica::{HeartbeatOutcome, RegisteredReplica};
+use crate::registered_replica::{HeartbeatOutcome, RegisteredReplica, is_present_unconfirmed};
 
 /// How long an ended replica is retained, so that a late heartbeat does not add it again.
 const ENDED_RETENTION: Duration = Duration::from_millis(60_000);
@@ -93,8 +93,8 @@
         is_complete && !was_complete
     }
 
-    /// Restores the replicas from disk; later ones prevail. They are not logged as changes, since nobody has been sent an
-    /// offset of this log yet. See [`ReplicaRegistry::confirm`].
+    /// Restores the replicas from disk; later ones prevail. They are not logged as changes, since nobody has been sent
+    /// an offset of this log yet. See [`ReplicaRegistry::confirm`].
     pub(crate) fn restore<'a>(
         &mut self,
         now: Instant,
@@ -116,9 +116,9 @@
         }
     }
 
-    /// Removes the unconfirmed replicas that the complete registry of another node does not list. They may have departed,
-    /// and the other node may have known that and have forgotten it by now. A replica that is running sends its next
-    /// heartbeat soon.
+    /// Removes the unconfirmed replicas that the complete registry of another node does not list. They may have
+    /// departed, and the other node may have known that and have forgotten it by now. A replica that is running sends
+    /// its next heartbeat soon.
     pub(crate) fn confirm(&mut self, complete: &[Replica]) {
         let listed: BTreeSet<&str> = complete.iter().map(|replica| replica.id.as_str()).collect();
         let count = self.replicas.len();
@@ -132,8 +132,7 @@
     /// Merges a report of a replica, sent by itself or by another control node, and logs the changes. A replica that is
     /// present and unconfirmed at another node is not added.
     pub fn observe(&mut self, now: Instant, report: &Replica) -> Observation {
-        let is_unconfirmed = report.unconfirmed && !report.draining && !report.ended;
-        if is_unconfirmed && !self.replicas.contains_key(&report.id) {
+        if is_present_unconfirmed(report) && !self.replicas.contains_key(&report.id) {
             return Observation {
                 outcome: HeartbeatOutcome::Stale,
                 superseded: Vec::new(),
@@ -205,8 +204,8 @@
                 < MAX_UNKNOWN_DEPARTURES
     }
 
-    /// Records that a replica announced its end; returns whether it had not ended before. An unknown replica is recorded,
-    /// too: its first heartbeat may still be on the way.
+    /// Records that a replica announced its end; returns whether it had not ended before. An unknown replica is
+    /// recorded, too: its first heartbeat may still be on the way.
     pub fn mark_departed(&mut self, now: Instant, id: &str) -> bool {
         let known = self
             .replicas
