--- a/crates/linenthread-ci/src/check.rs
+++ b/crates/linenthread-ci/src/check.rs
@@ -194,7 +194,7 @@
     }
 }
 
-/// What one test printed.
+/// The result of one test.
 struct TestResult {
     outcome: TestOutcome,
     message: Option<String>,
